--- a/gladeengine/client.go
+++ b/gladeengine/client.go
@@ -158,7 +158,6 @@
 		PresencePenalty:  s.PresencePenalty,
 		FrequencyPenalty: s.FrequencyPenalty,
 		Seed:             &s.Seed,
-		Stop:             s.Stop,
 		IgnoreEOS:        s.IgnoreEOS,
 		Stream:           true,
 		Priority:         o.Priority,
--- a/gladestream/journal.go
+++ b/gladestream/journal.go
@@ -35,6 +35,7 @@
 	finish       gladeapi.FinishReason
 	err          error
 	changed      chan struct{}
+	stops        StopFilter
 	// gated readers see only the first released tokens.
 	gated    bool
 	released int
@@ -42,7 +43,7 @@
 
 // NewJournal returns an empty journal.
 func NewJournal(g *gladeapi.Generation) *Journal {
-	j := &Journal{Generation: g, changed: make(chan struct{})}
+	j := &Journal{Generation: g, changed: make(chan struct{}), stops: StopFilter{Stops: g.Sampling.Stop}}
 	j.digest.Reset()
 	return j
 }
@@ -115,9 +116,11 @@
 		j.promptTokens = e.PromptTokens
 	}
 	for _, t := range e.Tokens {
-		j.push(t)
+		if j.push(t) {
+			break
+		}
 	}
-	if e.Finish != "" {
+	if e.Finish != "" && j.finish == "" {
 		j.finish = e.Finish
 	}
 	if len(e.Tokens) > 0 || e.Finish != "" {
@@ -146,7 +149,8 @@
 	return nil
 }
 
-func (j *Journal) push(t EventToken) {
+// push adds a token and reports whether a stop string ended the text with it.
+func (j *Journal) push(t EventToken) bool {
 	var b [4]byte
 	binary.LittleEndian.PutUint32(b[:], uint32(t.ID))
 	_, _ = j.digest.Write(b[:])
@@ -157,6 +161,11 @@
 		Prefix:   j.digest.Sum64(),
 		Logprobs: t.Logprobs,
 	})
+	_, stopped := j.stops.Push(t.Text)
+	if stopped {
+		j.finish = gladeapi.FinishStop
+	}
+	return stopped
 }
 
 // Fail ends the generation with an error unless it has ended.
