--- a/gladecluster/cluster.go
+++ b/gladecluster/cluster.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
+
 	"net/http"
 	"strconv"
 	"sync"
@@ -30,6 +30,12 @@
 	APIKey           = "demo-key"
 )
 
+// PlatformHost and CallerHost are the names of the platform and of all callers on a Network.
+const (
+	PlatformHost = "platform"
+	CallerHost   = "client"
+)
+
 const readyTimeout = 30 * time.Second
 
 // Config configures a Cluster.
@@ -55,16 +61,24 @@
 type Server struct {
 	Backend gladeapi.BackendServer
 	Engine  *gladestandin.Engine
+	// Dead is set once the server was killed.
+	Dead bool
 	// Kill closes the listener and all connections.
 	Kill func()
 }
 
 // VM is one daemon.
 type VM struct {
-	Name   string
-	Daemon *gladedaemon.Daemon
+	Name string
+	// FailureDomain is where the VM stands.
+	FailureDomain string
+	Daemon        *gladedaemon.Daemon
 	// Stop drains the daemon and waits for its end.
 	Stop func()
+	// Kill ends the daemon's connections and listeners at once, as the death of its process does.
+	Kill func()
+	// Entry describes the VM to the platform.
+	Entry gladeapi.EntryVM
 	// Dial reaches the VM as a caller does.
 	Dial gladeapi.Dial
 }
@@ -80,9 +94,12 @@
 	Engines  []*Server
 	VMs      []*VM
 
-	config  Config
-	closers []func()
-	mu      sync.Mutex
+	config   Config
+	platform string
+	closers  []func()
+	started  int
+	live     []*VM
+	mu       sync.Mutex
 }
 
 // DefaultNote returns a note with one model and one organisation without limits.
@@ -127,10 +144,11 @@
 }
 
 func (k *Cluster) start() error {
-	platform, _, err := k.serve("platform", k.Platform)
+	platform, _, err := k.serve(PlatformHost, k.Platform)
 	if err != nil {
 		return err
 	}
+	k.platform = platform
 	note, err := json.Marshal(k.config.Note)
 	if err != nil {
 		return eris.Wrap(err, "note")
@@ -138,7 +156,7 @@
 	k.Platform.Put(gladedaemon.KindNotes, strconv.FormatInt(k.config.Note.Number, 10), note)
 	for _, domain := range k.config.FailureDomains {
 		for i := range k.config.Engines {
-			if err := k.addEngine(domain, i); err != nil {
+			if err := k.startEngine(domain, fmt.Sprintf("%s-engine-%d", domain, i+1)); err != nil {
 				return err
 			}
 		}
@@ -146,79 +164,15 @@
 	k.Publish()
 	for _, domain := range k.config.FailureDomains {
 		for i := range k.config.VMs {
-			if err := k.addVM(domain, i, platform); err != nil {
+			if _, err := k.startVM(domain, fmt.Sprintf("%s-vm-%d", domain, i+1)); err != nil {
 				return err
 			}
 		}
 	}
+	k.Publish()
 	return k.waitReady()
 }
 
-// Publish puts the current engines on the platform's list.
-func (k *Cluster) Publish() {
-	list := gladeapi.VMList{}
-	for _, e := range k.Engines {
-		list.Backends = append(list.Backends, e.Backend)
-	}
-	k.Platform.SetVMs(list)
-}
-
-func (k *Cluster) addEngine(domain string, i int) error {
-	id := fmt.Sprintf("%s-engine-%d", domain, i+1)
-	c := k.config.Engine
-	c.ID = id
-	engine := gladestandin.NewEngine(c)
-	address, kill, err := k.serve(id, engine)
-	if err != nil {
-		return err
-	}
-	k.Engines = append(k.Engines, &Server{
-		Engine: engine,
-		Kill:   kill,
-		Backend: gladeapi.BackendServer{
-			ID: id, Kind: gladeapi.KindEngine, Address: address, FailureDomain: domain, Incarnation: "1", Pool: PoolName,
-		},
-	})
-	return nil
-}
-
-func (k *Cluster) addVM(domain string, i int, platform string) error {
-	name := fmt.Sprintf("%s-vm-%d", domain, i+1)
-	s := gladeconfig.Default()
-	s.VM = gladeconfig.VM{Name: name, FailureDomain: domain}
-	s.Platform.Address = "http://" + platform
-	s.Entry.LameDuck = 0
-	s.Entry.Listen = k.address(name, 8080)
-	s.Operators.Listen = k.address(name, 8081)
-	s.Peers.Listen = k.address(name, 8082)
-	if k.config.Settings != nil {
-		k.config.Settings(&s)
-	}
-	dial, listen := k.seams(name)
-	d, _, err := gladedaemon.New(gladedaemon.Config{
-		Settings: s, Dial: dial, Listen: listen, Log: k.config.Log.Named(name), Check: k.config.Check,
-	})
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		if err := d.Run(ctx); err != nil {
-			k.config.Log.Error("Daemon failed.", "vm", name, "error", err)
-		}
-	}()
-	stop := func() {
-		cancel()
-		<-done
-	}
-	k.onClose(stop)
-	client, _ := k.seams("client")
-	k.VMs = append(k.VMs, &VM{Name: name, Daemon: d, Stop: stop, Dial: client})
-	return nil
-}
-
 func (k *Cluster) address(host string, port int) string {
 	if k.config.Network == nil {
 		return "127.0.0.1:0"
@@ -226,34 +180,6 @@
 	return host + ":" + strconv.Itoa(port)
 }
 
-func (k *Cluster) seams(host string) (gladeapi.Dial, gladeapi.Listen) {
-	if k.config.Network == nil {
-		return (&net.Dialer{}).DialContext, net.Listen
-	}
-	h := k.config.Network.Host(host)
-	return h.Dial, h.Listen
-}
-
-func (k *Cluster) serve(host string, h http.Handler) (string, func(), error) {
-	_, listen := k.seams(host)
-	l, err := listen("tcp", k.address(host, 80))
-	if err != nil {
-		return "", nil, err
-	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readyTimeout}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = s.Serve(l)
-	}()
-	kill := sync.OnceFunc(func() {
-		_ = s.Close()
-		<-done
-	})
-	k.onClose(kill)
-	return l.Addr().String(), kill, nil
-}
-
 func (k *Cluster) onClose(f func()) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -268,7 +194,7 @@
 
 func (k *Cluster) waitReady() error {
 	deadline := time.Now().Add(readyTimeout)
-	for _, v := range k.VMs {
+	for _, v := range k.LiveVMs() {
 		for !ready(v) {
 			if time.Now().After(deadline) {
 				return eris.Errorf("%s is not ready", v.Name)
--- /dev/null
+++ b/gladecluster/process.go
@@ -0,0 +1,208 @@
+package gladecluster
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+	"github.com/eelgrassglade/eelgrassglade/gladeconfig"
+	"github.com/eelgrassglade/eelgrassglade/gladedaemon"
+	"github.com/eelgrassglade/eelgrassglade/gladekernel"
+	"github.com/eelgrassglade/eelgrassglade/gladepeer"
+	"github.com/eelgrassglade/eelgrassglade/gladestandin"
+)
+
+// ErrUnknown means that the cluster has no live VM or backend server of the name.
+var ErrUnknown = eris.New("no such host")
+
+const (
+	entryPort     = 8080
+	operatorsPort = 8081
+	peersPort     = 8082
+)
+
+func (k *Cluster) startEngine(domain, id string) error {
+	c := k.config.Engine
+	c.ID = id
+	engine := gladestandin.NewEngine(c)
+	address, kill, err := k.serve(id, engine)
+	if err != nil {
+		return err
+	}
+	s := &Server{Engine: engine, Backend: gladeapi.BackendServer{
+		ID: id, Kind: gladeapi.KindEngine, Address: address, FailureDomain: domain, Incarnation: k.incarnation(), Pool: PoolName,
+	}}
+	s.Kill = func() {
+		k.mu.Lock()
+		s.Dead = true
+		k.mu.Unlock()
+		kill()
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.Engines = append(k.Engines, s)
+	return nil
+}
+
+func (k *Cluster) incarnation() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.started++
+	return strconv.Itoa(k.started)
+}
+
+func (k *Cluster) startVM(domain, name string) (*VM, error) {
+	on := k.host(name)
+	d, _, err := gladedaemon.New(gladedaemon.Config{
+		Settings: k.settings(domain, name), Dial: on.dial, Listen: on.listen,
+		Log: k.config.Log.Named(name), Check: k.config.Check,
+	})
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := d.Run(ctx); err != nil {
+			k.config.Log.Error("Daemon failed.", "vm", name, "error", err)
+		}
+	}()
+	v := &VM{Name: name, FailureDomain: domain, Daemon: d, Dial: k.host(CallerHost).dial, Entry: entryOf(d)}
+	v.Stop = func() {
+		cancel()
+		<-done
+		k.forget(v)
+	}
+	v.Kill = sync.OnceFunc(func() {
+		k.forget(v)
+		on.kill()
+	})
+	k.onClose(func() {
+		cancel()
+		<-done
+	})
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.VMs = append(k.VMs, v)
+	k.live = append(k.live, v)
+	return v, nil
+}
+
+func (k *Cluster) settings(domain, name string) gladeconfig.Settings {
+	s := gladeconfig.Default()
+	s.VM = gladeconfig.VM{Name: name, FailureDomain: domain}
+	s.Platform.Address = "http://" + k.platform
+	s.Entry.LameDuck = 0
+	s.Entry.Listen = k.address(name, entryPort)
+	s.Operators.Listen = k.address(name, operatorsPort)
+	s.Peers.Listen = k.address(name, peersPort)
+	if k.config.Settings != nil {
+		k.config.Settings(&s)
+	}
+	return s
+}
+
+func entryOf(d *gladedaemon.Daemon) gladeapi.EntryVM {
+	node, err := gladekernel.Lookup[*gladepeer.Node](d.Kernel(), gladedaemon.ServicePeers)
+	if err != nil {
+		return gladeapi.EntryVM{EntryAddress: d.EntryAddress()}
+	}
+	e := node.Self().EntryVM
+	e.EntryAddress = d.EntryAddress()
+	return e
+}
+
+func (k *Cluster) forget(v *VM) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for i, l := range k.live {
+		if l == v {
+			k.live = append(k.live[:i:i], k.live[i+1:]...)
+			return
+		}
+	}
+}
+
+// LiveVMs returns the VMs that were neither stopped nor killed.
+func (k *Cluster) LiveVMs() []*VM {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return append([]*VM(nil), k.live...)
+}
+
+// VM returns a live VM by name.
+func (k *Cluster) VM(name string) (*VM, error) {
+	for _, v := range k.LiveVMs() {
+		if v.Name == name {
+			return v, nil
+		}
+	}
+	return nil, eris.Wrap(ErrUnknown, name)
+}
+
+// Engine returns a live engine by its identifier.
+func (k *Cluster) Engine(id string) (*Server, error) {
+	for _, e := range k.LiveEngines() {
+		if e.Backend.ID == id {
+			return e, nil
+		}
+	}
+	return nil, eris.Wrap(ErrUnknown, id)
+}
+
+// LiveEngines returns the engines that were not killed.
+func (k *Cluster) LiveEngines() []*Server {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var live []*Server
+	for _, e := range k.Engines {
+		if !e.Dead {
+			live = append(live, e)
+		}
+	}
+	return live
+}
+
+// ReplaceVM starts a VM that keeps nothing of an earlier one, under a new name, and puts it on the platform's list.
+func (k *Cluster) ReplaceVM(domain string) (*VM, error) {
+	v, err := k.startVM(domain, fmt.Sprintf("%s-vm-r%s", domain, k.incarnation()))
+	if err != nil {
+		return nil, err
+	}
+	k.Publish()
+	return v, nil
+}
+
+// RestartEngine kills an engine, if it lives, and starts its next incarnation at once.
+func (k *Cluster) RestartEngine(id string) error {
+	if e, err := k.Engine(id); err == nil {
+		e.Kill()
+	}
+	for _, e := range k.Engines {
+		if e.Backend.ID == id {
+			if err := k.startEngine(e.Backend.FailureDomain, id); err != nil {
+				return err
+			}
+			k.Publish()
+			return nil
+		}
+	}
+	return eris.Wrap(ErrUnknown, id)
+}
+
+// Publish puts the live engines, services and VMs on the platform's list.
+func (k *Cluster) Publish() {
+	list := gladeapi.VMList{}
+	for _, e := range k.LiveEngines() {
+		list.Backends = append(list.Backends, e.Backend)
+	}
+	for _, v := range k.LiveVMs() {
+		list.Entries = append(list.Entries, v.Entry)
+	}
+	k.Platform.SetVMs(list)
+}
--- a/gladewire/network.go
+++ b/gladewire/network.go
@@ -15,6 +15,7 @@
 	ErrRefused     = eris.Wrap(syscall.ECONNREFUSED, "in-memory network")
 	ErrUnreachable = eris.New("in-memory network: host unreachable")
 	ErrInUse       = eris.New("in-memory network: address in use")
+	ErrTerminated  = eris.New("in-memory network: process terminated")
 )
 
 const acceptBacklog = 128
@@ -26,17 +27,23 @@
 	conns     map[*conn]struct{}
 	paused    map[string]chan struct{}
 	cut       map[[2]string]bool
+	// terminated counts the ended processes of each host.
+	terminated map[string]int
 }
 
 // Host returns the seams of one host, whose listen addresses are HOST:PORT.
 func (n *Network) Host(name string) Host {
-	return Host{network: n, name: name}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return Host{network: n, name: name, process: n.terminated[name]}
 }
 
 // Host is one named machine on a Network.
 type Host struct {
 	network *Network
 	name    string
+	// process tells a host's seams from those of its earlier, terminated processes.
+	process int
 }
 
 // Listen opens a listener on the address, which must name this host.
@@ -44,6 +51,9 @@
 	n := h.network
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.terminated[h.name] != h.process {
+		return nil, eris.Wrap(ErrTerminated, h.name)
+	}
 	if n.listeners == nil {
 		n.listeners = map[string]*listener{}
 	}
@@ -62,7 +72,11 @@
 	n.mu.Lock()
 	l := n.listeners[address]
 	cut := n.cut[pair(h.name, to)]
+	terminated := n.terminated[h.name] != h.process
 	n.mu.Unlock()
+	if terminated {
+		return nil, eris.Wrap(ErrTerminated, h.name)
+	}
 	if cut {
 		<-ctx.Done()
 		return nil, eris.Wrap(ErrUnreachable, address)
@@ -114,6 +128,17 @@
 	}
 }
 
+// Terminate kills a host and makes the seams of its process useless; Host returns those of the next process.
+func (n *Network) Terminate(host string) {
+	n.mu.Lock()
+	if n.terminated == nil {
+		n.terminated = map[string]int{}
+	}
+	n.terminated[host]++
+	n.mu.Unlock()
+	n.Kill(host)
+}
+
 // Pause holds all bytes to and from a host until Resume is called.
 func (n *Network) Pause(host string) {
 	n.mu.Lock()
