--- /dev/null
+++ b/gladecaller/verify_test.go
@@ -0,0 +1,52 @@
+package gladecaller
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+)
+
+func right(w *Want) *Answer {
+	a := &Answer{Finish: w.finish, Usage: &gladeapi.Usage{PromptTokens: w.prompt, CompletionTokens: w.Tokens()}}
+	for i, text := range w.texts {
+		a.Events = append(a.Events, Event{ID: w.ids[i], Text: text})
+		a.Text += text
+	}
+	return a
+}
+
+func TestVerifyFindsEachFault(t *testing.T) {
+	q := &Request{Model: "m", Prompt: "list the drums", MaxTokens: 8, Seed: 3}
+	w := NewWant("m@1", q)
+	other := NewWant("m@1", &Request{Prompt: "another request", MaxTokens: 8, Seed: 3})
+	cases := []struct {
+		name  string
+		spoil func(*Answer)
+		want  error
+	}{
+		{"right", func(*Answer) {}, nil},
+		{"missing within", func(a *Answer) { a.Events = slices.Delete(a.Events, 3, 4) }, ErrMissing},
+		{"missing at the end", func(a *Answer) {
+			a.Events = a.Events[:7]
+			a.Text = strings.Join(w.texts[:7], "")
+		}, ErrMissing},
+		{"repeated", func(a *Answer) { a.Events = slices.Insert(a.Events, 4, a.Events[3]) }, ErrRepeated},
+		{"mixed", func(a *Answer) { a.Events[5].Text = other.texts[5] }, ErrMixed},
+		{"another's whole answer", func(a *Answer) { *a = *right(other) }, ErrMixed},
+		{"wrong hash", func(a *Answer) { a.Events[2].ID = "2-abc" }, ErrPosition},
+		{"text of a whole answer", func(a *Answer) { a.Events, a.Text = nil, a.Text+" w1" }, ErrMixed},
+		{"usage", func(a *Answer) { a.Usage.CompletionTokens++ }, ErrUsage},
+		{"too long", func(a *Answer) { a.Events = append(a.Events, Event{ID: "8-1", Text: " w1"}) }, ErrMissing},
+	}
+	for _, k := range cases {
+		t.Run(k.name, func(t *testing.T) {
+			a := right(w)
+			k.spoil(a)
+			qt.Assert(t, w.Verify(a), qt.ErrorIs, k.want)
+		})
+	}
+}
