--- a/gladecluster/cluster.go
+++ b/gladecluster/cluster.go
@@ -52,9 +52,11 @@
 	// Settings changes the settings of each VM, if set.
 	Settings func(*gladeconfig.Settings)
 	// Note is the first release note; nil means DefaultNote.
-	Note  *gladenote.Note
-	Log   hclog.Logger
-	Check *gladecheck.Checker
+	Note *gladenote.Note
+	// OnArrival is called with all work that reaches a backend server, if set.
+	OnArrival func(Arrival)
+	Log       hclog.Logger
+	Check     *gladecheck.Checker
 }
 
 // Server is one stand-in with its listener.
--- a/gladecluster/process.go
+++ b/gladecluster/process.go
@@ -29,7 +29,7 @@
 	c := k.config.Engine
 	c.ID = id
 	engine := gladestandin.NewEngine(c)
-	address, kill, err := k.serve(id, engine)
+	address, kill, err := k.serve(id, k.observe(id, engine))
 	if err != nil {
 		return err
 	}
