--- a/gladeentry/parse.go
+++ b/gladeentry/parse.go
@@ -23,6 +23,7 @@
 	maxTemperature = 2
 	maxPenalty     = 2
 	maxLogprobs    = 20
+	bodyTimeout    = 20 * time.Second
 )
 
 // Body is the JSON of a completion or chat request.
@@ -69,9 +70,9 @@
 }
 
 func (s *Server) parse(w http.ResponseWriter, r *http.Request, o *gladenote.Organisation, chat bool) (*request, error) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.config.MaxBodyBytes))
+	raw, err := s.readBody(w, r)
 	if err != nil {
-		return nil, bodyError(err)
+		return nil, err
 	}
 	var b Body
 	if err := json.Unmarshal(raw, &b); err != nil {
@@ -93,6 +94,19 @@
 	return q, q.headers(r)
 }
 
+// readBody reads a body that must be whole before the body timeout.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	control := http.NewResponseController(w)
+	// A connection without deadlines is one of a test, which cannot block for long.
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.config.MaxBodyBytes))
+	if err != nil {
+		return nil, bodyError(err)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return raw, nil
+}
+
 func (q *request) headers(r *http.Request) error {
 	if len(q.generation.Key) > maxKeyBytes {
 		return badField(HeaderIdempotencyKey, "longer than %d bytes", maxKeyBytes)
@@ -132,10 +146,28 @@
 	if err := b.sampling(q, &model); err != nil {
 		return err
 	}
+	if err := q.context(&model); err != nil {
+		return err
+	}
 	q.generation.Fingerprint = fingerprint(q.generation)
 	return nil
 }
 
+// context checks that a prompt of token identifiers leaves room in the model's context.
+func (q *request) context(m *gladenote.Model) error {
+	g := q.generation
+	for i, id := range g.PromptTokens {
+		if id < 0 {
+			return badField("prompt", "token %d is negative", i)
+		}
+	}
+	if m.Context > 0 && len(g.PromptTokens)+g.Sampling.MaxTokens > m.Context {
+		return badField("max_tokens", "prompt of %d and answer of %d tokens exceed the context of %d",
+			len(g.PromptTokens), g.Sampling.MaxTokens, m.Context)
+	}
+	return nil
+}
+
 func fingerprint(g *gladeapi.Generation) uint64 {
 	var d xxhash.Digest
 	d.Reset()
--- a/gladeentry/refuse.go
+++ b/gladeentry/refuse.go
@@ -1,8 +1,10 @@
 package gladeentry
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -10,6 +12,9 @@
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 )
 
+// statusClientClosed is the customary status for a request whose caller is gone.
+const statusClientClosed = 499
+
 // ErrorBody is the JSON of an error.
 type ErrorBody struct {
 	Error ErrorDetail `json:"error"`
@@ -40,12 +45,22 @@
 }
 
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, err error) {
-	f := gladeapi.AsRefusal(err)
+	f := asRefusal(err)
 	id := requestID(r)
 	s.config.Record.Add(id, "entry", "refused", "%d %s: %s", f.Status, f.Code, f.Message)
 	WriteRefusal(w, id, f)
 }
 
+// asRefusal turns what a generation or an admission ended with into what its caller is told.
+func asRefusal(err error) *gladeapi.Refusal {
+	if errors.Is(err, context.Canceled) {
+		return &gladeapi.Refusal{
+			Status: statusClientClosed, Code: gladeapi.CodeDeadline, Message: "the caller left", Ran: gladeapi.Unknown,
+		}
+	}
+	return gladeapi.AsRefusal(err)
+}
+
 func newInstance() string {
 	return rand.Text()[:6]
 }
--- a/gladeentry/registry.go
+++ b/gladeentry/registry.go
@@ -1,6 +1,7 @@
 package gladeentry
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -9,6 +10,10 @@
 
 // registry finds the running and recently ended generations by organisation and key.
 type registry struct {
+	// grace is how long a run with a key goes on without a reader, retention how long it is kept after its end.
+	grace     time.Duration
+	retention time.Duration
+
 	mu   sync.Mutex
 	runs map[runKey]*entry
 }
@@ -20,65 +25,113 @@
 
 // entry is one generation and the callers that read it.
 type entry struct {
-	run      *gladestream.Run
+	key      runKey
 	bodyHash uint64
-	readers  int
-	stop     *time.Timer
+	// started is closed once run or err is set.
+	started chan struct{}
+	run     *gladestream.Run
+	err     error
+
+	readers int
+	stop    *time.Timer
 }
 
-// join returns the entry of a key and whether start made it.
-func (g *registry) join(k runKey, bodyHash uint64, start func() (*gladestream.Run, error)) (*entry, bool, error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if e := g.runs[k]; k.key != "" && e != nil {
-		e.join()
-		return e, false, nil
+// join adds a reader to the entry of a key, made by start if there is none.
+func (g *registry) join(ctx context.Context, k runKey, hash uint64, start func() (*gladestream.Run, error)) (*entry, error) {
+	e, made := g.enter(k, hash)
+	if made {
+		g.begin(e, start)
 	}
-	run, err := start()
-	if err != nil {
-		return nil, false, err
+	select {
+	case <-e.started:
+	case <-ctx.Done():
+		go g.abandon(e)
+		return nil, ctx.Err()
 	}
-	e := &entry{run: run, bodyHash: bodyHash, readers: 1}
-	if k.key != "" {
-		g.put(k, e)
+	if e.err != nil {
+		return nil, e.err
 	}
-	return e, true, nil
+	return e, nil
 }
 
-func (g *registry) put(k runKey, e *entry) {
-	if g.runs == nil {
-		g.runs = map[runKey]*entry{}
+// begin sets the run or the error of a new entry.
+func (g *registry) begin(e *entry, start func() (*gladestream.Run, error)) {
+	defer close(e.started)
+	e.run, e.err = start()
+	if e.err != nil {
+		g.forget(e)
+		return
+	}
+	if e.key.key != "" {
+		go g.retain(e)
 	}
-	g.runs[k] = e
 }
 
-func (e *entry) join() {
-	e.readers++
-	if e.stop != nil {
-		e.stop.Stop()
-		e.stop = nil
+// abandon ends a reader that left before the run was known.
+func (g *registry) abandon(e *entry) {
+	<-e.started
+	if e.err == nil {
+		g.leave(e)
+	}
+}
+
+func (g *registry) enter(k runKey, hash uint64) (*entry, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if e := g.runs[k]; k.key != "" && e != nil {
+		e.readers++
+		if e.stop != nil {
+			e.stop.Stop()
+			e.stop = nil
+		}
+		return e, false
 	}
+	e := &entry{key: k, bodyHash: hash, started: make(chan struct{}), readers: 1}
+	if k.key == "" {
+		return e, true
+	}
+	if g.runs == nil {
+		g.runs = map[runKey]*entry{}
+	}
+	g.runs[k] = e
+	return e, true
 }
 
-// leave ends one reader; the last one's leaving stops the run after grace.
-func (g *registry) leave(e *entry, grace time.Duration) {
+// leave ends one reader; the last one's leaving stops the run, after grace if it has a key.
+func (g *registry) leave(e *entry) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e.readers--
 	if e.readers > 0 {
 		return
 	}
-	if grace == 0 {
+	if e.key.key == "" {
 		e.run.Stop()
 		return
 	}
-	e.stop = time.AfterFunc(grace, e.run.Stop)
+	e.stop = time.AfterFunc(g.grace, func() {
+		g.forget(e)
+		e.run.Stop()
+	})
 }
 
-func (g *registry) forget(k runKey, e *entry) {
+func (g *registry) forget(e *entry) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.runs[k] == e {
-		delete(g.runs, k)
+	if g.runs[e.key] == e {
+		delete(g.runs, e.key)
 	}
 }
+
+// retain forgets an entry a while after its run has ended.
+func (g *registry) retain(e *entry) {
+	<-e.run.Done
+	time.AfterFunc(g.retention, func() { g.forget(e) })
+}
+
+// len returns the number of entries that have a key.
+func (g *registry) len() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.runs)
+}
--- a/gladeentry/serve.go
+++ b/gladeentry/serve.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladenote"
@@ -31,7 +30,7 @@
 		s.refuse(w, r, err)
 		return
 	}
-	defer s.leave(q, e)
+	defer s.runs.leave(e)
 	w.Header().Set(HeaderRequestID, e.run.Journal.Generation.ID)
 	from, err := s.position(q, e.run.Journal)
 	if err != nil {
@@ -46,25 +45,30 @@
 }
 
 func (s *Server) entry(ctx context.Context, q *request) (*entry, error) {
-	g := q.generation
-	k := runKey{organisation: g.Organisation, key: g.Key}
-	e, started, err := s.runs.join(k, q.bodyHash, func() (*gladestream.Run, error) { return s.start(ctx, q) })
+	k := runKey{organisation: q.generation.Organisation, key: q.generation.Key}
+	startContext := ctx
+	if k.key != "" {
+		// Other callers of the key may wait for the same start.
+		startContext = context.WithoutCancel(ctx)
+	}
+	e, err := s.runs.join(ctx, k, q.bodyHash, func() (*gladestream.Run, error) { return s.start(startContext, q) })
 	if err != nil {
 		return nil, err
 	}
 	if e.bodyHash != q.bodyHash {
-		s.leave(q, e)
-		return nil, &gladeapi.Refusal{
-			Status: http.StatusUnprocessableEntity, Code: gladeapi.CodeKeyReused,
-			Message: "the idempotency key was used with another body", Field: HeaderIdempotencyKey, Ran: gladeapi.NotRun,
-		}
-	}
-	if started && g.Key != "" {
-		go s.retain(k, e)
+		s.runs.leave(e)
+		return nil, keyReused()
 	}
 	return e, nil
 }
 
+func keyReused() *gladeapi.Refusal {
+	return &gladeapi.Refusal{
+		Status: http.StatusUnprocessableEntity, Code: gladeapi.CodeKeyReused,
+		Message: "the idempotency key was used with another body", Field: HeaderIdempotencyKey, Ran: gladeapi.NotRun,
+	}
+}
+
 func (s *Server) start(ctx context.Context, q *request) (*gladestream.Run, error) {
 	g := q.generation
 	if run, err := s.recovered(ctx, q); run != nil || err != nil {
@@ -102,20 +106,6 @@
 	return nil, nil
 }
 
-func (s *Server) retain(k runKey, e *entry) {
-	<-e.run.Done
-	time.Sleep(s.config.Retention)
-	s.runs.forget(k, e)
-}
-
-func (s *Server) leave(q *request, e *entry) {
-	grace := time.Duration(0)
-	if q.generation.Key != "" {
-		grace = s.config.Grace
-	}
-	s.runs.leave(e, grace)
-}
-
 func (s *Server) position(q *request, j *gladestream.Journal) (int, error) {
 	if q.position == nil {
 		return 0, nil
--- a/gladeentry/server.go
+++ b/gladeentry/server.go
@@ -86,6 +86,8 @@
 		c.Log = hclog.NewNullLogger()
 	}
 	s := &Server{config: c, mux: http.NewServeMux(), instance: newInstance()}
+	s.runs.grace = c.Grace
+	s.runs.retention = c.Retention
 	s.mux.HandleFunc("POST /v1/completions", s.authenticated(s.serveCompletion))
 	s.mux.HandleFunc("POST /v1/chat/completions", s.authenticated(s.serveChat))
 	s.mux.HandleFunc("GET /v1/models", s.authenticated(s.serveModels))
