Call plain services at most once or again, as the route says

Cause: /services/ answered nothing; a service answer could be crossed or late, and net/http sends a POST with an Idempotency-Key again by itself when a kept connection dies.

A non-idempotent call gets a connection of its own and is written to it at most once; only a server that could not be connected to lets it go to another. An idempotent call is retried and hedged within deadline and budget. An answer counts only if it echoes its attempt's identifier, else it is dropped and its connection closed. Invariant atMostOnce is asserted on the connections of each attempt.

--- /dev/null
+++ b/gladeservice/attempt.go
@@ -0,0 +1,165 @@
+package gladeservice
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+)
+
+// dropped are the headers that belong to one connection or to this system.
+var dropped = map[string]bool{
+	"Authorization":       true,
+	"Connection":          true,
+	"Expect":              true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	HeaderRequestID:       true,
+	HeaderOrganisation:    true,
+	HeaderRan:             true,
+}
+
+// attempt is one sending of a call to one server.
+type attempt struct {
+	client  *Client
+	request *Request
+	choice  gladeapi.Choice
+	id      string
+	// conns is how many connections the attempt was written to.
+	conns atomic.Int32
+	conn  atomic.Pointer[net.Conn]
+}
+
+func (c *Client) newAttempt(r *Request, number int, choice gladeapi.Choice) *attempt {
+	c.counts.attempts.Inc(1)
+	a := &attempt{client: c, request: r, choice: choice, id: r.ID + "." + strconv.Itoa(number)}
+	c.config.Record.Add(r.ID, "service", "attempt", "%s on %s: %s", a.id, choice.Backend.ID, choice.Reason)
+	return a
+}
+
+// sent reports whether a byte may have reached the server.
+func (a *attempt) sent() bool {
+	return a.conns.Load() > 0
+}
+
+// do sends the call, releases the choice and returns the answer, if it is the attempt's own.
+func (a *attempt) do(ctx context.Context, t *http.Transport) (*Answer, error) {
+	started := time.Now()
+	answer, err := a.exchange(ctx, t)
+	a.choice.Release(outcome(ctx, err))
+	if err != nil {
+		a.client.config.Record.Add(a.request.ID, "service", "attemptFailed", "%s: %v", a.id, err)
+		return nil, err
+	}
+	a.client.latency(a.request.Route.Name).add(time.Since(started))
+	a.client.config.Record.Add(a.request.ID, "service", "answered", "%s with %d", a.id, answer.Status)
+	return answer, nil
+}
+
+func outcome(ctx context.Context, err error) gladeapi.Outcome {
+	switch {
+	case err == nil || errors.Is(err, ErrRefusedBeforeRunning) || errors.Is(err, ErrAnswerTooLarge):
+		return gladeapi.OutcomeDone
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return gladeapi.OutcomeStalled
+	case ctx.Err() != nil:
+		return gladeapi.OutcomeCancelled
+	}
+	return gladeapi.OutcomeFailed
+}
+
+func (a *attempt) exchange(ctx context.Context, t *http.Transport) (*Answer, error) {
+	q, err := a.build(ctx)
+	if err != nil {
+		return nil, err
+	}
+	response, err := t.RoundTrip(q)
+	if err != nil {
+		return nil, eris.Wrap(err, a.choice.Backend.ID)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if echoed := response.Header.Get(HeaderRequestID); echoed != a.id {
+		a.closeConn()
+		a.client.counts.foreign.Inc(1)
+		return nil, eris.Wrapf(ErrForeignAnswer, "%s: %q echoed for %q", a.choice.Backend.ID, echoed, a.id)
+	}
+	if response.Header.Get(HeaderRan) == string(gladeapi.NotRun) && response.StatusCode >= http.StatusBadRequest {
+		return nil, eris.Wrapf(ErrRefusedBeforeRunning, "%s: status %d", a.choice.Backend.ID, response.StatusCode)
+	}
+	return a.read(response)
+}
+
+func (a *attempt) build(ctx context.Context) (*http.Request, error) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		a.conns.Add(1)
+		a.conn.Store(&i.Conn)
+	}})
+	url := "http://" + a.choice.Backend.Address + a.request.Path
+	q, err := http.NewRequestWithContext(ctx, a.request.Method, url, bytes.NewReader(a.request.Body))
+	if err != nil {
+		return nil, eris.Wrap(err, "request")
+	}
+	q.Header = endToEnd(a.request.Header)
+	q.Header.Set(HeaderRequestID, a.id)
+	q.Header.Set(HeaderOrganisation, a.request.Organisation)
+	if q.Header.Get("User-Agent") == "" {
+		q.Header.Set("User-Agent", "")
+	}
+	return q, nil
+}
+
+func (a *attempt) read(response *http.Response) (*Answer, error) {
+	limit := a.client.config.MaxAnswerBytes
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err != nil {
+		return nil, eris.Wrap(err, a.choice.Backend.ID)
+	}
+	if int64(len(body)) > limit {
+		a.closeConn()
+		return nil, eris.Wrapf(ErrAnswerTooLarge, "%s: more than %d bytes", a.choice.Backend.ID, limit)
+	}
+	header := endToEnd(response.Header)
+	header.Del("Content-Length")
+	return &Answer{Status: response.StatusCode, Header: header, Body: body, Backend: a.choice.Backend.ID}, nil
+}
+
+func (a *attempt) closeConn() {
+	if c := a.conn.Load(); c != nil {
+		_ = (*c).Close()
+	}
+}
+
+// endToEnd returns the headers that travel beyond one connection.
+func endToEnd(h http.Header) http.Header {
+	kept := h.Clone()
+	if kept == nil {
+		kept = http.Header{}
+	}
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			kept.Del(textproto.TrimString(name))
+		}
+	}
+	for name := range dropped {
+		kept.Del(name)
+	}
+	return kept
+}
--- /dev/null
+++ b/gladeservice/client_test.go
@@ -0,0 +1,215 @@
+package gladeservice
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+	"github.com/eelgrassglade/eelgrassglade/gladecheck"
+	"github.com/eelgrassglade/eelgrassglade/gladenote"
+	"github.com/eelgrassglade/eelgrassglade/gladestandin"
+	"github.com/eelgrassglade/eelgrassglade/gladewire"
+)
+
+type fault = gladestandin.ServiceFault
+
+// bench is a client before some services in virtual time.
+type bench struct {
+	network  gladewire.Network
+	services []*gladestandin.Service
+	ledger   gladestandin.Ledger
+	metrics  metrics.Registry
+	client   *Client
+	retries  int
+}
+
+func newBench(t *testing.T, services int) *bench {
+	b := &bench{metrics: metrics.NewRegistry(), retries: 100}
+	for i := range services {
+		host := fmt.Sprintf("s%d", i)
+		s := gladestandin.NewService(gladestandin.ServiceConfig{ID: host, RunTime: 10 * time.Millisecond, Ledger: &b.ledger})
+		b.services = append(b.services, s)
+		l, err := b.network.Host(host).Listen("tcp", host+":80")
+		qt.Assert(t, err, qt.IsNil)
+		server := &http.Server{Handler: s}
+		go func() { _ = server.Serve(l) }()
+		t.Cleanup(func() { _ = server.Close() })
+	}
+	client, closeClient := New(Config{
+		Choose:  b.choose,
+		Retry:   func() bool { b.retries--; return b.retries >= 0 },
+		Dial:    b.network.Host("vm").Dial,
+		Metrics: b.metrics,
+		Check:   &gladecheck.Checker{OnBroken: func(i gladecheck.Invariant, m string) { t.Errorf("%s: %s", i, m) }},
+	})
+	t.Cleanup(closeClient)
+	t.Cleanup(func() { time.Sleep(10 * time.Second) }) // lets abandoned runs end
+	b.client = client
+	return b
+}
+
+func (b *bench) choose(_ string, n gladeapi.Need) (gladeapi.Choice, error) {
+	for i := range b.services {
+		id := fmt.Sprintf("s%d", i)
+		if i < len(n.Avoid) {
+			continue
+		}
+		return gladeapi.Choice{
+			Backend: gladeapi.BackendServer{ID: id, Address: id + ":80"}, Release: func(gladeapi.Outcome) {},
+		}, nil
+	}
+	return gladeapi.Choice{}, errors.New("no server")
+}
+
+func (b *bench) call(idempotent, hedge bool, key string) (*Answer, error) {
+	return b.client.Do(context.Background(), &Request{
+		ID: "r" + key, Organisation: "nile-fixer",
+		Route:  gladenote.Route{Name: "returns", Pool: "returns-app", Idempotent: idempotent, Hedge: hedge, TimeoutMillis: 1000},
+		Method: http.MethodPost, Path: "/credits?lab=7",
+		Header: http.Header{"Idempotency-Key": {key}, "Connection": {"X-Hop"}, "X-Hop": {"1"}},
+		Body:   []byte("credit " + key),
+	})
+}
+
+func TestNonIdempotentCallRunsAtMostOnce(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		fault fault
+		ran   gladeapi.Ran
+		runs  int
+	}{
+		{"answered", fault{}, "", 1},
+		{"dies before running", fault{DieBefore: true}, gladeapi.Unknown, 0},
+		{"dies while running", fault{DieDuring: true}, gladeapi.Unknown, 1},
+		{"dies after running", fault{DieAfter: true}, gladeapi.Unknown, 1},
+		{"answer lost", fault{LoseAnswer: true}, gladeapi.Unknown, 1},
+		{"answer late", fault{Late: 2 * time.Second}, gladeapi.Unknown, 1},
+		{"answer to another request", fault{EchoOf: "other.1"}, gladeapi.Unknown, 1},
+		{"refused before running", fault{Refuse: true}, gladeapi.NotRun, 0},
+		{"crossed refusal", fault{Refuse: true, EchoOf: "other.1"}, gladeapi.Unknown, 0},
+		{"quiet refusal is the service's own answer", fault{RefuseQuietly: true}, "", 0},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				b := newBench(t, 3)
+				_, err := b.call(false, false, "warm") // a used connection must not invite a second sending
+				c.Assert(err, qt.IsNil)
+				for _, s := range b.services {
+					s.SetFault(x.fault)
+				}
+				_, err = b.call(false, false, "k")
+				if x.ran == "" {
+					c.Assert(err, qt.IsNil)
+				} else {
+					c.Check(gladeapi.AsRefusal(err).Ran, qt.Equals, x.ran, qt.Commentf("%v", err))
+				}
+				time.Sleep(5 * time.Second)
+				c.Check(b.ledger.Runs()["k"], qt.Equals, x.runs)
+				c.Check(b.ledger.Arrived(), qt.Equals, 2)
+			})
+		})
+	}
+}
+
+func TestNonIdempotentCallGoesOnBeforeFirstByte(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, 3)
+		b.network.Kill("s0")
+		_, err := b.call(false, false, "k")
+		c.Assert(err, qt.IsNil)
+		b.network.Kill("s1")
+		b.network.Kill("s2")
+		_, err = b.call(false, false, "l")
+		c.Assert(gladeapi.AsRefusal(err).Ran, qt.Equals, gladeapi.NotRun)
+		c.Assert(b.ledger.Runs(), qt.DeepEquals, map[string]int{"k": 1})
+	})
+}
+
+func TestIdempotentCallIsRetried(t *testing.T) {
+	for _, x := range []struct {
+		name    string
+		fault   fault
+		hedge   bool
+		within  time.Duration
+		foreign int64
+	}{
+		{"dies before running", fault{DieBefore: true}, false, 100 * time.Millisecond, 0},
+		{"dies after running", fault{DieAfter: true}, false, 100 * time.Millisecond, 0},
+		{"refused", fault{Refuse: true}, false, 100 * time.Millisecond, 0},
+		{"answer to another request", fault{EchoOf: "other.1"}, false, 100 * time.Millisecond, 1},
+		{"answer lost", fault{LoseAnswer: true}, false, 600 * time.Millisecond, 0},
+		{"answer lost, hedged", fault{LoseAnswer: true}, true, 150 * time.Millisecond, 0},
+		{"slow, hedged", fault{Slow: 900 * time.Millisecond}, true, 150 * time.Millisecond, 0},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				b := newBench(t, 3)
+				for range 8 {
+					_, err := b.call(true, x.hedge, "")
+					c.Assert(err, qt.IsNil)
+				}
+				b.services[0].SetFault(x.fault)
+				started := time.Now()
+				a, err := b.call(true, x.hedge, "")
+				c.Assert(err, qt.IsNil)
+				c.Check(string(a.Body), qt.Equals, "credit ")
+				c.Check(a.Header.Get("Service-Id"), qt.Equals, "s1")
+				c.Check(time.Since(started) <= x.within, qt.IsTrue, qt.Commentf("%s", time.Since(started)))
+				c.Check(b.client.counts.foreign.Count(), qt.Equals, x.foreign)
+				b.services[1].SetFault(x.fault) // a second failure during recovery
+				_, err = b.call(true, x.hedge, "")
+				c.Check(err, qt.IsNil)
+			})
+		})
+	}
+}
+
+func TestRetriesKeepToBudgetAndDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, 3)
+		for _, s := range b.services {
+			s.SetFault(fault{DieBefore: true})
+		}
+		b.retries = 1
+		_, err := b.call(true, false, "")
+		c.Check(gladeapi.AsRefusal(err).Ran, qt.Equals, gladeapi.Unknown)
+		c.Check(b.ledger.Arrived(), qt.Equals, 2)
+		for _, s := range b.services {
+			s.SetFault(fault{LoseAnswer: true})
+		}
+		b.retries = 100
+		started := time.Now()
+		_, err = b.call(true, true, "")
+		c.Check(gladeapi.AsRefusal(err).Code, qt.Equals, gladeapi.CodeDeadline)
+		c.Check(time.Since(started) <= time.Second, qt.IsTrue)
+	})
+}
+
+func TestLateAnswerReachesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, 1)
+		b.services[0].SetFault(fault{Late: 3 * time.Second, Times: 1})
+		_, err := b.call(true, false, "first")
+		c.Check(err, qt.IsNotNil)
+		for i := range 20 {
+			key := fmt.Sprintf("k%d", i)
+			a, err := b.call(true, false, key)
+			c.Assert(err, qt.IsNil)
+			c.Check(string(a.Body), qt.Equals, "credit "+key)
+			time.Sleep(200 * time.Millisecond)
+		}
+	})
+}
