Run calls at most once under keys of callers and of VMs

Cause: a non-idempotent call repeated through another VM, or after a lost answer, could run twice.

Change: package gladeonce. A caller's key is claimed on the platform by conditional create before the first byte; lost answers are read back and compared by nonce; a claim passes on only after its holder said that it did not send under that nonce, by conditional update, so one taker wins. Outcomes are kept in the claim for repeats. With the platform out a key is refused as not run only if every VM that may know it says that it does not. A VM's own key carries VM, incarnation, expiry and a keyed hash; only that incarnation runs it, without the platform.

Conclusion: 13 named failures and 50 seeded histories over three VMs hold "at most one run" and "no notRun for a key that had run".

--- /dev/null
+++ b/gladeonce/issuer_test.go
@@ -0,0 +1,87 @@
+package gladeonce
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+)
+
+func issuedCall(key string) Call {
+	return Call{Organisation: "nile-fixer", Route: "returns", Key: key, Body: "b"}
+}
+
+func TestIssuedKeyRunsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		i := NewIssuer(IssuerConfig{VM: "shubra.vm-1", Incarnation: "1"})
+		call := issuedCall(i.Issue("nile-fixer", "returns"))
+		runs := 0
+		send := func(context.Context) (*Outcome, error) {
+			runs++
+			time.Sleep(time.Second)
+			return &Outcome{Status: 200}, nil
+		}
+		gone, cancel := context.WithCancel(t.Context())
+		cancel() // the caller has gone; the call is not left half done
+		var g sync.WaitGroup
+		for _, ctx := range []context.Context{gone, t.Context(), t.Context()} {
+			g.Go(func() { _, _ = i.Do(ctx, call, send) })
+			time.Sleep(time.Millisecond)
+		}
+		g.Wait()
+		o, err := i.Do(t.Context(), call, send)
+		c.Assert(err, qt.IsNil)
+		c.Assert(o.Status, qt.Equals, 200)
+		time.Sleep(defaultLifetime)
+		for range 3 { // forgotten, but never run again
+			_, err = i.Do(t.Context(), call, send)
+			c.Assert(ran(err), qt.Equals, gladeapi.Unknown)
+			i.room("")
+			time.Sleep(2 * time.Second)
+		}
+		c.Assert(i.used, qt.HasLen, 0)
+		c.Assert(runs, qt.Equals, 1)
+	})
+}
+
+func TestIssuedKeyOfAnother(t *testing.T) {
+	c := qt.New(t)
+	a := NewIssuer(IssuerConfig{VM: "a", Incarnation: "1"})
+	key := a.Issue("nile-fixer", "returns")
+	other := issuedCall(a.Issue("rathu-paara", "returns"))
+	for _, x := range []struct {
+		name   string
+		issuer *Issuer
+		call   Call
+		ran    gladeapi.Ran
+	}{
+		{"later incarnation", NewIssuer(IssuerConfig{VM: "a", Incarnation: "2"}), issuedCall(key), gladeapi.Unknown},
+		{"same name and incarnation, other process", NewIssuer(IssuerConfig{VM: "a", Incarnation: "1"}), issuedCall(key), gladeapi.NotRun},
+		{"another organisation's", a, other, gladeapi.NotRun},
+		{"caller-made", a, issuedCall("k"), gladeapi.Unknown},
+	} {
+		c.Run(x.name, func(c *qt.C) {
+			_, err := x.issuer.Do(c.Context(), x.call, func(context.Context) (*Outcome, error) {
+				c.Error("sent")
+				return nil, nil
+			})
+			c.Assert(ran(err), qt.Equals, x.ran)
+		})
+	}
+}
+
+func TestIssuerIsBounded(t *testing.T) {
+	c := qt.New(t)
+	i := NewIssuer(IssuerConfig{VM: "a", Incarnation: "1", Used: 2})
+	ok := func(context.Context) (*Outcome, error) { return &Outcome{Status: 200}, nil }
+	for n := range 3 {
+		_, err := i.Do(t.Context(), issuedCall(i.Issue("nile-fixer", "returns")), ok)
+		c.Assert(err == nil, qt.Equals, n < 2)
+	}
+}
--- /dev/null
+++ b/gladeonce/once_test.go
@@ -0,0 +1,405 @@
+package gladeonce
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+	"github.com/eelgrassglade/eelgrassglade/gladecheck"
+	"github.com/eelgrassglade/eelgrassglade/gladestandin"
+	"github.com/eelgrassglade/eelgrassglade/gladestore"
+	"github.com/eelgrassglade/eelgrassglade/gladewire"
+)
+
+// bench is some VMs before one platform in virtual time.
+type bench struct {
+	t        *testing.T
+	network  gladewire.Network
+	platform gladestandin.Platform
+	vms      map[string]*Once
+	metrics  metrics.Registry
+
+	mu sync.Mutex
+	// fault is asked about each call of the platform: down before it or lost after it.
+	fault func(*http.Request) (down, lost bool)
+	cut   map[string]bool
+	runs  map[string]int
+	// replaced is set once a VM has been replaced, and what it knew lost.
+	replaced bool
+}
+
+func newBench(t *testing.T, vms ...string) *bench {
+	b := &bench{
+		t: t, vms: map[string]*Once{}, cut: map[string]bool{}, runs: map[string]int{},
+		metrics: metrics.NewRegistry(),
+	}
+	l, err := b.network.Host("platform").Listen("tcp", "platform:80")
+	qt.Assert(t, err, qt.IsNil)
+	server := &http.Server{Handler: http.HandlerFunc(b.serve)}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	for _, vm := range vms {
+		b.start(vm, "1")
+	}
+	return b
+}
+
+func (b *bench) start(vm, incarnation string) {
+	store, closeStore := gladestore.New(gladestore.Config{
+		Address: "http://platform:80", Dial: b.network.Host(vm).Dial, Timeout: 200 * time.Millisecond,
+	})
+	b.t.Cleanup(closeStore)
+	o, closeOnce, err := New(Config{
+		VM: vm, Incarnation: incarnation, Store: store, Metrics: b.metrics,
+		Ask: func(_ context.Context, to string, q AskRequest) (AskAnswer, error) {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			if b.cut[to] || b.cut[vm] || b.vms[to] == nil {
+				return AskAnswer{}, errors.New("unreachable")
+			}
+			return b.vms[to].Look(q), nil
+		},
+		Peers: func() ([]string, bool) {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			var others []string
+			for name := range b.vms {
+				if name != vm {
+					others = append(others, name)
+				}
+			}
+			return others, !b.replaced
+		},
+		Check: &gladecheck.Checker{OnBroken: func(i gladecheck.Invariant, m string) { b.t.Errorf("%s: %s", i, m) }},
+	})
+	qt.Assert(b.t, err, qt.IsNil)
+	b.t.Cleanup(closeOnce)
+	b.mu.Lock()
+	b.replaced = b.replaced || b.vms[vm] != nil
+	b.vms[vm] = o
+	b.mu.Unlock()
+}
+
+func (b *bench) serve(w http.ResponseWriter, r *http.Request) {
+	b.mu.Lock()
+	f := b.fault
+	b.mu.Unlock()
+	var down, lost bool
+	if f != nil {
+		down, lost = f(r)
+	}
+	if down {
+		panic(http.ErrAbortHandler)
+	}
+	if lost {
+		b.platform.ServeHTTP(&discard{header: http.Header{}}, r)
+		panic(http.ErrAbortHandler)
+	}
+	b.platform.ServeHTTP(w, r)
+}
+
+type discard struct{ header http.Header }
+
+func (d *discard) Header() http.Header         { return d.header }
+func (d *discard) Write(p []byte) (int, error) { return len(p), nil }
+func (d *discard) WriteHeader(int)             {}
+
+func (b *bench) setFault(f func(*http.Request) (down, lost bool)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fault = f
+}
+
+func down(*http.Request) (bool, bool) { return true, false }
+
+func loseWrites(r *http.Request) (bool, bool) { return false, r.Method != http.MethodGet }
+
+// send returns a Send that takes d, counts the run and then returns err.
+func (b *bench) send(key string, d time.Duration, err error) Send {
+	return func(context.Context) (*Outcome, error) {
+		time.Sleep(d)
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if err == nil || gladeapi.AsRefusal(err).Ran != gladeapi.NotRun {
+			b.runs[key]++
+		}
+		if err != nil {
+			return nil, err
+		}
+		return &Outcome{Status: 200, Body: []byte(fmt.Sprintf("%s run %d", key, b.runs[key]))}, nil
+	}
+}
+
+func (b *bench) do(vm, key string, timeout time.Duration, send Send) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	b.mu.Lock()
+	once, before := b.vms[vm], b.runs[key]
+	b.mu.Unlock()
+	o, err := once.Do(ctx, Call{Organisation: "nile-fixer", Route: "returns", Key: key, Body: "b"}, send)
+	if err == nil {
+		return string(o.Body), nil
+	}
+	if before > 0 && ran(err) == gladeapi.NotRun {
+		b.t.Errorf("%s had run when %s said that it had not: %v", key, vm, err)
+	}
+	return "", err
+}
+
+func ran(err error) gladeapi.Ran {
+	if err == nil {
+		return gladeapi.DidRun
+	}
+	return gladeapi.AsRefusal(err).Ran
+}
+
+var lostAnswer = &gladeapi.Refusal{Status: 502, Ran: gladeapi.Unknown, Message: "answer lost"}
+
+func TestClaims(t *testing.T) {
+	const timeout = 2 * time.Second
+	for _, x := range []struct {
+		name string
+		run  func(c *qt.C, b *bench)
+		runs int
+	}{
+		{"repeats get the outcome", func(c *qt.C, b *bench) {
+			for _, vm := range []string{"a", "a", "b", "c"} {
+				body, err := b.do(vm, "k", timeout, b.send("k", 0, nil))
+				c.Assert(err, qt.IsNil)
+				c.Assert(body, qt.Equals, "k run 1")
+				time.Sleep(time.Second)
+			}
+			c.Assert(b.metrics.Get("once.platformWrites").(metrics.Counter).Count(), qt.Equals, int64(4)) // 2 for the call, 1 for each other VM
+		}, 1},
+		{"two VMs at once", func(c *qt.C, b *bench) {
+			var g sync.WaitGroup
+			for _, vm := range []string{"a", "b", "c", "a"} {
+				g.Go(func() {
+					body, err := b.do(vm, "k", timeout, b.send("k", 300*time.Millisecond, nil))
+					c.Check(err, qt.IsNil)
+					c.Check(body, qt.Equals, "k run 1")
+				})
+			}
+			g.Wait()
+		}, 1},
+		{"answer of the service lost", func(c *qt.C, b *bench) {
+			for _, vm := range []string{"a", "b", "a"} {
+				_, err := b.do(vm, "k", timeout, b.send("k", 0, lostAnswer))
+				c.Assert(ran(err), qt.Equals, gladeapi.Unknown)
+			}
+		}, 1},
+		{"answers of claims lost", func(c *qt.C, b *bench) {
+			b.setFault(loseWrites)
+			for _, vm := range []string{"a", "b"} {
+				body, err := b.do(vm, "k", timeout, b.send("k", 0, nil))
+				c.Assert(err, qt.IsNil)
+				c.Assert(body, qt.Equals, "k run 1")
+			}
+		}, 1},
+		{"platform out", func(c *qt.C, b *bench) {
+			b.setFault(down)
+			_, err := b.do("a", "k", timeout, b.send("k", 0, nil))
+			c.Assert(ran(err), qt.Equals, gladeapi.NotRun)
+			c.Assert(gladeapi.AsRefusal(err).RetryAfter > 0, qt.IsTrue)
+			b.setFault(nil)
+			_, err = b.do("b", "k", timeout, b.send("k", 0, nil))
+			c.Assert(err, qt.IsNil)
+		}, 1},
+		{"platform out after the call ran", func(c *qt.C, b *bench) {
+			_, _ = b.do("a", "k", timeout, b.send("k", 0, lostAnswer))
+			b.setFault(down)
+			_, err := b.do("b", "k", timeout, b.send("k", 0, nil))
+			c.Assert(ran(err), qt.Equals, gladeapi.Unknown)
+			b.cut["a"] = true
+			_, err = b.do("c", "k", timeout, b.send("k", 0, nil))
+			c.Assert(ran(err), qt.Equals, gladeapi.Unknown)
+		}, 1},
+		{"claim lands, its VM learns nothing and gives up", func(c *qt.C, b *bench) {
+			b.setFault(func(r *http.Request) (bool, bool) { return r.Method == http.MethodGet, true })
+			_, err := b.do("a", "k", timeout, b.send("k", 0, nil))
+			c.Assert(ran(err), qt.Equals, gladeapi.NotRun)
+			b.setFault(nil)
+			var g sync.WaitGroup
+			for _, vm := range []string{"a", "b", "c"} { // all take the released claim over at once
+				g.Go(func() {
+					_, err := b.do(vm, "k", timeout, b.send("k", 100*time.Millisecond, nil))
+					c.Check(err, qt.IsNil)
+				})
+			}
+			g.Wait()
+		}, 1},
+		{"holder dead", func(c *qt.C, b *bench) {
+			go func() { _, _ = b.do("a", "k", timeout, b.send("k", time.Second, lostAnswer)) }()
+			time.Sleep(100 * time.Millisecond)
+			b.network.Cut("a", "platform")
+			b.start("a", "2")
+			for _, vm := range []string{"b", "a"} {
+				_, err := b.do(vm, "k", timeout, b.send("k", 0, nil))
+				c.Assert(ran(err), qt.Equals, gladeapi.Unknown)
+			}
+		}, 1},
+		{"holder paused between claim and sending", func(c *qt.C, b *bench) {
+			go func() { _, _ = b.do("a", "k", time.Minute, b.send("k", 20*time.Second, nil)) }()
+			time.Sleep(100 * time.Millisecond)
+			b.mu.Lock()
+			b.cut["a"] = true
+			b.mu.Unlock()
+			_, err := b.do("b", "k", timeout, b.send("k", 0, nil))
+			c.Assert(ran(err), qt.Equals, gladeapi.Unknown)
+			time.Sleep(30 * time.Second) // it comes back and sends
+			body, err := b.do("c", "k", timeout, b.send("k", 0, nil))
+			c.Assert(err, qt.IsNil)
+			c.Assert(body, qt.Equals, "k run 1")
+		}, 1},
+		{"holder refused before running, then dies", func(c *qt.C, b *bench) {
+			notRun := &gladeapi.Refusal{Status: 503, Ran: gladeapi.NotRun}
+			_, err := b.do("a", "k", timeout, b.send("k", 0, notRun))
+			c.Assert(ran(err), qt.Equals, gladeapi.NotRun)
+			time.Sleep(time.Second)
+			b.cut["a"] = true
+			_, err = b.do("b", "k", timeout, b.send("k", 0, nil))
+			c.Assert(err, qt.IsNil)
+		}, 1},
+		{"refused before running, release not written", func(c *qt.C, b *bench) {
+			_, err := b.do("a", "k", timeout, func(ctx context.Context) (*Outcome, error) {
+				b.network.Cut("a", "platform")
+				return b.send("k", 0, &gladeapi.Refusal{Status: 503, Ran: gladeapi.NotRun})(ctx)
+			})
+			c.Assert(ran(err), qt.Equals, gladeapi.NotRun)
+			_, err = b.do("b", "k", timeout, b.send("k", 0, nil))
+			c.Assert(err, qt.IsNil)
+			b.network.Heal("a", "platform")
+		}, 1},
+		{"claim met before the platform went out", func(c *qt.C, b *bench) {
+			_, _ = b.do("a", "k", timeout, b.send("k", 0, lostAnswer))
+			_, err := b.do("b", "k", timeout, b.send("k", 0, nil))
+			c.Assert(ran(err), qt.Equals, gladeapi.Unknown)
+			b.start("a", "2")
+			b.replaced = false
+			b.setFault(down)
+			_, err = b.do("b", "k", timeout, b.send("k", 0, nil))
+			c.Assert(ran(err), qt.Equals, gladeapi.Unknown)
+			_, err = b.do("c", "k", timeout, b.send("k", 0, nil))
+			c.Assert(ran(err), qt.Equals, gladeapi.Unknown)
+		}, 1},
+		{"outcome not written, holder lives", func(c *qt.C, b *bench) {
+			_, err := b.do("a", "k", timeout, func(ctx context.Context) (*Outcome, error) {
+				b.network.Cut("a", "platform")
+				return b.send("k", 0, nil)(ctx)
+			})
+			c.Assert(err, qt.IsNil)
+			body, err := b.do("b", "k", timeout, b.send("k", 0, nil))
+			c.Assert(err, qt.IsNil)
+			c.Assert(body, qt.Equals, "k run 1")
+			b.network.Heal("a", "platform")
+		}, 1},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				b := newBench(t, "a", "b", "c")
+				x.run(c, b)
+				time.Sleep(2 * time.Minute)
+				c.Check(b.runs["k"], qt.Equals, x.runs)
+			})
+		})
+	}
+}
+
+func TestKeyWithAnotherBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, "a", "b")
+		_, err := b.do("a", "k", time.Second, b.send("k", 0, nil))
+		c.Assert(err, qt.IsNil)
+		for _, vm := range []string{"a", "b"} {
+			_, err = b.vms[vm].Do(context.Background(), Call{Organisation: "nile-fixer", Route: "returns", Key: "k", Body: "other"}, b.send("k", 0, nil))
+			c.Assert(gladeapi.AsRefusal(err).Status, qt.Equals, 422)
+		}
+		c.Assert(b.runs["k"], qt.Equals, 1)
+	})
+}
+
+func TestSweepRemovesOldClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, "a")
+		_, err := b.do("a", "k", time.Second, b.send("k", 0, nil))
+		c.Assert(err, qt.IsNil)
+		call := Call{Organisation: "nile-fixer", Route: "returns", Key: "k"}
+		var shard int
+		_, _ = fmt.Sscanf(call.Name()[:shardDigits], "%x", &shard)
+		for age, want := range map[time.Duration]int{23 * time.Hour: 0, 25 * time.Hour: 1} {
+			time.Sleep(age - 23*time.Hour)
+			n, err := b.vms["a"].Sweep(t.Context(), shard, time.Now().Add(23*time.Hour))
+			c.Assert(err, qt.IsNil)
+			c.Check(n <= want, qt.IsTrue)
+		}
+		list, err := b.vms["a"].config.Store.List(t.Context(), KindClaims, "")
+		c.Assert(err, qt.IsNil)
+		c.Assert(list.Objects, qt.HasLen, 0)
+	})
+}
+
+// TestRandomHistories plays pinned seeds of calls, repeats and faults, and checks the runs of each key.
+func TestRandomHistories(t *testing.T) {
+	for seed := range uint64(50) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playHistory(t, rand.New(rand.NewPCG(seed, 1))) })
+		})
+	}
+}
+
+func playHistory(t *testing.T, r *rand.Rand) {
+	b := newBench(t, "a", "b", "c")
+	faults := []func(*http.Request) (bool, bool){nil, nil, down, loseWrites, func(*http.Request) (bool, bool) { return true, true }}
+	var g sync.WaitGroup
+	var mu sync.Mutex
+	verdicts := map[string][]gladeapi.Ran{}
+	for i := range 60 {
+		key, vm := fmt.Sprint("k", r.IntN(8)), string(rune('a'+r.IntN(3)))
+		errs := []error{nil, nil, lostAnswer, &gladeapi.Refusal{Status: 503, Ran: gladeapi.NotRun}}
+		send := b.send(key, time.Duration(r.IntN(800))*time.Millisecond, errs[r.IntN(len(errs))])
+		g.Go(func() {
+			_, err := b.do(vm, key, 2*time.Second, send)
+			mu.Lock()
+			defer mu.Unlock()
+			verdicts[key] = append(verdicts[key], ran(err))
+		})
+		if i%6 == 0 {
+			b.setFault(faults[r.IntN(len(faults))])
+			b.mu.Lock()
+			b.cut[vm] = r.IntN(2) == 0
+			b.mu.Unlock()
+		}
+		if i == 40 {
+			b.start(vm, "2")
+		}
+		time.Sleep(time.Duration(r.IntN(300)) * time.Millisecond)
+	}
+	g.Wait()
+	b.setFault(nil)
+	time.Sleep(2 * time.Minute)
+	for key, n := range b.runs {
+		if n > 1 {
+			t.Errorf("%s ran %d times", key, n)
+		}
+	}
+	for key, said := range verdicts {
+		for _, v := range said {
+			if v == gladeapi.DidRun && b.runs[key] != 1 {
+				t.Errorf("%s is said to have run, but ran %d times", key, b.runs[key])
+			}
+		}
+	}
+}
--- a/gladeservice/client_test.go
+++ b/gladeservice/client_test.go
@@ -110,6 +110,7 @@
 				if x.ran == "" {
 					c.Assert(err, qt.IsNil)
 				} else {
+					c.Assert(err, qt.IsNotNil)
 					c.Check(gladeapi.AsRefusal(err).Ran, qt.Equals, x.ran, qt.Commentf("%v", err))
 				}
 				time.Sleep(5 * time.Second)
