Watch the platform, settle lost answers and bear its outages

Cause: the platform's client could only list, and a write whose answer was lost was met as a conflict when it was tried again.

Change: gladestore watches from a version as JSON lines and lists again when a watch is cut, skips a change or starts from a compacted version; a list older than what was delivered is dropped. Reads are retried with jittered backoff, an outage opens a circuit, calls are counted by kind. CreateOnce and UpdateOnce read a lost write back and compare its nonce. The platform stand-in watches, compacts, counts and limits calls (an open watch takes one read a second), and takes faults as a struct at run time.

Conclusion: callers may use CreateOnce for claims, notes and leases.

--- a/gladedaemon/platform.go
+++ b/gladedaemon/platform.go
@@ -23,6 +23,9 @@
 		Address: d.settings.Platform.Address,
 		Dial:    d.dial,
 		Timeout: d.settings.Platform.Timeout.D(),
+
+		FailureDomain: d.settings.VM.FailureDomain,
+		Metrics:       d.metrics,
 	})
 	d.kernel.OnClose(closeStore)
 	return d.kernel.Provide(ServiceStore, store)
--- a/gladestandin/platform.go
+++ b/gladestandin/platform.go
@@ -19,6 +19,16 @@
 	version int64
 	objects map[string]map[string]gladestore.Object
 	vms     gladeapi.VMList
+
+	faults     PlatformFaults
+	stale      map[string]gladestore.List
+	limiter    *platformLimiter
+	counts     PlatformCounts
+	history    []gladestore.Event
+	lastOfKind map[string]int64
+	compacted  int64
+	changed    chan struct{}
+	cuts       int
 }
 
 // SetVMs replaces the list of VMs.
@@ -40,15 +50,21 @@
 // ServeHTTP answers the object API.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	objects := parts[0] == "objects" && (len(parts) == 3 || len(parts) == 2 && r.Method == http.MethodGet)
 	switch {
 	case r.URL.Path == "/vms" && r.Method == http.MethodGet:
-		p.serveVMs(w)
-	case len(parts) == 2 && parts[0] == "objects" && r.Method == http.MethodGet:
-		p.serveList(w, parts[1], r.URL.Query().Get("prefix"))
-	case len(parts) == 3 && parts[0] == "objects":
+		if p.admit(w, r, "vms") {
+			p.serveVMs(w)
+		}
+	case !objects:
+		http.NotFound(w, r)
+	case !p.admit(w, r, parts[1]):
+	case len(parts) == 3:
 		p.serveObject(w, r, parts[1], parts[2])
+	case r.URL.Query().Get("watch") != "":
+		p.serveWatch(w, r, parts[1])
 	default:
-		http.NotFound(w, r)
+		p.serveList(w, parts[1], r.URL.Query().Get("prefix"))
 	}
 }
 
@@ -60,15 +76,23 @@
 
 func (p *Platform) serveList(w http.ResponseWriter, kind, prefix string) {
 	p.mu.Lock()
+	l := p.list(kind, prefix)
+	if p.faults.StaleLists {
+		l = p.stale[kind]
+	}
+	p.mu.Unlock()
+	writeJSON(w, l)
+}
+
+func (p *Platform) list(kind, prefix string) gladestore.List {
 	l := gladestore.List{Version: p.version, Objects: []gladestore.Object{}}
 	for name, o := range p.objects[kind] {
 		if strings.HasPrefix(name, prefix) {
 			l.Objects = append(l.Objects, o)
 		}
 	}
-	p.mu.Unlock()
 	slices.SortFunc(l.Objects, func(a, b gladestore.Object) int { return strings.Compare(a.Name, b.Name) })
-	writeJSON(w, l)
+	return l
 }
 
 func (p *Platform) serveObject(w http.ResponseWriter, r *http.Request, kind, name string) {
@@ -88,15 +112,20 @@
 		w.WriteHeader(http.StatusPreconditionFailed)
 		return
 	}
+	if r.Method != http.MethodPut && r.Method != http.MethodDelete {
+		w.WriteHeader(http.StatusMethodNotAllowed)
+		return
+	}
 	p.version++
-	switch r.Method {
-	case http.MethodPut:
+	if r.Method == http.MethodDelete {
+		delete(p.objects[kind], name)
+		p.record(gladestore.Object{Kind: kind, Name: name, Version: p.version}, true)
+	} else {
 		p.put(gladestore.Object{Kind: kind, Name: name, Version: p.version, Value: body})
 		w.Header().Set("ETag", strconv.Quote(strconv.FormatInt(p.version, 10)))
-	case http.MethodDelete:
-		delete(p.objects[kind], name)
-	default:
-		w.WriteHeader(http.StatusMethodNotAllowed)
+	}
+	if p.loseAnswer(kind) {
+		panic(http.ErrAbortHandler)
 	}
 }
 
@@ -117,6 +146,7 @@
 		p.objects[o.Kind] = map[string]gladestore.Object{}
 	}
 	p.objects[o.Kind][o.Name] = o
+	p.record(o, false)
 }
 
 func matches(r *http.Request, o gladestore.Object, found bool) bool {
--- a/gladestore/client.go
+++ b/gladestore/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +13,7 @@
 	"strings"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
@@ -24,12 +26,24 @@
 	ErrUnavailable = eris.New("platform unavailable")
 	ErrRateLimited = eris.New("platform rate limit")
 	ErrTooLarge    = eris.New("object too large")
+	// ErrNotSent comes with ErrUnavailable when the call was not sent at all.
+	ErrNotSent = eris.New("platform call not sent")
 )
 
 // MaxObjectBytes is the largest value that the platform holds, in bytes.
 const MaxObjectBytes = 1 << 20
 
-const defaultTimeout = 2 * time.Second
+// HeaderFailureDomain tells the platform where a call comes from.
+const HeaderFailureDomain = "Glade-Failure-Domain"
+
+const (
+	defaultTimeout   = 2 * time.Second
+	defaultAttempts  = 3
+	outageThreshold  = 5
+	outageCoolDown   = time.Second
+	idleConnsPerHost = 16
+	maxAnswerBytes   = 64 << 20
+)
 
 // Object is one versioned value.
 type Object struct {
@@ -53,12 +67,19 @@
 	Dial gladeapi.Dial
 	// Timeout bounds each call but watches; zero means 2 s.
 	Timeout time.Duration
+	// Attempts bounds how often a read is tried; zero means 3.
+	Attempts int
+	// FailureDomain is sent along with each call, if set.
+	FailureDomain string
+	// Metrics receives the counters of calls, if set.
+	Metrics metrics.Registry
 }
 
 // Client calls the platform.
 type Client struct {
 	config Config
 	http   *http.Client
+	outage *outage
 }
 
 // New returns a client and its clean-up function.
@@ -66,36 +87,49 @@
 	if c.Timeout == 0 {
 		c.Timeout = defaultTimeout
 	}
-	transport := &http.Transport{DialContext: c.Dial}
-	client := &Client{config: c, http: &http.Client{Transport: transport}}
+	if c.Attempts == 0 {
+		c.Attempts = defaultAttempts
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewRegistry()
+	}
+	transport := &http.Transport{DialContext: c.Dial, MaxIdleConnsPerHost: idleConnsPerHost}
+	client := &Client{
+		config: c,
+		http:   &http.Client{Transport: transport},
+		outage: &outage{threshold: outageThreshold, coolDown: outageCoolDown},
+	}
 	return client, transport.CloseIdleConnections
 }
 
 // Get returns one object.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
 	o := Object{Kind: kind, Name: name}
-	body, header, err := c.call(ctx, http.MethodGet, objectPath(kind, name), nil, nil)
-	if err != nil {
-		return o, err
-	}
-	o.Value = body
-	o.Version, err = versionOf(header)
+	err := c.retry(ctx, func() error {
+		body, header, err := c.call(ctx, "get", http.MethodGet, objectPath(kind, name), nil, nil)
+		if err != nil {
+			return err
+		}
+		o.Value = body
+		o.Version, err = versionOf(header)
+		return err
+	})
 	return o, err
 }
 
 // Create writes an object that must not exist and returns its version.
 func (c *Client) Create(ctx context.Context, kind, name string, value []byte) (int64, error) {
-	return c.put(ctx, kind, name, value, http.Header{"If-None-Match": {"*"}})
+	return c.put(ctx, "create", kind, name, value, http.Header{"If-None-Match": {"*"}})
 }
 
 // Update writes an object that must have the given version and returns the new one.
 func (c *Client) Update(ctx context.Context, kind, name string, value []byte, version int64) (int64, error) {
-	return c.put(ctx, kind, name, value, http.Header{"If-Match": {etag(version)}})
+	return c.put(ctx, "update", kind, name, value, http.Header{"If-Match": {etag(version)}})
 }
 
 // Delete removes an object that must have the given version.
 func (c *Client) Delete(ctx context.Context, kind, name string, version int64) error {
-	_, _, err := c.call(ctx, http.MethodDelete, objectPath(kind, name), nil, http.Header{"If-Match": {etag(version)}})
+	_, _, err := c.call(ctx, "delete", http.MethodDelete, objectPath(kind, name), nil, http.Header{"If-Match": {etag(version)}})
 	return err
 }
 
@@ -103,63 +137,113 @@
 func (c *Client) List(ctx context.Context, kind, prefix string) (List, error) {
 	var l List
 	path := "/objects/" + url.PathEscape(kind) + "?prefix=" + url.QueryEscape(prefix)
-	body, _, err := c.call(ctx, http.MethodGet, path, nil, nil)
-	if err != nil {
-		return l, err
-	}
-	if err := json.Unmarshal(body, &l); err != nil {
-		return l, eris.Wrap(err, "list "+kind)
-	}
-	return l, nil
+	err := c.read(ctx, "list", path, &l)
+	return l, err
 }
 
 // VMs returns the platform's lagging list of live and leaving VMs.
 func (c *Client) VMs(ctx context.Context) (gladeapi.VMList, error) {
 	var l gladeapi.VMList
-	body, _, err := c.call(ctx, http.MethodGet, "/vms", nil, nil)
-	if err != nil {
-		return l, err
-	}
-	if err := json.Unmarshal(body, &l); err != nil {
-		return l, eris.Wrap(err, "vm list")
-	}
-	return l, nil
+	err := c.read(ctx, "vms", "/vms", &l)
+	return l, err
 }
 
-func (c *Client) put(ctx context.Context, kind, name string, value []byte, h http.Header) (int64, error) {
+// Available reports whether the last calls got answers.
+func (c *Client) Available() bool {
+	return !c.outage.open()
+}
+
+func (c *Client) read(ctx context.Context, what, path string, v any) error {
+	return c.retry(ctx, func() error {
+		body, _, err := c.call(ctx, what, http.MethodGet, path, nil, nil)
+		if err != nil {
+			return err
+		}
+		return eris.Wrap(json.Unmarshal(body, v), "platform answer")
+	})
+}
+
+func (c *Client) put(ctx context.Context, what, kind, name string, value []byte, h http.Header) (int64, error) {
 	if len(value) > MaxObjectBytes {
 		return 0, eris.Wrapf(ErrTooLarge, "%s/%s has %d bytes", kind, name, len(value))
 	}
-	_, header, err := c.call(ctx, http.MethodPut, objectPath(kind, name), value, h)
+	_, header, err := c.call(ctx, what, http.MethodPut, objectPath(kind, name), value, h)
 	if err != nil {
 		return 0, err
 	}
 	return versionOf(header)
 }
 
-func (c *Client) call(ctx context.Context, method, path string, body []byte, h http.Header) ([]byte, http.Header, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout)
+func (c *Client) call(ctx context.Context, what, method, path string, body []byte, h http.Header) ([]byte, http.Header, error) {
+	if !c.outage.allow() {
+		return nil, nil, notSent(method + " " + path)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, c.config.Timeout)
 	defer cancel()
+	request, err := c.request(callCtx, method, path, body, h)
+	if err != nil {
+		return nil, nil, err
+	}
+	c.count(what)
+	c.countBytes("sent", len(body))
+	answer, response, err := c.exchange(request)
+	if err == nil {
+		err = statusError(response.StatusCode, method, path)
+	}
+	c.observe(errors.Is(err, ErrUnavailable) && ctx.Err() == nil)
+	if err != nil {
+		c.count("errors")
+		return nil, nil, err
+	}
+	return answer, response.Header, nil
+}
+
+func (c *Client) request(ctx context.Context, method, path string, body []byte, h http.Header) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, method, c.config.Address+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, nil, eris.Wrap(err, "platform request")
+		return nil, eris.Wrap(err, "platform request")
 	}
 	for name, values := range h {
 		request.Header[name] = values
 	}
+	if c.config.FailureDomain != "" {
+		request.Header.Set(HeaderFailureDomain, c.config.FailureDomain)
+	}
+	return request, nil
+}
+
+func (c *Client) exchange(request *http.Request) ([]byte, *http.Response, error) {
+	what := request.Method + " " + request.URL.Path
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, nil, eris.Wrapf(ErrUnavailable, "%s %s: %v", method, path, err)
+		return nil, nil, eris.Wrapf(ErrUnavailable, "%s: %v", what, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return nil, nil, eris.Wrapf(ErrUnavailable, "%s %s: %v", method, path, err)
+		return nil, nil, eris.Wrapf(ErrUnavailable, "%s: %v", what, err)
 	}
-	return answer, response.Header, statusError(response.StatusCode, method, path)
+	c.countBytes("received", len(answer))
+	return answer, response, nil
 }
 
-const maxAnswerBytes = 64 << 20
+func (c *Client) observe(failed bool) {
+	if c.outage.observe(failed) {
+		c.count("outages")
+	}
+}
+
+func (c *Client) count(what string) {
+	metrics.GetOrRegisterCounter("platform."+what, c.config.Metrics).Inc(1)
+}
+
+func (c *Client) countBytes(what string, n int) {
+	metrics.GetOrRegisterCounter("platform.bytes."+what, c.config.Metrics).Inc(int64(n))
+}
+
+func notSent(what string) error {
+	return fmt.Errorf("%s: %w: %w", what, ErrUnavailable, ErrNotSent)
+}
 
 func statusError(status int, method, path string) error {
 	switch {
