Accept release notes by conditional create and spread them by few watchers

Cause: each VM listed all notes once a second, nobody could submit one, and nothing told whether a note was in force.

Change: gladenote validates a note whole against the state that it was written for and names every error; the next number is taken by conditional create, a racing operator gets a conflict that names the other note, a lost answer is read back by nonce, and the same file again tells the number that it already has. Two VMs in each failure domain, by rendezvous hash, watch the platform and tell the others; a VM that lacks notes fetches them from any VM. Moving an API key between two organisations in one note lost the key; mended.

--- a/cmd/gladectl/main.go
+++ b/cmd/gladectl/main.go
@@ -20,6 +20,7 @@
 		},
 		Commands: []*cli.Command{
 			{Name: "explain", Usage: "print what happened to a request and why", ArgsUsage: "REQUEST", Action: explain},
+			noteCommand(),
 			{Name: "dump", Usage: "print the state of a VM", Action: dump},
 		},
 	}
--- a/gladedaemon/entry.go
+++ b/gladedaemon/entry.go
@@ -20,10 +20,7 @@
 	maxHeaderBytes = 32 << 10
 )
 
-var (
-	errStopping = eris.New("the VM is stopping")
-	errNoNote   = eris.New("no release note is in force yet")
-)
+var errStopping = eris.New("the VM is stopping")
 
 func (d *Daemon) addEntry() error {
 	runner, err := gladekernel.Lookup[*gladestream.Runner](&d.kernel, ServiceStreams)
@@ -62,10 +59,7 @@
 	if d.stopping.Load() {
 		return errStopping
 	}
-	if n.State().Number == 0 {
-		return errNoNote
-	}
-	return nil
+	return n.Ready()
 }
 
 // serve adds a listener with a handler and returns its address and graceful shutdown.
--- /dev/null
+++ b/gladedaemon/notes.go
@@ -0,0 +1,145 @@
+package gladedaemon
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/eelgrassglade/eelgrassglade/gladekernel"
+	"github.com/eelgrassglade/eelgrassglade/gladenote"
+	"github.com/eelgrassglade/eelgrassglade/gladepeer"
+	"github.com/eelgrassglade/eelgrassglade/gladestore"
+)
+
+const (
+	factNote         = "note"
+	factEngines      = "engines"
+	methodNotePush   = "notePush"
+	methodNoteFetch  = "noteFetch"
+	methodNoteHolder = "noteHolder"
+	methodNoteDomain = "noteDomain"
+)
+
+// Notes is this VM's share in release notes: the state in force, submission and status.
+type Notes struct {
+	replica *gladenote.Replica
+	store   *gladestore.Client
+	node    *gladepeer.Node
+	domain  string
+	log     hclog.Logger
+	// engines returns this VM's report as order-giver, or nil.
+	engines func() *gladenote.EngineReport
+	heard   heardDomains
+}
+
+// noteFact is what a VM publishes about the note that it holds.
+type noteFact struct {
+	Number int64     `json:"number"`
+	Since  time.Time `json:"since"`
+}
+
+// State returns the state in force.
+func (n *Notes) State() *gladenote.State {
+	return n.replica.State()
+}
+
+// Ready reports why the VM must not serve yet.
+func (n *Notes) Ready() error {
+	return n.replica.Ready()
+}
+
+func (d *Daemon) addNotes() error {
+	store, err := gladekernel.Lookup[*gladestore.Client](&d.kernel, ServiceStore)
+	if err != nil {
+		return err
+	}
+	node, err := gladekernel.Lookup[*gladepeer.Node](&d.kernel, ServicePeers)
+	if err != nil {
+		return err
+	}
+	n := &Notes{
+		store:   store,
+		node:    node,
+		domain:  d.settings.VM.FailureDomain,
+		log:     d.log.Named("notes"),
+		engines: func() *gladenote.EngineReport { return nil },
+	}
+	replica, closeReplica := gladenote.NewReplica(d.replicaConfig(n))
+	n.replica = replica
+	d.kernel.OnClose(closeReplica)
+	gladepeer.Handle(node, methodNotePush, replica.HandlePush)
+	gladepeer.Handle(node, methodNoteFetch, replica.HandleFetch)
+	gladepeer.Handle(node, methodNoteHolder, n.answerHolder)
+	gladepeer.Handle(node, methodNoteDomain, n.answerDomain)
+	d.kernel.OnDump("notes", func() any { return n.dump() })
+	return d.kernel.Provide(ServiceNotes, n)
+}
+
+func (d *Daemon) replicaConfig(n *Notes) gladenote.ReplicaConfig {
+	s := &d.settings.Notes
+	return gladenote.ReplicaConfig{
+		Name:          d.settings.VM.Name,
+		FailureDomain: n.domain,
+		Log:           &gladenote.Log{Store: n.store, SnapshotEvery: s.SnapshotEvery},
+		Members:       n.members,
+		Push: func(ctx context.Context, to string, p gladenote.Push) (int64, error) {
+			return gladepeer.Call[gladenote.Push, int64](ctx, n.node, to, methodNotePush, p)
+		},
+		Fetch: func(ctx context.Context, from string, q gladenote.FetchRequest) (gladenote.FetchAnswer, error) {
+			return gladepeer.Call[gladenote.FetchRequest, gladenote.FetchAnswer](ctx, n.node, from, methodNoteFetch, q)
+		},
+		OnApply:  n.publish,
+		Watchers: s.Watchers,
+		Interval: s.Interval.D(),
+		Settle:   s.Settle.D(),
+		Logger:   n.log,
+		Check:    d.check,
+	}
+}
+
+func (n *Notes) publish(s *gladenote.State) {
+	if err := n.node.Publish(factNote, noteFact{Number: s.Number, Since: time.Now().UTC()}); err != nil {
+		n.log.Error("Note not published.", "error", err)
+	}
+}
+
+func (n *Notes) members() []gladenote.Holder {
+	members := n.node.Members()
+	holders := make([]gladenote.Holder, len(members))
+	for i, m := range members {
+		holders[i] = gladenote.Holder{
+			Name:          m.Name,
+			FailureDomain: m.FailureDomain,
+			Number:        fact[noteFact](&m, factNote).Number,
+		}
+	}
+	return holders
+}
+
+// fact returns what a member published under a name, or the zero value.
+func fact[T any](m *gladepeer.Member, name string) T {
+	var v T
+	if raw, ok := m.Facts[name]; ok {
+		_ = json.Unmarshal(raw, &v)
+	}
+	return v
+}
+
+// notesDump is the notes' part of the state dump.
+type notesDump struct {
+	Number        int64               `json:"number"`
+	Ready         string              `json:"ready"`
+	Organisations int                 `json:"organisations"`
+	Recent        []gladenote.Summary `json:"recent"`
+}
+
+func (n *Notes) dump() notesDump {
+	s := n.State()
+	d := notesDump{Number: s.Number, Ready: "yes", Organisations: s.Organisations(), Recent: s.Recent}
+	if err := n.Ready(); err != nil {
+		d.Ready = err.Error()
+	}
+	return d
+}
--- a/gladedaemon/operators.go
+++ b/gladedaemon/operators.go
@@ -15,6 +15,9 @@
 		metrics.WriteJSONOnce(d.metrics, w)
 	})
 	mux.HandleFunc("GET /explain/{request}", d.serveExplain)
+	if err := d.handleNotes(mux); err != nil {
+		return err
+	}
 	address, _, err := d.serve(d.settings.Operators.Listen, mux)
 	d.operatorsAddress = address
 	return err
--- /dev/null
+++ b/gladenote/fleet_test.go
@@ -0,0 +1,220 @@
+package gladenote_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrassglade/eelgrassglade/gladecheck"
+	"github.com/eelgrassglade/eelgrassglade/gladenote"
+	"github.com/eelgrassglade/eelgrassglade/gladestandin"
+	"github.com/eelgrassglade/eelgrassglade/gladestore"
+	"github.com/eelgrassglade/eelgrassglade/gladewire"
+)
+
+var errCut = eris.New("cut off")
+
+// fleet is VMs' replicas before one platform, joined by direct calls.
+type fleet struct {
+	*qt.C
+	platform *gladestandin.Platform
+	network  *gladewire.Network
+	check    *gladecheck.Checker
+	config   gladenote.ReplicaConfig
+	every    int64
+
+	mu    sync.Mutex
+	vms   map[string]*vm
+	apart map[string]bool // failure domains that others can't reach
+	// frozen, if set, are the numbers that all published and that no longer change.
+	frozen     map[string]int64
+	fetchDelay time.Duration
+	noPushes   bool
+}
+
+type vm struct {
+	name, domain string
+	replica      *gladenote.Replica
+	store        *gladestore.Client
+	stop         func()
+}
+
+func runFleet(t *testing.T, f func(l *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l := &fleet{C: c, platform: &gladestandin.Platform{}, network: &gladewire.Network{}, vms: map[string]*vm{}, apart: map[string]bool{}}
+		l.check = &gladecheck.Checker{OnBroken: func(i gladecheck.Invariant, m string) { t.Errorf("%s: %s", i, m) }}
+		listener, err := l.network.Host("platform").Listen("tcp", "platform:80")
+		c.Assert(err, qt.IsNil)
+		s := &http.Server{Handler: l.platform}
+		go func() { _ = s.Serve(listener) }()
+		defer synctest.Wait()
+		defer func() { _ = s.Close() }()
+		defer l.stopAll()
+		f(l)
+		time.Sleep(10 * time.Second) // lets delayed calls end
+	})
+}
+
+func (l *fleet) stopAll() {
+	for _, v := range l.all() {
+		l.stop(v.name)
+	}
+}
+
+func (l *fleet) all() []*vm {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []*vm
+	for _, v := range l.vms {
+		all = append(all, v)
+	}
+	return all
+}
+
+// start adds VMs NAME-1 ... NAME-n to a failure domain.
+func (l *fleet) start(domain string, from, to int) {
+	for i := from; i <= to; i++ {
+		v := &vm{name: fmt.Sprintf("%s-%d", domain, i), domain: domain}
+		store, closeStore := gladestore.New(gladestore.Config{
+			Address: "http://platform:80", Dial: l.network.Host(v.name).Dial, FailureDomain: domain,
+		})
+		c := l.config
+		c.Name, c.FailureDomain, c.Check = v.name, domain, l.check
+		c.Log = &gladenote.Log{Store: store, SnapshotEvery: l.every, Keep: l.every}
+		c.Members = func() []gladenote.Holder { return l.members(v) }
+		c.Push = func(ctx context.Context, to string, p gladenote.Push) (int64, error) {
+			w, err := l.reach(v, to)
+			if _, off := l.limits(); off {
+				err = errCut
+			}
+			if err != nil {
+				return 0, err
+			}
+			return w.replica.HandlePush(ctx, v.name, p)
+		}
+		c.Fetch = func(ctx context.Context, from string, q gladenote.FetchRequest) (gladenote.FetchAnswer, error) {
+			delay, _ := l.limits()
+			time.Sleep(delay)
+			w, err := l.reach(v, from)
+			if err != nil {
+				return gladenote.FetchAnswer{}, err
+			}
+			return w.replica.HandleFetch(ctx, v.name, q)
+		}
+		l.mu.Lock()
+		var closeReplica func()
+		v.store = store
+		v.replica, closeReplica = gladenote.NewReplica(c)
+		v.stop = func() { closeReplica(); closeStore() }
+		l.vms[v.name] = v
+		l.mu.Unlock()
+	}
+}
+
+func (l *fleet) stop(name string) {
+	l.mu.Lock()
+	v := l.vms[name]
+	delete(l.vms, name)
+	l.mu.Unlock()
+	v.stop()
+}
+
+func (l *fleet) linked(a, b *vm) bool {
+	return a.domain == b.domain || !l.apart[a.domain] && !l.apart[b.domain]
+}
+
+func (l *fleet) reach(from *vm, to string) (*vm, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w := l.vms[to]
+	if w == nil || !l.linked(from, w) {
+		return nil, errCut
+	}
+	return w, nil
+}
+
+func (l *fleet) members(v *vm) []gladenote.Holder {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var holders []gladenote.Holder
+	for _, w := range l.vms {
+		if w == v || !l.linked(v, w) {
+			continue
+		}
+		number := w.replica.State().Number
+		if l.frozen != nil {
+			number = l.frozen[w.name]
+		}
+		holders = append(holders, gladenote.Holder{Name: w.name, FailureDomain: w.domain, Number: number})
+	}
+	return holders
+}
+
+// limit slows fetches down and stops pushes.
+func (l *fleet) limit(fetchDelay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fetchDelay, l.noPushes = fetchDelay, true
+}
+
+func (l *fleet) limits() (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fetchDelay, l.noPushes
+}
+
+// freeze stops membership from telling of new notes.
+func (l *fleet) freeze() {
+	frozen := map[string]int64{}
+	for _, v := range l.all() {
+		frozen[v.name] = v.replica.State().Number
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.frozen = frozen
+}
+
+func (l *fleet) vm(name string) *vm {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.vms[name]
+}
+
+// within waits in virtual time until all VMs hold a note and reports those that do not.
+func (l *fleet) within(d time.Duration, number int64) []string {
+	for end := time.Now().Add(d); ; time.Sleep(50 * time.Millisecond) {
+		var behind []string
+		for _, v := range l.all() {
+			if v.replica.State().Number < number {
+				behind = append(behind, v.name)
+			}
+		}
+		if len(behind) == 0 || time.Now().After(end) {
+			return behind
+		}
+	}
+}
+
+func note(base int64, title string) gladenote.Note {
+	return gladenote.Note{Base: base, Author: "amira", Title: title, Added: gladenote.Content{
+		Organisations: []gladenote.Organisation{{Name: "org-" + title, KeyHashes: []string{gladenote.HashKey(title)}}},
+	}}
+}
+
+// submit makes the next notes through one VM.
+func (l *fleet) submit(through string, n int) {
+	for range n {
+		v := l.vm(through)
+		base := v.replica.State().Number
+		_, err := v.replica.Submit(context.Background(), note(base, fmt.Sprint("t", base+1)))
+		l.Assert(err, qt.IsNil)
+	}
+}
--- /dev/null
+++ b/gladenote/log.go
@@ -0,0 +1,307 @@
+package gladenote
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrassglade/eelgrassglade/gladestore"
+)
+
+// KindNotes and KindSnapshots are the kinds of object that hold release notes.
+const (
+	KindNotes     = "notes"
+	KindSnapshots = "noteSnapshots"
+)
+
+const (
+	headName             = "head"
+	defaultSnapshotEvery = 64
+	defaultKeep          = 64
+	maxReads             = 3
+)
+
+// The errors of Submit.
+var (
+	// ErrConflict means that another note was accepted for the same base.
+	ErrConflict = eris.New("release note conflict")
+	// ErrUnknownOutcome means that the note may have been accepted; submitting it again is safe and tells.
+	ErrUnknownOutcome = eris.New("outcome of submission unknown")
+)
+
+// Conflict names the note that was accepted instead.
+type Conflict struct {
+	Other Summary
+	// Newest is the number to write against now.
+	Newest int64
+}
+
+// Error names the other note.
+func (c *Conflict) Error() string {
+	return fmt.Sprintf("%v: note %d %q by %s was accepted for the same base; the newest is %d",
+		ErrConflict, c.Other.Number, c.Other.Title, c.Other.Author, c.Newest)
+}
+
+// Unwrap returns ErrConflict.
+func (c *Conflict) Unwrap() error {
+	return ErrConflict
+}
+
+// Log is the accepted notes on the platform, with snapshots that stand for the older ones.
+type Log struct {
+	Store *gladestore.Client
+	// SnapshotEvery is the number of notes from one snapshot to the next; zero means 64.
+	SnapshotEvery int64
+	// Keep is the number of notes before the snapshot that are not yet deleted; zero means 64.
+	Keep int64
+}
+
+// head is the object that says which snapshot holds.
+type head struct {
+	Number   int64     `json:"number"`
+	Parts    int       `json:"parts"`
+	Previous *head     `json:"previous,omitempty"`
+	Recent   []Summary `json:"recent,omitempty"`
+}
+
+// SetNonce gives a note without a nonce one that depends on its whole content.
+func (n *Note) SetNonce() error {
+	if n.Nonce != "" {
+		return nil
+	}
+	plain := *n
+	plain.Number, plain.Accepted = 0, time.Time{}
+	raw, err := json.Marshal(plain)
+	if err != nil {
+		return eris.Wrap(err, "note")
+	}
+	sum := sha256.Sum256(raw)
+	n.Nonce = hex.EncodeToString(sum[:16])
+	return nil
+}
+
+// Submit accepts a note as the next one after the newest state, or returns why not.
+func (l *Log) Submit(ctx context.Context, s *State, n Note) (Note, error) {
+	if err := n.SetNonce(); err != nil {
+		return n, err
+	}
+	n.Number = n.Base + 1
+	if n.Base < s.Number {
+		return n, settled(s, &n)
+	}
+	if n.Base > s.Number {
+		return n, eris.Wrapf(ErrInvalid, "base: note %d does not exist, the newest is %d", n.Base, s.Number)
+	}
+	if err := Validate(s, &n); err != nil {
+		return n, err
+	}
+	n.Accepted = time.Now().UTC()
+	raw, err := json.Marshal(n)
+	if err != nil {
+		return n, eris.Wrap(err, "note")
+	}
+	if err := l.create(ctx, &n, raw); err != nil {
+		return n, err
+	}
+	return n, l.confirm(ctx, &n)
+}
+
+// settled tells whether the note was accepted before, and otherwise which one was.
+func settled(s *State, n *Note) error {
+	other, ok := s.Find(n.Number)
+	if ok && other.Nonce == n.Nonce {
+		return nil
+	}
+	if !ok {
+		other.Number = n.Number
+	}
+	return &Conflict{Other: other, Newest: s.Number}
+}
+
+func (l *Log) create(ctx context.Context, n *Note, raw []byte) error {
+	mine := func(found []byte) bool {
+		var other Note
+		return json.Unmarshal(found, &other) == nil && other.Nonce == n.Nonce
+	}
+	found, err := l.Store.CreateOnce(ctx, KindNotes, strconv.FormatInt(n.Number, 10), raw, mine)
+	switch {
+	case err == nil:
+		return eris.Wrap(json.Unmarshal(found.Value, n), "accepted note")
+	case errors.Is(err, gladestore.ErrConflict) && len(found.Value) > 0:
+		var other Note
+		if err := json.Unmarshal(found.Value, &other); err != nil {
+			return eris.Wrap(err, "conflicting note")
+		}
+		return &Conflict{Other: other.Summary(), Newest: other.Number}
+	case errors.Is(err, gladestore.ErrNotSent), errors.Is(err, gladestore.ErrTooLarge), errors.Is(err, gladestore.ErrRateLimited):
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
+}
+
+// confirm finds out whether the number had been compacted away before the note took it.
+func (l *Log) confirm(ctx context.Context, n *Note) error {
+	h, _, err := l.head(ctx)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
+	}
+	if h.Number < n.Number {
+		return nil
+	}
+	return settled(&State{Number: h.Number, Recent: h.Recent}, n)
+}
+
+func (l *Log) head(ctx context.Context) (head, int64, error) {
+	var h head
+	o, err := l.Store.Get(ctx, KindSnapshots, headName)
+	if errors.Is(err, gladestore.ErrNotFound) {
+		return h, 0, nil
+	}
+	if err != nil {
+		return h, 0, err
+	}
+	return h, o.Version, eris.Wrap(json.Unmarshal(o.Value, &h), "snapshot head")
+}
+
+// Read returns what the platform holds after a number: the notes, behind a snapshot if that is newer.
+func (l *Log) Read(ctx context.Context, after int64) (*State, []Note, error) {
+	var err error
+	for range maxReads {
+		var s *State
+		var notes []Note
+		s, notes, err = l.read(ctx, after)
+		if err == nil || !errors.Is(err, gladestore.ErrNotFound) && !errors.Is(err, ErrOutOfOrder) {
+			return s, notes, err
+		}
+	}
+	return nil, nil, err
+}
+
+func (l *Log) read(ctx context.Context, after int64) (*State, []Note, error) {
+	var s *State
+	h, _, err := l.head(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	if h.Number > after {
+		if s, err = l.snapshot(ctx, h); err != nil {
+			return nil, nil, err
+		}
+		after = s.Number
+	}
+	list, err := l.Store.List(ctx, KindNotes, "")
+	if err != nil {
+		return nil, nil, err
+	}
+	notes, err := decodeNotes(list.Objects)
+	if err != nil {
+		return nil, nil, err
+	}
+	notes = slices.DeleteFunc(notes, func(n Note) bool { return n.Number <= after })
+	if len(notes) > 0 && notes[0].Number != after+1 {
+		return nil, nil, eris.Wrapf(ErrOutOfOrder, "note %d after %d", notes[0].Number, after)
+	}
+	return s, notes, nil
+}
+
+func (l *Log) snapshot(ctx context.Context, h head) (*State, error) {
+	parts := make([][]byte, h.Parts)
+	for i := range parts {
+		o, err := l.Store.Get(ctx, KindSnapshots, partName(h.Number, i))
+		if err != nil {
+			return nil, err
+		}
+		parts[i] = o.Value
+	}
+	return Decode(parts)
+}
+
+// Compact writes a snapshot of s if the last one is old enough and deletes what it stands for.
+func (l *Log) Compact(ctx context.Context, s *State) error {
+	old, version, err := l.head(ctx)
+	if err != nil || s.Number < old.Number+cmp.Or(l.SnapshotEvery, defaultSnapshotEvery) {
+		return err
+	}
+	parts, err := s.Encode()
+	if err != nil {
+		return err
+	}
+	for i, raw := range parts {
+		same := func(found []byte) bool { return bytes.Equal(found, raw) }
+		if _, err := l.Store.CreateOnce(ctx, KindSnapshots, partName(s.Number, i), raw, same); err != nil {
+			return err
+		}
+	}
+	next := head{Number: s.Number, Parts: len(parts), Recent: s.Recent}
+	if version != 0 {
+		next.Previous = &head{Number: old.Number, Parts: old.Parts}
+	}
+	if err := l.putHead(ctx, next, version); err != nil {
+		return err
+	}
+	return l.prune(ctx, old.Previous, s.Number-cmp.Or(l.Keep, defaultKeep))
+}
+
+func (l *Log) putHead(ctx context.Context, h head, version int64) error {
+	raw, err := json.Marshal(h)
+	if err != nil {
+		return eris.Wrap(err, "snapshot head")
+	}
+	same := func(found []byte) bool { return bytes.Equal(found, raw) }
+	if version == 0 {
+		_, err = l.Store.CreateOnce(ctx, KindSnapshots, headName, raw, same)
+	} else {
+		_, err = l.Store.UpdateOnce(ctx, KindSnapshots, headName, raw, version, same)
+	}
+	return err
+}
+
+// prune deletes a snapshot that nobody reads any more and the notes up to a number.
+func (l *Log) prune(ctx context.Context, h *head, upTo int64) error {
+	if h != nil {
+		for i := range h.Parts {
+			if err := l.Store.Delete(ctx, KindSnapshots, partName(h.Number, i), 0); err != nil {
+				return err
+			}
+		}
+	}
+	list, err := l.Store.List(ctx, KindNotes, "")
+	if err != nil {
+		return err
+	}
+	for _, o := range list.Objects {
+		number, err := strconv.ParseInt(o.Name, 10, 64)
+		if err != nil || number > upTo {
+			continue
+		}
+		if err := l.Store.Delete(ctx, KindNotes, o.Name, o.Version); err != nil && !errors.Is(err, gladestore.ErrConflict) {
+			return err
+		}
+	}
+	return nil
+}
+
+func partName(number int64, part int) string {
+	return fmt.Sprintf("%d-%d", number, part)
+}
+
+func decodeNotes(objects []gladestore.Object) ([]Note, error) {
+	notes := make([]Note, len(objects))
+	for i, o := range objects {
+		if err := json.Unmarshal(o.Value, &notes[i]); err != nil {
+			return nil, eris.Wrapf(err, "note %s", o.Name)
+		}
+	}
+	slices.SortFunc(notes, func(a, b Note) int { return cmp.Compare(a.Number, b.Number) })
+	return notes, nil
+}
--- /dev/null
+++ b/gladenote/replica.go
@@ -0,0 +1,403 @@
+package gladenote
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrassglade/eelgrassglade/gladecheck"
+	"github.com/eelgrassglade/eelgrassglade/gladestore"
+)
+
+// The reasons for which a Replica is not ready.
+var (
+	ErrNoNote  = eris.New("no release note is known yet")
+	ErrSettles = eris.New("the newest release note is still being looked for")
+	ErrBehind  = eris.New("another VM holds a newer release note")
+)
+
+const (
+	defaultWatchers = 2
+	defaultInterval = time.Second
+	defaultSettle   = time.Second
+	callTimeout     = time.Second
+	maxTail         = 256
+	maxPushes       = 16
+	maxFetches      = 64
+	maxFailures     = 3
+	compactEvery    = 8
+)
+
+// Holder is a live VM and the number of the newest note that it is known to hold.
+type Holder struct {
+	Name          string
+	FailureDomain string
+	Number        int64
+}
+
+// Push tells a VM of a note; Note is nil if it is too large to send unasked.
+type Push struct {
+	Number int64 `json:"number"`
+	Note   *Note `json:"note,omitempty"`
+}
+
+// FetchRequest asks for the notes after a number, or for a part of the snapshot at Number.
+type FetchRequest struct {
+	After  int64 `json:"after"`
+	Number int64 `json:"number,omitempty"`
+	Part   int   `json:"part,omitempty"`
+}
+
+// FetchAnswer holds either notes or one part of a snapshot.
+type FetchAnswer struct {
+	// Number is the newest note that the answering VM holds.
+	Number int64  `json:"number"`
+	Notes  []Note `json:"notes,omitempty"`
+	// SnapshotNumber and Parts describe the snapshot that Part belongs to.
+	SnapshotNumber int64  `json:"snapshotNumber,omitempty"`
+	Parts          int    `json:"parts,omitempty"`
+	Part           []byte `json:"part,omitempty"`
+}
+
+// ReplicaConfig configures a Replica.
+type ReplicaConfig struct {
+	Name          string
+	FailureDomain string
+	Log           *Log
+	// Members returns the other live VMs.
+	Members func() []Holder
+	// Push and Fetch call another VM's HandlePush and HandleFetch.
+	Push  func(ctx context.Context, to string, p Push) (int64, error)
+	Fetch func(ctx context.Context, from string, q FetchRequest) (FetchAnswer, error)
+	// OnApply is called with each new state, in order.
+	OnApply func(*State)
+	// Watchers is the number of VMs in each failure domain that watch the platform; zero means 2.
+	Watchers int
+	// Interval is the time between looks at what others hold; zero means 1 s.
+	Interval time.Duration
+	// Settle is how long a new VM waits to hear from others before it is ready; zero means 1 s.
+	Settle time.Duration
+	Logger hclog.Logger
+	Check  *gladecheck.Checker
+}
+
+// Replica holds the state in force on one VM and keeps it the newest that the VM can learn.
+type Replica struct {
+	config  ReplicaConfig
+	log     hclog.Logger
+	state   atomic.Pointer[State]
+	ready   atomic.Bool
+	started time.Time
+	// loaded says that the platform was read, learned that another VM was.
+	loaded  atomic.Bool
+	learned atomic.Bool
+	spread  chan spreading
+
+	mu   sync.Mutex
+	tail []Note
+
+	snapshotMu     sync.Mutex
+	snapshotNumber int64
+	snapshot       [][]byte
+}
+
+type source int
+
+const (
+	fromPlatform source = iota
+	fromNeighbour
+	fromElsewhere
+)
+
+// spreading is a note to be told to others.
+type spreading struct {
+	push   Push
+	source source
+}
+
+// NewReplica starts a replica and returns its clean-up function.
+func NewReplica(c ReplicaConfig) (*Replica, func()) {
+	c.Watchers = cmp.Or(c.Watchers, defaultWatchers)
+	c.Interval = cmp.Or(c.Interval, defaultInterval)
+	c.Settle = cmp.Or(c.Settle, defaultSettle)
+	if c.Logger == nil {
+		c.Logger = hclog.NewNullLogger()
+	}
+	if c.Members == nil {
+		c.Members = func() []Holder { return nil }
+	}
+	r := &Replica{config: c, log: c.Logger, started: time.Now(), spread: make(chan spreading, maxTail)}
+	r.state.Store(&State{})
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	tasks.Go(func() { r.keepWatching(ctx) })
+	tasks.Go(func() { r.keepCaughtUp(ctx) })
+	tasks.Go(func() { r.keepSpreading(ctx) })
+	return r, func() {
+		cancel()
+		tasks.Wait()
+	}
+}
+
+// State returns the state in force.
+func (r *Replica) State() *State {
+	return r.state.Load()
+}
+
+// Ready reports why the VM must not serve yet; once ready it stays so.
+func (r *Replica) Ready() error {
+	if r.ready.Load() {
+		return nil
+	}
+	s := r.State()
+	if s.Number == 0 {
+		return ErrNoNote
+	}
+	heard := false
+	for _, m := range r.config.Members() {
+		heard = heard || m.Number > 0
+		if m.Number > s.Number {
+			return eris.Wrapf(ErrBehind, "%s holds %d, this VM %d", m.Name, m.Number, s.Number)
+		}
+	}
+	settled := heard || time.Since(r.started) >= r.config.Settle
+	if !settled || !r.loaded.Load() && !r.learned.Load() {
+		return ErrSettles
+	}
+	r.ready.Store(true)
+	return nil
+}
+
+// Submit brings the replica up to the platform's newest note and submits the next one.
+func (r *Replica) Submit(ctx context.Context, n Note) (Note, error) {
+	if err := r.load(ctx); err != nil {
+		return n, eris.Wrap(err, "the platform's notes can't be read, so the note was not submitted")
+	}
+	accepted, err := r.config.Log.Submit(ctx, r.State(), n)
+	if err == nil {
+		err = r.load(ctx)
+		if err != nil {
+			r.log.Warn("Note accepted but not read back.", "number", accepted.Number, "error", err)
+		}
+		return accepted, nil
+	}
+	return accepted, err
+}
+
+// apply puts notes into force that follow each other; older ones are left out.
+func (r *Replica) apply(from source, notes ...Note) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range notes {
+		old := r.State()
+		if notes[i].Number <= old.Number {
+			continue
+		}
+		next, err := old.Apply(&notes[i])
+		if err != nil {
+			return err
+		}
+		r.tail = append(r.tail, notes[i])
+		r.tail = r.tail[max(0, len(r.tail)-maxTail):]
+		r.put(next)
+		r.tell(spreading{push: pushOf(&notes[i]), source: from})
+	}
+	return nil
+}
+
+// adopt puts a whole state into force if it is newer.
+func (r *Replica) adopt(s *State) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s.Number <= r.State().Number {
+		return
+	}
+	r.tail = nil
+	r.put(s)
+	r.tell(spreading{push: Push{Number: s.Number}, source: fromElsewhere})
+}
+
+func (r *Replica) put(s *State) {
+	old := r.state.Swap(s)
+	r.config.Check.That(s.Number > old.Number, gladecheck.NoteNeverReverts,
+		"%s: note %d after %d", r.config.Name, s.Number, old.Number)
+	r.log.Info("Note in force.", "number", s.Number)
+	if r.config.OnApply != nil {
+		r.config.OnApply(s)
+	}
+}
+
+// tell queues a note for others, who otherwise learn of it at their next look.
+func (r *Replica) tell(s spreading) {
+	select {
+	case r.spread <- s:
+	default:
+	}
+}
+
+func (r *Replica) load(ctx context.Context) error {
+	s, notes, err := r.config.Log.Read(ctx, r.State().Number)
+	if err != nil {
+		return err
+	}
+	if s != nil {
+		r.adopt(s)
+	}
+	if err := r.apply(fromPlatform, notes...); err != nil {
+		return err
+	}
+	r.loaded.Store(true)
+	return nil
+}
+
+// watcher tells whether this VM is one of those that watch the platform for its failure domain.
+func (r *Replica) watcher() bool {
+	return slices.Contains(r.watchers(r.config.FailureDomain), r.config.Name)
+}
+
+// watchers returns the watching VMs of a failure domain by rendezvous hash, first the one that compacts.
+func (r *Replica) watchers(domain string) []string {
+	members := r.config.Members()
+	members = append(members, Holder{Name: r.config.Name, FailureDomain: r.config.FailureDomain})
+	members = slices.DeleteFunc(members, func(m Holder) bool { return m.FailureDomain != domain })
+	slices.SortFunc(members, func(a, b Holder) int { return cmp.Compare(rank(b.Name), rank(a.Name)) })
+	names := collect(members, func(h Holder) string { return h.Name })
+	return names[:min(r.config.Watchers, len(names))]
+}
+
+func rank(name string) uint64 {
+	return xxhash.Sum64String("notes/" + name)
+}
+
+// compactor tells whether this VM is the one that writes snapshots.
+func (r *Replica) compactor() bool {
+	own := rank(r.config.Name)
+	return !slices.ContainsFunc(r.config.Members(), func(m Holder) bool { return rank(m.Name) > own })
+}
+
+// keepWatching watches the platform for as long as this VM is a watcher.
+func (r *Replica) keepWatching(ctx context.Context) {
+	var stop context.CancelFunc
+	var done sync.WaitGroup
+	defer done.Wait()
+	ticker := time.NewTicker(r.config.Interval)
+	defer ticker.Stop()
+	for {
+		switch wanted := r.watcher(); {
+		case wanted && stop == nil:
+			var watch context.Context
+			watch, stop = context.WithCancel(ctx)
+			done.Go(func() { r.config.Log.Store.Follow(watch, r.follower(watch)) })
+		case !wanted && stop != nil:
+			stop()
+			stop = nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			if stop != nil {
+				stop()
+			}
+			return
+		}
+	}
+}
+
+func (r *Replica) follower(ctx context.Context) gladestore.Follower {
+	return gladestore.Follower{
+		Kind: KindNotes,
+		OnList: func(l gladestore.List) error {
+			notes, err := decodeNotes(l.Objects)
+			if err == nil {
+				err = r.learn(ctx, notes)
+			}
+			return err
+		},
+		OnEvent: func(e gladestore.Event) error {
+			if e.Deleted {
+				return nil
+			}
+			notes, err := decodeNotes([]gladestore.Object{e.Object})
+			if err == nil {
+				err = r.learn(ctx, notes)
+			}
+			return err
+		},
+		OnBreak: func(err error) { r.log.Info("Watch ended.", "error", err) },
+	}
+}
+
+// learn applies the platform's notes, through the snapshot if some are missing.
+func (r *Replica) learn(ctx context.Context, notes []Note) error {
+	err := r.apply(fromPlatform, notes...)
+	if errors.Is(err, ErrOutOfOrder) || r.State().Number == 0 {
+		return r.load(ctx)
+	}
+	if err == nil {
+		r.loaded.Store(true)
+	}
+	return err
+}
+
+// keepCaughtUp looks at each interval whether others, or at first the platform, hold newer notes.
+func (r *Replica) keepCaughtUp(ctx context.Context) {
+	ticker := time.NewTicker(r.config.Interval)
+	defer ticker.Stop()
+	var compacted int64
+	for {
+		r.catchUp(ctx)
+		if s := r.State(); r.loaded.Load() && s.Number >= compacted+compactEvery && r.compactor() {
+			compacted = s.Number
+			if err := r.config.Log.Compact(ctx, s); err != nil {
+				r.log.Warn("Notes not compacted.", "error", err)
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *Replica) catchUp(ctx context.Context) {
+	if !r.loaded.Load() && !r.ready.Load() {
+		if err := r.load(ctx); err != nil {
+			r.log.Warn("Notes not loaded from the platform.", "error", err)
+		}
+	}
+	members := r.config.Members()
+	slices.SortFunc(members, func(a, b Holder) int {
+		near := r.near(&b) - r.near(&a)
+		return cmp.Or(near, cmp.Compare(b.Number, a.Number))
+	})
+	failures := 0
+	for _, m := range members {
+		if failures == maxFailures {
+			return
+		}
+		if m.Number <= r.State().Number {
+			r.learned.Store(r.learned.Load() || m.Number > 0)
+			continue
+		}
+		if err := r.fetch(ctx, m.Name); err != nil {
+			failures++
+			r.log.Debug("Notes not fetched.", "from", m.Name, "error", err)
+		}
+	}
+}
+
+func (r *Replica) near(h *Holder) int {
+	if h.FailureDomain == r.config.FailureDomain {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/gladenote/spread.go
@@ -0,0 +1,204 @@
+package gladenote
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	maxPushBytes  = 16 << 10
+	maxFetchBytes = 512 << 10
+)
+
+// pushOf returns what is sent unasked: the whole note if it is small.
+func pushOf(n *Note) Push {
+	p := Push{Number: n.Number}
+	if raw, err := json.Marshal(n); err == nil && len(raw) <= maxPushBytes {
+		p.Note = n
+	}
+	return p
+}
+
+// keepSpreading tells others of each new note.
+func (r *Replica) keepSpreading(ctx context.Context) {
+	for {
+		select {
+		case s := <-r.spread:
+			r.pushAll(ctx, s)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// pushAll tells the failure domain and, of what the platform told, the watchers of the other domains.
+func (r *Replica) pushAll(ctx context.Context, s spreading) {
+	if s.source == fromNeighbour || !r.watcher() {
+		return
+	}
+	var tasks sync.WaitGroup
+	slots := make(chan struct{}, maxPushes)
+	for _, name := range r.listeners(s) {
+		slots <- struct{}{}
+		tasks.Go(func() {
+			defer func() { <-slots }()
+			call, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			if _, err := r.config.Push(call, name, s.push); err != nil {
+				r.log.Debug("Note not pushed.", "to", name, "error", err)
+			}
+		})
+	}
+	tasks.Wait()
+}
+
+func (r *Replica) listeners(s spreading) []string {
+	var names []string
+	domains := map[string]bool{r.config.FailureDomain: true}
+	for _, m := range r.config.Members() {
+		if m.FailureDomain == r.config.FailureDomain {
+			if m.Number < s.push.Number {
+				names = append(names, m.Name)
+			}
+			continue
+		}
+		if s.source == fromPlatform && !domains[m.FailureDomain] {
+			domains[m.FailureDomain] = true
+			names = append(names, r.watchers(m.FailureDomain)...)
+		}
+	}
+	return names
+}
+
+// HandlePush takes in what another VM tells and returns the number in force after that.
+func (r *Replica) HandlePush(ctx context.Context, from string, p Push) (int64, error) {
+	own := r.State().Number
+	if p.Number <= own {
+		return own, nil
+	}
+	if p.Note != nil && p.Note.Number == own+1 {
+		if err := r.apply(r.sourceOf(from), *p.Note); err == nil {
+			return r.State().Number, nil
+		}
+	}
+	err := r.fetch(ctx, from)
+	return r.State().Number, err
+}
+
+func (r *Replica) sourceOf(name string) source {
+	for _, m := range r.config.Members() {
+		if m.Name == name && m.FailureDomain == r.config.FailureDomain {
+			return fromNeighbour
+		}
+	}
+	return fromElsewhere
+}
+
+// HandleFetch answers another VM that lacks notes.
+func (r *Replica) HandleFetch(_ context.Context, _ string, q FetchRequest) (FetchAnswer, error) {
+	r.mu.Lock()
+	s, tail := r.State(), r.tail
+	r.mu.Unlock()
+	a := FetchAnswer{Number: s.Number}
+	if q.After >= s.Number {
+		return a, nil
+	}
+	first := slices.IndexFunc(tail, func(n Note) bool { return n.Number == q.After+1 })
+	if q.Number == 0 && first >= 0 {
+		a.Notes = bounded(tail[first:])
+		return a, nil
+	}
+	return a, r.answerSnapshot(s, q, &a)
+}
+
+func bounded(notes []Note) []Note {
+	size := 0
+	for i := range notes {
+		raw, err := json.Marshal(&notes[i])
+		if size += len(raw); err != nil || i > 0 && size > maxFetchBytes {
+			return notes[:i]
+		}
+	}
+	return notes
+}
+
+func (r *Replica) answerSnapshot(s *State, q FetchRequest, a *FetchAnswer) error {
+	r.snapshotMu.Lock()
+	defer r.snapshotMu.Unlock()
+	if q.Number == 0 && !r.snapshotServes(s) {
+		parts, err := s.Encode()
+		if err != nil {
+			return err
+		}
+		r.snapshot, r.snapshotNumber = parts, s.Number
+	}
+	if q.Number != 0 && q.Number != r.snapshotNumber {
+		return eris.Wrapf(ErrIncomplete, "snapshot %d was replaced by %d", q.Number, r.snapshotNumber)
+	}
+	if q.Part >= len(r.snapshot) {
+		return eris.Wrapf(ErrIncomplete, "no part %d of %d", q.Part, len(r.snapshot))
+	}
+	a.SnapshotNumber, a.Parts, a.Part = r.snapshotNumber, len(r.snapshot), r.snapshot[q.Part]
+	return nil
+}
+
+// snapshotServes tells whether the notes after the last snapshot are still at hand.
+func (r *Replica) snapshotServes(s *State) bool {
+	if r.snapshot == nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.snapshotNumber == s.Number || len(r.tail) > 0 && r.tail[0].Number <= r.snapshotNumber+1
+}
+
+// fetch brings this VM up to what another one holds.
+func (r *Replica) fetch(ctx context.Context, from string) error {
+	for range maxFetches {
+		own := r.State().Number
+		a, err := r.call(ctx, from, FetchRequest{After: own})
+		if err != nil {
+			return err
+		}
+		if a.Number <= own {
+			r.learned.Store(true)
+			return nil
+		}
+		if a.Parts > 0 {
+			err = r.fetchSnapshot(ctx, from, a)
+		} else {
+			err = r.apply(r.sourceOf(from), a.Notes...)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Replica) fetchSnapshot(ctx context.Context, from string, first FetchAnswer) error {
+	parts := [][]byte{first.Part}
+	for i := 1; i < first.Parts; i++ {
+		a, err := r.call(ctx, from, FetchRequest{Number: first.SnapshotNumber, Part: i})
+		if err != nil {
+			return err
+		}
+		parts = append(parts, a.Part)
+	}
+	s, err := Decode(parts)
+	if err != nil {
+		return err
+	}
+	r.adopt(s)
+	return nil
+}
+
+func (r *Replica) call(ctx context.Context, from string, q FetchRequest) (FetchAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.config.Fetch(ctx, from, q)
+}
--- a/gladenote/state.go
+++ b/gladenote/state.go
@@ -4,7 +4,9 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"maps"
+	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
@@ -19,7 +21,24 @@
 	ErrOutOfOrder     = eris.New("release note out of order")
 )
 
-const shards = 256
+const (
+	shards    = 256
+	maxRecent = 256
+)
+
+// Summary says which note a number belongs to.
+type Summary struct {
+	Number   int64     `json:"number"`
+	Nonce    string    `json:"nonce"`
+	Author   string    `json:"author"`
+	Title    string    `json:"title"`
+	Accepted time.Time `json:"accepted,omitzero"`
+}
+
+// Summary returns the summary of the note.
+func (n *Note) Summary() Summary {
+	return Summary{Number: n.Number, Nonce: n.Nonce, Author: n.Author, Title: n.Title, Accepted: n.Accepted}
+}
 
 // State is what all notes up to Number add up to; it is immutable.
 type State struct {
@@ -28,6 +47,8 @@
 	Versions map[VersionRef]Version
 	Adapters map[string]Adapter
 	Routes   map[string]Route
+	// Recent are the last notes, oldest first.
+	Recent []Summary
 
 	organisations [shards]map[string]Organisation
 	keys          [shards]map[string]string
@@ -59,6 +80,25 @@
 	return s.Organisation(name)
 }
 
+// Organisations returns the number of organisations.
+func (s *State) Organisations() int {
+	var n int
+	for i := range s.organisations {
+		n += len(s.organisations[i])
+	}
+	return n
+}
+
+// Find returns the summary of a recent note.
+func (s *State) Find(number int64) (Summary, bool) {
+	for _, r := range s.Recent {
+		if r.Number == number {
+			return r, true
+		}
+	}
+	return Summary{}, false
+}
+
 // Resolve returns the target that a request's model field names: a model, an adapter or MODEL@VERSION.
 func (s *State) Resolve(name string) (gladeapi.Target, Model, error) {
 	name, version, pinned := strings.Cut(name, "@")
@@ -90,17 +130,24 @@
 		return nil, eris.Wrapf(ErrOutOfOrder, "note %d after %d", n.Number, next.Number)
 	}
 	next.Number = n.Number
-	next.Models = cloneMap(next.Models)
-	next.Versions = cloneMap(next.Versions)
-	next.Adapters = cloneMap(next.Adapters)
-	next.Routes = cloneMap(next.Routes)
-	e := editor{state: next, cloned: map[*map[string]Organisation]bool{}, clonedKeys: map[*map[string]string]bool{}}
+	next.Recent = append(slices.Clone(next.Recent), n.Summary())
+	next.Recent = next.Recent[max(0, len(next.Recent)-maxRecent):]
+	e := next.edit()
 	e.withdraw(&n.Withdrawn)
 	e.put(&n.Added)
 	e.put(&n.Changed)
 	return next, nil
 }
 
+// edit returns an editor of a state that nobody else holds yet.
+func (s *State) edit() *editor {
+	s.Models = cloneMap(s.Models)
+	s.Versions = cloneMap(s.Versions)
+	s.Adapters = cloneMap(s.Adapters)
+	s.Routes = cloneMap(s.Routes)
+	return &editor{state: s, cloned: map[*map[string]Organisation]bool{}, clonedKeys: map[*map[string]string]bool{}}
+}
+
 type editor struct {
 	state      *State
 	cloned     map[*map[string]Organisation]bool
@@ -153,7 +200,9 @@
 		return
 	}
 	for _, hash := range old.KeyHashes {
-		delete(e.keys(hash), hash)
+		if e.keys(hash)[hash] == name {
+			delete(e.keys(hash), hash)
+		}
 	}
 	delete(e.organisations(name), name)
 }
--- a/gladestore/client.go
+++ b/gladestore/client.go
@@ -127,9 +127,13 @@
 	return c.put(ctx, "update", kind, name, value, http.Header{"If-Match": {etag(version)}})
 }
 
-// Delete removes an object that must have the given version.
+// Delete removes an object that must have the given version; zero stands for any.
 func (c *Client) Delete(ctx context.Context, kind, name string, version int64) error {
-	_, _, err := c.call(ctx, "delete", http.MethodDelete, objectPath(kind, name), nil, http.Header{"If-Match": {etag(version)}})
+	h := http.Header{}
+	if version != 0 {
+		h.Set("If-Match", etag(version))
+	}
+	_, _, err := c.call(ctx, "delete", http.MethodDelete, objectPath(kind, name), nil, h)
 	return err
 }
 
