--- a/gladecluster/process.go
+++ b/gladecluster/process.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -23,28 +25,53 @@
 	entryPort     = 8080
 	operatorsPort = 8081
 	peersPort     = 8082
+
+	serviceRunTime = 5 * time.Millisecond
 )
 
 func (k *Cluster) startEngine(domain, id string) error {
 	c := k.config.Engine
 	c.ID = id
-	engine := gladestandin.NewEngine(c)
-	address, kill, err := k.serve(id, k.observe(id, engine))
-	if err != nil {
+	s := &Server{Engine: gladestandin.NewEngine(c), Backend: gladeapi.BackendServer{
+		ID: id, Kind: gladeapi.KindEngine, FailureDomain: domain, Pool: k.config.EnginePool,
+	}}
+	if err := k.startServer(s, s.Engine); err != nil {
 		return err
 	}
-	s := &Server{Engine: engine, Backend: gladeapi.BackendServer{
-		ID: id, Kind: gladeapi.KindEngine, Address: address, FailureDomain: domain, Incarnation: k.incarnation(), Pool: PoolName,
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.Engines = append(k.Engines, s)
+	return nil
+}
+
+func (k *Cluster) startService(domain, id string) error {
+	service := gladestandin.NewService(gladestandin.ServiceConfig{ID: id, RunTime: serviceRunTime, Ledger: k.Ledger})
+	s := &Server{Service: service, Backend: gladeapi.BackendServer{
+		ID: id, Kind: gladeapi.KindService, FailureDomain: domain, Pool: k.config.ServicePool,
 	}}
+	if err := k.startServer(s, service); err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.Services = append(k.Services, s)
+	return nil
+}
+
+func (k *Cluster) startServer(s *Server, h http.Handler) error {
+	id := s.Backend.ID
+	address, kill, err := k.serve(id, k.observe(id, h))
+	if err != nil {
+		return err
+	}
+	s.Backend.Address = address
+	s.Backend.Incarnation = k.incarnation()
 	s.Kill = func() {
 		k.mu.Lock()
 		s.Dead = true
 		k.mu.Unlock()
 		kill()
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.Engines = append(k.Engines, s)
 	return nil
 }
 
@@ -155,14 +182,33 @@
 	return nil, eris.Wrap(ErrUnknown, id)
 }
 
+// Service returns a live plain service by its identifier.
+func (k *Cluster) Service(id string) (*Server, error) {
+	for _, s := range k.LiveServices() {
+		if s.Backend.ID == id {
+			return s, nil
+		}
+	}
+	return nil, eris.Wrap(ErrUnknown, id)
+}
+
 // LiveEngines returns the engines that were not killed.
 func (k *Cluster) LiveEngines() []*Server {
+	return k.alive(&k.Engines)
+}
+
+// LiveServices returns the plain services that were not killed.
+func (k *Cluster) LiveServices() []*Server {
+	return k.alive(&k.Services)
+}
+
+func (k *Cluster) alive(servers *[]*Server) []*Server {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var live []*Server
-	for _, e := range k.Engines {
-		if !e.Dead {
-			live = append(live, e)
+	for _, s := range *servers {
+		if !s.Dead {
+			live = append(live, s)
 		}
 	}
 	return live
@@ -201,6 +247,9 @@
 	for _, e := range k.LiveEngines() {
 		list.Backends = append(list.Backends, e.Backend)
 	}
+	for _, s := range k.LiveServices() {
+		list.Backends = append(list.Backends, s.Backend)
+	}
 	for _, v := range k.LiveVMs() {
 		list.Entries = append(list.Entries, v.Entry)
 	}
--- a/gladereplay/fault.go
+++ b/gladereplay/fault.go
@@ -4,6 +4,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/eelgrassglade/eelgrassglade/gladecluster"
+	"github.com/eelgrassglade/eelgrassglade/gladestandin"
 )
 
 // faultSpec says what a kind of fault needs and how it begins and ends.
@@ -60,6 +61,22 @@
 		begin: func(r *run, f *Fault) error { return r.cluster.CutPlatform(f.Target) },
 		end:   func(r *run, f *Fault) error { return r.cluster.HealPlatform(f.Target) },
 	},
+	KillService: {target: true, begin: func(r *run, f *Fault) error {
+		s, err := r.cluster.Service(f.Target)
+		if err != nil {
+			return err
+		}
+		s.Kill()
+		return nil
+	}},
+	ServiceFault: {target: true, ends: true,
+		begin: func(r *run, f *Fault) error { return r.setServiceFault(f.Target, f.Service) },
+		end:   func(r *run, f *Fault) error { return r.setServiceFault(f.Target, nil) },
+	},
+	PlatformFault: {ends: true,
+		begin: func(r *run, f *Fault) error { return r.setPlatformFaults(f.Platform) },
+		end:   func(r *run, _ *Fault) error { return r.setPlatformFaults(nil) },
+	},
 	LeaveBackend: {target: true, ends: true, begin: func(r *run, f *Fault) error {
 		return r.eachEngine(f.Target, func(e *gladecluster.Server) error {
 			r.leaving(e.Backend.ID)
@@ -68,6 +85,26 @@
 	}},
 }
 
+func (r *run) setServiceFault(target string, f *gladestandin.ServiceFault) error {
+	s, err := r.cluster.Service(target)
+	if err != nil {
+		return err
+	}
+	if f == nil {
+		f = &gladestandin.ServiceFault{}
+	}
+	s.Service.SetFault(*f)
+	return nil
+}
+
+func (r *run) setPlatformFaults(f *gladestandin.PlatformFaults) error {
+	if f == nil {
+		f = &gladestandin.PlatformFaults{}
+	}
+	r.cluster.Platform.SetFaults(*f)
+	return nil
+}
+
 // eachEngine calls f with the engine that a target names, or with one that is busy.
 func (r *run) eachEngine(target string, f func(*gladecluster.Server) error) error {
 	if target != TargetBusy {
--- a/gladereplay/judge.go
+++ b/gladereplay/judge.go
@@ -29,6 +29,7 @@
 		r.judgeStops(g.request.ID, g.request.DropAfter, g.answer.Tries)
 	}
 	for _, c := range r.report.Calls {
+		r.judgeCall(c)
 		r.judgeNotRun(c.request.ID, c.answer.Tries)
 		r.judgeStops(c.request.ID, 0, c.answer.Tries)
 	}
@@ -40,10 +41,10 @@
 	}
 }
 
-// target returns what a request's model stood for; only requests that pin a version may name another than the first.
-func target(model string) string {
+// target returns what a request's model stands for: the version that it pins, else the first one.
+func (r *run) target(model string) string {
 	if model == "" {
-		model = gladecluster.ModelName
+		model = r.model()
 	}
 	if _, err := gladeapi.ParseTarget(model); err == nil {
 		return model
@@ -52,7 +53,7 @@
 }
 
 func (r *run) judgeTokens(g *Generation) {
-	err := gladecaller.NewWant(target(g.request.Model), &g.request.Request).Verify(g.answer)
+	err := gladecaller.NewWant(r.target(g.request.Model), &g.request.Request).Verify(g.answer)
 	switch {
 	case err == nil:
 	case errors.Is(err, gladecaller.ErrMissing), errors.Is(err, gladecaller.ErrRepeated), errors.Is(err, gladecaller.ErrUsage):
@@ -75,6 +76,26 @@
 	}
 }
 
+// judgeCall checks that an answer is the call's own and that a call that may not be repeated ran at most once.
+func (r *run) judgeCall(c *CallResult) {
+	if c.Outcome == Whole && c.answer.Body != c.request.Body {
+		r.fail(gladecheck.OwnAnswer, c.request.ID, "answer %q, want %q", c.answer.Body, c.request.Body)
+	}
+	if c.request.Key == "" || idempotentRoutes[c.request.Route] {
+		return
+	}
+	runs := r.cluster.Ledger.Runs()[c.request.Key]
+	if runs > 1 {
+		r.fail(gladecheck.AtMostOnce, c.request.ID, "key %s ran %d times", c.request.Key, runs)
+	}
+	if c.Outcome == Whole && runs != 1 {
+		r.fail(gladecheck.OwnAnswer, c.request.ID, "answered after %d runs of key %s", runs, c.request.Key)
+	}
+	if c.Ran == string(gladeapi.NotRun) && runs > 0 && len(c.answer.Tries) == 1 {
+		r.fail(gladecheck.NotRunTrue, c.request.ID, "refused as not run after %d runs of key %s", runs, c.request.Key)
+	}
+}
+
 // judgeStops checks that a VM that was only stopped as planned cut nothing.
 func (r *run) judgeStops(id string, dropAfter int, tries []gladecaller.Try) {
 	for i := range tries {
@@ -110,6 +131,9 @@
 	}
 	if c := r.report.Calls[x.ID]; c != nil {
 		r.expectOutcome(x, c.Outcome, c.answer.Refusal, c.Took.D())
+		if runs := r.cluster.Ledger.Runs()[c.request.Key]; x.Runs != nil && runs != *x.Runs {
+			r.fail("", x.ID, "ran %d times, want %d", runs, *x.Runs)
+		}
 		return
 	}
 	r.fail("", x.ID, "never ended")
--- a/gladereplay/run.go
+++ b/gladereplay/run.go
@@ -154,6 +154,7 @@
 		FailureDomains: h.Cluster.FailureDomains,
 		VMs:            h.Cluster.VMs,
 		Engines:        h.Cluster.Engines,
+		Services:       h.Cluster.Services,
 		Note:           h.Cluster.Note,
 		Network:        &gladewire.Network{},
 		Engine:         gladestandin.EngineConfig{TokenTime: h.Cluster.TokenTime.D()},
@@ -164,6 +165,9 @@
 			r.fail(i, "", "in the program: %s", m)
 		}},
 	}
+	if w, ok := workloads[h.Workload]; ok {
+		w.apply(&config)
+	}
 	if c.Cluster != nil {
 		c.Cluster(&config)
 	}
@@ -204,7 +208,7 @@
 	case e.Fault != nil:
 		r.fault(ctx, e.Fault)
 	case e.Note != nil:
-		r.submit(e)
+		r.tasks.Go(func() { r.submit(ctx, e) })
 	case e.Stop != nil:
 		r.tasks.Go(func() { r.stop(e.Stop) })
 	}
@@ -215,7 +219,7 @@
 	defer cancel()
 	q := g.Request
 	if q.Model == "" {
-		q.Model = gladecluster.ModelName
+		q.Model = r.model()
 	}
 	a := r.caller.Generate(ctx, q)
 	result := &Generation{
--- a/gladereplay/trace.go
+++ b/gladereplay/trace.go
@@ -7,6 +7,7 @@
 	"github.com/eelgrassglade/eelgrassglade/gladecaller"
 	"github.com/eelgrassglade/eelgrassglade/gladeconfig"
 	"github.com/eelgrassglade/eelgrassglade/gladenote"
+	"github.com/eelgrassglade/eelgrassglade/gladestandin"
 )
 
 // Version is the version of the trace format.
@@ -40,7 +41,7 @@
 	TokenTime gladeconfig.Duration `json:"tokenTime,omitzero"`
 	// Settings is TOML that every VM reads over the defaults.
 	Settings string `json:"settings,omitempty"`
-	// Note is the first release note, if the default one does not fit.
+	// Note is the first release note, if the workload's own does not fit.
 	Note *gladenote.Note `json:"note,omitempty"`
 }
 
@@ -91,6 +92,9 @@
 	CutFailureDomains FaultKind = "cutFailureDomains"
 	CutPlatform       FaultKind = "cutPlatform"
 	LeaveBackend      FaultKind = "leaveBackend"
+	KillService       FaultKind = "killService"
+	ServiceFault      FaultKind = "serviceFault"
+	PlatformFault     FaultKind = "platformFault"
 )
 
 // TargetBusy is the engine that runs a stream when the fault happens.
@@ -105,6 +109,9 @@
 	Other string `json:"other,omitempty"`
 	// For ends a pause or cut, and is the time that a leaving backend server is given.
 	For gladeconfig.Duration `json:"for,omitzero"`
+	// Service and Platform are what a stand-in does wrong until For is over.
+	Service  *gladestandin.ServiceFault   `json:"service,omitempty"`
+	Platform *gladestandin.PlatformFaults `json:"platform,omitempty"`
 }
 
 // Outcome is how a request is to end.
