--- a/cmd/gladebench/load.go
+++ b/cmd/gladebench/load.go
@@ -38,6 +38,7 @@
 			&cli.StringSliceFlag{Name: "entry", Usage: "load daemons at `URL` instead of starting some"},
 			&cli.StringFlag{Name: "key", Usage: "API key for daemons at a URL", Value: gladecluster.APIKey},
 			&cli.IntFlag{Name: "pid", Usage: "measure the processor time and memory of process `PID`"},
+			&cli.BoolFlag{Name: "print-note", Usage: "print the release note that the load needs, and send none"},
 			&cli.StringFlag{Name: "json", Usage: "write the report to `FILE`"},
 			&cli.StringFlag{Name: "plot", Usage: "write a plot to `FILE` (.svg or .png)"},
 		},
@@ -53,6 +54,11 @@
 }
 
 func load(ctx context.Context, c *cli.Command) error {
+	if c.Bool("print-note") {
+		note := gladeload.Note(c.Int("organisations"))
+		note.Number = 0
+		return json.NewEncoder(os.Stdout).Encode(note)
+	}
 	results, err := loadAll(ctx, c)
 	if err != nil {
 		return err
--- a/gladedaemon/operators.go
+++ b/gladedaemon/operators.go
@@ -15,6 +15,7 @@
 		metrics.WriteJSONOnce(d.metrics, w)
 	})
 	mux.HandleFunc("GET /explain/{request}", d.serveExplain)
+	handleProfiles(mux)
 	if err := d.handleNotes(mux); err != nil {
 		return err
 	}
--- a/gladeload/report.go
+++ b/gladeload/report.go
@@ -2,19 +2,19 @@
 
 import (
 	"fmt"
-	"image/color"
 	"strings"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/rotisserie/eris"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 )
 
 const (
-	plotWidth  = 18 * vg.Centimeter
-	plotHeight = 11 * vg.Centimeter
+	plotWidth  = 7 * vg.Inch
+	plotHeight = 4 * vg.Inch
 )
 
 // Text returns the result as lines for people.
@@ -39,28 +39,18 @@
 // Plot writes the distributions of first token and token gap of all results; the path's ending sets the format.
 func Plot(path string, results []*Result) error {
 	p := plot.New()
-	p.Title.Text = "Time to the first token (solid) and between tokens (dashed)"
+	p.Title.Text = "Time to the first token and between tokens"
 	p.X.Label.Text = "milliseconds"
 	p.Y.Label.Text = "share of samples"
 	p.X.Scale = plot.LogScale{}
 	p.X.Tick.Marker = plot.LogTicks{Prec: -1}
 	p.Legend.Top, p.Legend.Left = true, true
-	colors := []color.Color{color.RGBA{R: 31, G: 119, B: 180, A: 255}, color.RGBA{R: 214, G: 39, B: 40, A: 255}}
-	for i, r := range results {
-		for _, h := range []struct {
-			histogram *hdrhistogram.Histogram
-			dashes    []vg.Length
-		}{{r.firstToken, nil}, {r.tokenGap, []vg.Length{vg.Points(4), vg.Points(3)}}} {
-			line, err := plotter.NewLine(points(h.histogram))
-			if err != nil {
-				return eris.Wrap(err, "plot")
-			}
-			line.Color, line.Dashes = colors[i%len(colors)], h.dashes
-			p.Add(line)
-			if h.dashes == nil {
-				p.Legend.Add(r.Name, line)
-			}
-		}
+	var lines []any
+	for _, r := range results {
+		lines = append(lines, r.Name+" first token", points(r.firstToken), r.Name+" token gap", points(r.tokenGap))
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return eris.Wrap(err, "plot")
 	}
 	return eris.Wrap(p.Save(plotWidth, plotHeight, path), "plot")
 }
