Make the engine stand-in batch, cache, re-attach and fail on command

Change: one step loop per engine with continuous batching, priorities, a bounded prefix cache by blocks, streams that outlive their connection, re-attach and cancel; settings for plain engines without numbers, token ids or re-attach; typed Faults, also over POST /faults; ready targets (SetReady, Targets) refuse with 404; counters for cached, computed and recomputed prompt tokens. gladecluster's Kill also ends the engine.

--- a/gladecluster/cluster.go
+++ b/gladecluster/cluster.go
@@ -174,7 +174,10 @@
 	}
 	k.Engines = append(k.Engines, &Server{
 		Engine: engine,
-		Kill:   kill,
+		Kill: func() {
+			engine.Close()
+			kill()
+		},
 		Backend: gladeapi.BackendServer{
 			ID: id, Kind: gladeapi.KindEngine, Address: address, FailureDomain: domain, Incarnation: "1", Pool: PoolName,
 		},
--- a/gladestandin/engine.go
+++ b/gladestandin/engine.go
@@ -1,17 +1,13 @@
 package gladestandin
 
 import (
-	"encoding/binary"
 	"encoding/json"
-	"fmt"
+	"maps"
 	"net/http"
-	"strconv"
-	"strings"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladeengine"
 )
@@ -19,283 +15,266 @@
 const (
 	defaultTokenTime   = 10 * time.Millisecond
 	defaultPrefillTime = 50 * time.Microsecond
-	vocabulary         = 50_000
-	eosOneIn           = 5_000
+	defaultMaxBatch    = 64
+	defaultOrphanTime  = 30 * time.Second
+	// prefillChunk is the most prompt tokens that one step computes.
+	prefillChunk = 2048
 )
 
 // EngineConfig configures an Engine.
 type EngineConfig struct {
-	ID string
+	ID          string
+	Incarnation string
 	// TokenTime is the time from one token to the next with one stream; zero means 10 ms.
 	TokenTime time.Duration
 	// BatchTime is added to TokenTime for each further stream.
 	BatchTime time.Duration
 	// PrefillTime is the time for one uncached prompt token; zero means 50 µs.
 	PrefillTime time.Duration
+	// MaxBatch is the number of streams that run at once, the rest wait by priority; zero means 64.
+	MaxBatch int
+	// CacheBlocks is the size of the prefix cache in blocks of BlockTokens tokens; zero means 4096.
+	CacheBlocks int
+	// OrphanTime is how long a stream runs on without a reader; zero means 30 s.
+	OrphanTime time.Duration
+	// EventTokens is the number of tokens in one event; zero means 1.
+	EventTokens int
+	// Plain is an engine that aborts on disconnect, numbers no events and knows neither re-attach nor cancel.
+	Plain bool
+	// NoTokenIDs is an engine that sends text only.
+	NoTokenIDs bool
+	// OddText gives some tokens no text and others half a character.
+	OddText bool
+	// Targets are the weights that are ready; nil means any.
+	Targets []string
+	// Crash closes the server of an engine that dies of a fault, if set.
+	Crash func()
 }
 
 // Engine is a model engine whose tokens are a pure function of target, seed and all tokens before.
 type Engine struct {
 	config EngineConfig
+	mux    *http.ServeMux
 
 	mu      sync.Mutex
 	streams map[string]*engineStream
+	waiting []*engineStream
+	running []*engineStream
+	cache   *prefixCache
+	targets map[string]bool
 	counts  EngineCounts
+	faults  Faults
+	// gate is closed at the end of a pause.
+	gate     chan struct{}
+	stepping bool
+	dead     bool
+	died     chan struct{}
+	tasks    sync.WaitGroup
 }
 
 // EngineCounts is what an engine has done since it started.
 type EngineCounts struct {
-	Requests      int `json:"requests"`
+	Requests int `json:"requests"`
+	// PrefillTokens and CachedTokens are the prompt tokens that were computed and that the cache held.
 	PrefillTokens int `json:"prefillTokens"`
-	Tokens        int `json:"tokens"`
-	Cancelled     int `json:"cancelled"`
-}
-
-type engineStream struct {
-	id     string
-	cancel chan struct{}
-	once   sync.Once
+	CachedTokens  int `json:"cachedTokens"`
+	// RecomputedTokens are the PrefillTokens of second and later attempts.
+	RecomputedTokens int `json:"recomputedTokens"`
+	Tokens           int `json:"tokens"`
+	Cancelled        int `json:"cancelled"`
+	Attached         int `json:"attached"`
 }
 
 // NewEngine returns an engine.
 func NewEngine(c EngineConfig) *Engine {
-	if c.TokenTime == 0 {
-		c.TokenTime = defaultTokenTime
+	setDefault(&c.TokenTime, defaultTokenTime)
+	setDefault(&c.PrefillTime, defaultPrefillTime)
+	setDefault(&c.MaxBatch, defaultMaxBatch)
+	setDefault(&c.CacheBlocks, defaultCacheBlocks)
+	setDefault(&c.OrphanTime, defaultOrphanTime)
+	setDefault(&c.EventTokens, 1)
+	e := &Engine{
+		config:  c,
+		mux:     http.NewServeMux(),
+		streams: map[string]*engineStream{},
+		cache:   newPrefixCache(c.CacheBlocks),
+		died:    make(chan struct{}),
 	}
-	if c.PrefillTime == 0 {
-		c.PrefillTime = defaultPrefillTime
+	for _, target := range c.Targets {
+		e.SetReady(target, true)
 	}
-	return &Engine{config: c, streams: map[string]*engineStream{}}
-}
-
-// Counts returns what the engine has done.
-func (e *Engine) Counts() EngineCounts {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.counts
+	e.route()
+	return e
 }
 
-// Running returns the number of streams in progress.
-func (e *Engine) Running() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return len(e.streams)
-}
-
-// ServeHTTP answers the engine API.
-func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	path := r.URL.Path
-	switch {
-	case path == "/health":
-		w.WriteHeader(http.StatusOK)
-	case path == "/load":
-		e.serveLoad(w)
-	case path == "/tokenize" && r.Method == http.MethodPost:
-		serveTokenize(w, r)
-	case path == "/v1/completions" && r.Method == http.MethodPost:
-		e.serveCompletion(w, r)
-	case strings.HasSuffix(path, "/cancel") && r.Method == http.MethodPost:
-		id := strings.TrimSuffix(strings.TrimPrefix(path, "/v1/completions/"), "/cancel")
-		e.cancel(id)
-	default:
-		http.NotFound(w, r)
-	}
-}
-
-func (e *Engine) serveLoad(w http.ResponseWriter) {
-	writeJSON(w, gladeapi.LoadReport{Backend: e.config.ID, Running: e.Running(), Taken: time.Now()})
-}
-
-func serveTokenize(w http.ResponseWriter, r *http.Request) {
-	var q gladeengine.TokenizeRequest
-	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+func (e *Engine) route() {
+	e.mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
+	e.mux.HandleFunc("GET /load", e.serveLoad)
+	e.mux.HandleFunc("POST /tokenize", e.serveTokenize)
+	e.mux.HandleFunc("POST /v1/completions", e.serveCompletion)
+	e.mux.HandleFunc("GET /v1/models", e.serveModels)
+	if e.config.Plain {
 		return
 	}
-	text := q.Prompt
-	if len(q.Messages) > 0 {
-		text = string(q.Messages)
-	}
-	ids := Tokenize(text)
-	writeJSON(w, gladeengine.TokenizeResponse{Count: len(ids), Tokens: ids})
+	e.mux.HandleFunc("GET /v1/completions/{id}", e.serveAttach)
+	e.mux.HandleFunc("POST /v1/completions/{id}/cancel", e.serveCancel)
 }
 
-// Tokenize returns the stand-in's tokens of a text, one for each word.
-func Tokenize(text string) []int32 {
-	words := strings.Fields(text)
-	ids := make([]int32, len(words))
-	for i, w := range words {
-		ids[i] = int32(xxhash.Sum64String(w) % vocabulary)
+func setDefault[T comparable](v *T, value T) {
+	var zero T
+	if *v == zero {
+		*v = value
 	}
-	return ids
-}
-
-// TokenText returns the text of a generated token.
-func TokenText(id int32) string {
-	return " w" + strconv.Itoa(int(id))
 }
 
-// Sequence yields the tokens that a target gives after a prompt.
-type Sequence struct {
-	digest xxhash.Digest
-}
-
-// NewSequence returns the sequence for a target, a seed and all tokens so far.
-func NewSequence(target string, seed int64, before []int32) *Sequence {
-	s := &Sequence{}
-	s.digest.Reset()
-	_, _ = fmt.Fprintf(&s.digest, "%s/%d/", target, seed)
-	for _, id := range before {
-		s.add(id)
-	}
-	return s
-}
-
-// Next returns the next token and whether it ends the text.
-func (s *Sequence) Next() (int32, bool) {
-	h := s.digest.Sum64()
-	id := int32(h % vocabulary)
-	s.add(id)
-	return id, (h>>32)%eosOneIn == 0
-}
-
-func (s *Sequence) add(id int32) {
-	var b [4]byte
-	binary.LittleEndian.PutUint32(b[:], uint32(id))
-	_, _ = s.digest.Write(b[:])
-}
-
-func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
-	var q gladeengine.CompletionRequest
-	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	prompt, err := promptTokens(q.Prompt)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s := e.begin(&q, len(prompt))
-	defer e.end(s)
-	w.Header().Set("Content-Type", "text/event-stream")
-	if !e.pause(r, s, time.Duration(len(prompt))*e.config.PrefillTime) {
+// ServeHTTP answers the engine API, and POST /faults even while paused.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/faults" && r.Method == http.MethodPost {
+		e.serveFaults(w, r)
 		return
 	}
-	e.generate(w, r, &q, s, prompt)
+	e.hold(r)
+	e.mux.ServeHTTP(w, r)
 }
 
-func (e *Engine) generate(w http.ResponseWriter, r *http.Request, q *gladeengine.CompletionRequest, s *engineStream, prompt []int32) {
-	var seed int64
-	if q.Seed != nil {
-		seed = *q.Seed
-	}
-	sequence := NewSequence(q.Model, seed, prompt)
-	for n := range q.MaxTokens {
-		if !e.pause(r, s, e.tokenTime()) {
-			return
+// hold waits out a pause and ends the connection if the engine or the request has died.
+func (e *Engine) hold(r *http.Request) {
+	for {
+		e.mu.Lock()
+		gate := e.gate
+		dead := e.dead
+		e.mu.Unlock()
+		if dead {
+			panic(http.ErrAbortHandler)
 		}
-		id, eos := sequence.Next()
-		choice := gladeengine.CompletionChoice{Text: TokenText(id), TokenIDs: []int32{id}}
-		if n == 0 {
-			choice.PromptTokenIDs = prompt
+		if gate == nil {
+			return
 		}
-		choice.FinishReason = finishReason(eos && !q.IgnoreEOS, n+1 == q.MaxTokens)
-		writeChunk(w, gladeengine.CompletionChunk{
-			ID:             s.id,
-			Object:         "text_completion",
-			Model:          q.Model,
-			Choices:        []gladeengine.CompletionChoice{choice},
-			SequenceNumber: &n,
-		})
-		e.countToken()
-		if choice.FinishReason != nil {
-			break
+		select {
+		case <-gate:
+		case <-e.died:
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
 		}
 	}
-	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
-func finishReason(eos, full bool) *string {
-	var reason gladeapi.FinishReason
-	switch {
-	case eos:
-		reason = gladeapi.FinishStop
-	case full:
-		reason = gladeapi.FinishLength
-	default:
-		return nil
-	}
-	text := string(reason)
-	return &text
+// Close ends the engine and all its streams without notice.
+func (e *Engine) Close() {
+	e.mu.Lock()
+	e.end()
+	e.mu.Unlock()
+	e.tasks.Wait()
 }
 
-func writeChunk(w http.ResponseWriter, c gladeengine.CompletionChunk) {
-	data, _ := json.Marshal(c)
-	_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
-	_ = http.NewResponseController(w).Flush()
+func (e *Engine) end() {
+	if e.dead {
+		return
+	}
+	e.dead = true
+	close(e.died)
 }
 
-func promptTokens(raw json.RawMessage) ([]int32, error) {
-	var ids []int32
-	if err := json.Unmarshal(raw, &ids); err == nil {
-		return ids, nil
-	}
-	var text string
-	if err := json.Unmarshal(raw, &text); err != nil {
-		return nil, fmt.Errorf("prompt: %w", err)
+// die is a death by a fault.
+func (e *Engine) die() {
+	e.end()
+	if e.config.Crash != nil {
+		go e.config.Crash()
 	}
-	return Tokenize(text), nil
 }
 
-func (e *Engine) begin(q *gladeengine.CompletionRequest, prefill int) *engineStream {
+// Dead reports whether the engine has ended.
+func (e *Engine) Dead() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.counts.Requests++
-	e.counts.PrefillTokens += prefill
-	s := &engineStream{id: gladeengine.IDPrefix + q.RequestID, cancel: make(chan struct{})}
-	e.streams[s.id] = s
-	return s
+	return e.dead
 }
 
-func (e *Engine) end(s *engineStream) {
+// Counts returns what the engine has done.
+func (e *Engine) Counts() EngineCounts {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.streams[s.id] == s {
-		delete(e.streams, s.id)
-	}
+	return e.counts
 }
 
-func (e *Engine) cancel(id string) {
+// Running returns the number of streams that run or wait.
+func (e *Engine) Running() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s := e.streams[id]
-	if s == nil {
-		return
-	}
-	e.counts.Cancelled++
-	s.once.Do(func() { close(s.cancel) })
+	return len(e.running) + len(e.waiting)
 }
 
-func (e *Engine) pause(r *http.Request, s *engineStream, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-s.cancel:
-		return false
-	case <-r.Context().Done():
-		return false
+// SetReady says whether the weights of a target are loaded; the first call ends the acceptance of any target.
+func (e *Engine) SetReady(target string, ready bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.targets == nil {
+		e.targets = map[string]bool{}
 	}
+	if ready {
+		e.targets[target] = true
+		return
+	}
+	delete(e.targets, target)
 }
 
-func (e *Engine) tokenTime() time.Duration {
+// Targets returns the targets whose weights are ready.
+func (e *Engine) Targets() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.config.TokenTime + time.Duration(len(e.streams)-1)*e.config.BatchTime
+	return slices.Sorted(maps.Keys(e.targets))
+}
+
+// ready reports whether a target can run; the caller holds the lock.
+func (e *Engine) ready(target string) bool {
+	return e.targets == nil || e.targets[target]
 }
 
-func (e *Engine) countToken() {
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	targets := e.Targets()
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.counts.Tokens++
+	report := gladeapi.LoadReport{
+		Backend:     e.config.ID,
+		Incarnation: e.config.Incarnation,
+		Running:     len(e.running),
+		Waiting:     len(e.waiting),
+		CacheUsed:   e.cache.used(),
+		Targets:     targets,
+		Taken:       time.Now(),
+	}
+	e.mu.Unlock()
+	writeJSON(w, report)
+}
+
+// engineModels is the answer of GET /v1/models.
+type engineModels struct {
+	Object string        `json:"object"`
+	Data   []engineModel `json:"data"`
+}
+
+type engineModel struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+}
+
+func (e *Engine) serveModels(w http.ResponseWriter, _ *http.Request) {
+	list := engineModels{Object: "list", Data: []engineModel{}}
+	for _, target := range e.Targets() {
+		list.Data = append(list.Data, engineModel{ID: target, Object: "model"})
+	}
+	writeJSON(w, list)
+}
+
+func (e *Engine) serveTokenize(w http.ResponseWriter, r *http.Request) {
+	var q gladeengine.TokenizeRequest
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	text := q.Prompt
+	if len(q.Messages) > 0 {
+		text = string(q.Messages)
+	}
+	ids := Tokenize(text)
+	writeJSON(w, gladeengine.TokenizeResponse{Count: len(ids), Tokens: ids})
 }
--- /dev/null
+++ b/gladestandin/engine_cache.go
@@ -0,0 +1,65 @@
+package gladestandin
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	defaultCacheBlocks = 4096
+	// BlockTokens is the number of tokens in one block of an engine's prefix cache.
+	BlockTokens = 16
+)
+
+// prefixCache remembers which blocks of tokens an engine has computed, least recently used dropped first.
+type prefixCache struct {
+	blocks *simplelru.LRU[uint64, struct{}]
+	size   int
+}
+
+func newPrefixCache(blocks int) *prefixCache {
+	l, err := simplelru.NewLRU[uint64, struct{}](blocks, nil)
+	if err != nil {
+		panic(err)
+	}
+	return &prefixCache{blocks: l, size: blocks}
+}
+
+// cached returns how many leading tokens need no prefill; the last token always does.
+func (c *prefixCache) cached(target string, tokens []int32) int {
+	n := 0
+	for _, hash := range blockHashes(target, tokens) {
+		if _, ok := c.blocks.Get(hash); !ok {
+			break
+		}
+		n += BlockTokens
+	}
+	return max(0, min(n, len(tokens)-1))
+}
+
+func (c *prefixCache) add(target string, tokens []int32) {
+	for _, hash := range blockHashes(target, tokens) {
+		c.blocks.Add(hash, struct{}{})
+	}
+}
+
+func (c *prefixCache) used() float64 {
+	return float64(c.blocks.Len()) / float64(c.size)
+}
+
+func blockHashes(target string, tokens []int32) []uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(target)
+	hashes := make([]uint64, 0, len(tokens)/BlockTokens)
+	var b [4]byte
+	for i, id := range tokens {
+		binary.LittleEndian.PutUint32(b[:], uint32(id))
+		_, _ = digest.Write(b[:])
+		if (i+1)%BlockTokens == 0 {
+			hashes = append(hashes, digest.Sum64())
+		}
+	}
+	return hashes
+}
