--- a/gladecluster/process.go
+++ b/gladecluster/process.go
@@ -40,8 +40,10 @@
 		k.mu.Lock()
 		s.Dead = true
 		k.mu.Unlock()
+		engine.Close()
 		kill()
 	}
+	k.onClose(engine.Close)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.Engines = append(k.Engines, s)
--- a/gladedaemon/entry.go
+++ b/gladedaemon/entry.go
@@ -43,7 +43,8 @@
 		Check:        d.check,
 		Record:       d.record,
 	})
-	address, shutdown, err := d.serve(d.settings.Entry.Listen, server)
+	d.kernel.OnDump("entry", func() any { return server.State() })
+	address, shutdown, err := d.serve(d.settings.Entry.Listen, d.closing(server))
 	if err != nil {
 		return err
 	}
@@ -62,6 +63,16 @@
 	return n.Ready()
 }
 
+// closing asks callers to open another connection, which the balancer leads elsewhere, while the VM stops.
+func (d *Daemon) closing(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // serve adds a listener with a handler and returns its address and graceful shutdown.
 func (d *Daemon) serve(address string, h http.Handler) (string, func(context.Context), error) {
 	l, err := d.listen("tcp", address)
