Resume generations by adaptive timeouts, re-attach, spread and poison checks

Cause: a stall took a fixed second, a lost connection cost a prefill, a poison request would have gone from engine to engine, a paused or faulty engine's attempt was never cancelled, and engines that tell no token identifiers could not be left. Change: timeouts between tokens follow the observed spacing between a floor and a ceiling, the first token has its own by prompt length and load; a lost connection is joined again on the same engine; other failures go on elsewhere at once, avoiding engines that failed, apart from other suspects; what was left is cancelled in the background; attempts and pauses are bounded, Retry is the budget's seam, Move empties a leaving engine; the whole of max_tokens without an end is finished; a resumed prompt that the engine echoes differently, foreign, repeated, skipped and excess events close the connection and are counted; text is resumed only where the engine reads it back token for token; notRun is said only if nothing was opened. gladedaemon wires it, with refused fingerprints spread as a peer fact. The test of the lost domain found that a domain of four engines convicted an innocent; it now asks the others.

--- a/gladedaemon/streams.go
+++ b/gladedaemon/streams.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+	"github.com/eelgrassglade/eelgrassglade/gladeconfig"
 	"github.com/eelgrassglade/eelgrassglade/gladeengine"
 	"github.com/eelgrassglade/eelgrassglade/gladekernel"
 	"github.com/eelgrassglade/eelgrassglade/gladeroute"
 	"github.com/eelgrassglade/eelgrassglade/gladestream"
 )
 
+const leaveInterval = gladeconfig.Duration(250 * time.Millisecond)
+
 func (d *Daemon) addEngines() error {
 	engines, closeEngines := gladeengine.New(gladeengine.Config{Dial: d.dial})
 	d.kernel.OnClose(closeEngines)
@@ -29,6 +33,10 @@
 	if err != nil {
 		return err
 	}
+	suspects, err := d.addSuspects(engines, table)
+	if err != nil {
+		return err
+	}
 	runner := gladestream.NewRunner(gladestream.Config{
 		Choose: func(_ context.Context, n gladeapi.Need) (gladeapi.Choice, error) {
 			return table.Choose(notes.State().Models[n.Target.Model].Pool, n)
@@ -39,15 +47,49 @@
 			}
 			return engines.Open(ctx, o)
 		},
-		Cancel:       engines.Cancel,
-		StallTimeout: d.settings.Generations.StallTimeout.D(),
-		Log:          d.log.Named("stream"),
-		Check:        d.check,
-		Record:       d.record,
+		Attach:        engines.Attach,
+		Probe:         engines.Probe,
+		Cancel:        engines.Cancel,
+		Suspects:      suspects,
+		Timeouts:      d.timeouts(),
+		MaxAttempts:   d.settings.Generations.MaxAttempts,
+		AttachTimeout: d.settings.Generations.JoinTimeout.D(),
+		Metrics:       d.metrics,
+		Log:           d.log.Named("stream"),
+		Check:         d.check,
+		Record:        d.record,
 	})
+	d.loop(leaveInterval, func(context.Context) { d.moveFromLeaving(runner, table) })
+	d.kernel.OnDump("streams", func() any { return runner.Live() })
 	return d.kernel.Provide(ServiceStreams, runner)
 }
 
+func (d *Daemon) timeouts() gladestream.Timeouts {
+	g := &d.settings.Generations
+	return gladestream.Timeouts{
+		Floor:          g.StallFloor.D(),
+		Ceiling:        g.StallTimeout.D(),
+		Multiple:       g.StallMultiple,
+		First:          g.FirstTokenTimeout.D(),
+		FirstResumed:   g.ResumedTokenTimeout.D(),
+		FirstCeiling:   g.FirstTokenCeiling.D(),
+		PerPromptToken: g.PerPromptToken.D(),
+	}
+}
+
+// moveFromLeaving moves the streams of engines whose leave time is near.
+func (d *Daemon) moveFromLeaving(runner *gladestream.Runner, table *gladeroute.Table) {
+	lead := d.settings.Generations.LeaveLead.D()
+	for _, b := range table.Backends() {
+		if !b.Leaving || b.LeaveBy.IsZero() || time.Until(b.LeaveBy) > lead {
+			continue
+		}
+		if n := runner.Move(b.ID); n > 0 {
+			d.log.Named("stream").Info("Streams moved from a leaving engine.", "engine", b.ID, "streams", n)
+		}
+	}
+}
+
 // render turns chat messages into prompt tokens by the engine's own template.
 func render(ctx context.Context, engines *gladeengine.Client, o *gladestream.OpenRequest) error {
 	g := o.Generation
--- /dev/null
+++ b/gladedaemon/suspects.go
@@ -0,0 +1,74 @@
+package gladedaemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+	"github.com/eelgrassglade/eelgrassglade/gladeconfig"
+	"github.com/eelgrassglade/eelgrassglade/gladeengine"
+	"github.com/eelgrassglade/eelgrassglade/gladekernel"
+	"github.com/eelgrassglade/eelgrassglade/gladepeer"
+	"github.com/eelgrassglade/eelgrassglade/gladeroute"
+	"github.com/eelgrassglade/eelgrassglade/gladestream"
+	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
+)
+
+const (
+	// factPoison is the fact by which VMs tell each other of refused requests.
+	factPoison         = "poison"
+	maxPublishedPoison = 32
+	poisonInterval     = gladeconfig.Duration(time.Second)
+)
+
+func (d *Daemon) addSuspects(engines *gladeengine.Client, table *gladeroute.Table) (*gladesuspect.Tracker, error) {
+	node, err := gladekernel.Lookup[*gladepeer.Node](&d.kernel, ServicePeers)
+	if err != nil {
+		return nil, err
+	}
+	log := d.log.Named("suspect")
+	tracker := gladesuspect.New(gladesuspect.Config{
+		MaxKills: d.settings.Generations.PoisonKills,
+		Memory:   d.settings.Generations.PoisonMemory.D(),
+		Servers:  func() []gladeapi.BackendServer { return enginesOf(table) },
+		Down: func(ctx context.Context, b gladeapi.BackendServer) bool {
+			err := engines.Probe(ctx, b)
+			return errors.Is(err, gladestream.ErrNotOpened) || ctx.Err() != nil
+		},
+		Log: log,
+	})
+	d.loop(poisonInterval, func(context.Context) {
+		if err := sharePoison(node, tracker); err != nil {
+			log.Warn("Refused requests not shared.", "error", err)
+		}
+	})
+	d.kernel.OnDump("poison", func() any { return tracker.Refused() })
+	return tracker, nil
+}
+
+// sharePoison learns what peers refuse and tells them what this VM refuses.
+func sharePoison(node *gladepeer.Node, tracker *gladesuspect.Tracker) error {
+	for _, m := range node.Members() {
+		raw, ok := m.Facts[factPoison]
+		if !ok {
+			continue
+		}
+		var refused []gladesuspect.Refused
+		if err := json.Unmarshal(raw, &refused); err != nil {
+			return err
+		}
+		tracker.Import(refused)
+	}
+	refused := tracker.Refused()
+	if len(refused) == 0 {
+		return nil
+	}
+	return node.Publish(factPoison, refused[max(0, len(refused)-maxPublishedPoison):])
+}
+
+func enginesOf(table *gladeroute.Table) []gladeapi.BackendServer {
+	return slices.DeleteFunc(table.Backends(), func(b gladeapi.BackendServer) bool { return b.Kind != gladeapi.KindEngine })
+}
--- a/gladeengine/client.go
+++ b/gladeengine/client.go
@@ -4,11 +4,15 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -18,19 +22,22 @@
 
 // The errors of a Client.
 var (
-	// ErrUnreachable means that no byte of the request can have been read by the engine.
+	// ErrUnreachable means that there was no connection to the engine, so that it cannot have read the request.
 	ErrUnreachable = eris.New("engine unreachable")
 	// ErrRefused means that the engine answered the request with an error status.
 	ErrRefused = eris.New("engine refused the request")
 	// ErrBroken means that the stream ended without its end event or could not be read.
 	ErrBroken = eris.New("engine stream broken")
 	// ErrForeign means that an event belongs to another attempt.
-	ErrForeign = eris.New("engine event of another attempt")
+	ErrForeign = gladestream.ErrForeign
 )
 
 const (
 	idleConnsPerEngine = 256
 	maxAnswerBytes     = 8 << 20
+	maxErrorBytes      = 1 << 10
+	// drainTime is how long a finished stream is read on, so that its connection can be used again.
+	drainTime = 100 * time.Millisecond
 )
 
 // Config configures a Client.
@@ -56,6 +63,9 @@
 
 // Open starts an attempt on an engine and returns its stream of events.
 func (c *Client) Open(ctx context.Context, o gladestream.OpenRequest) (*gladestream.Source, error) {
+	if err := c.retokenize(ctx, &o); err != nil {
+		return nil, err
+	}
 	body, err := json.Marshal(completionRequest(&o))
 	if err != nil {
 		return nil, eris.Wrap(err, "completion request")
@@ -64,11 +74,35 @@
 	response, err := c.post(ctx, o.Backend.Address, "/v1/completions", body)
 	if err != nil {
 		cancel()
-		return nil, err
+		return nil, openError(err)
 	}
 	return c.source(response, cancel, o), nil
 }
 
+// openError says of a refused request whether another engine may take it.
+func openError(err error) error {
+	var refused *statusError
+	if !errors.As(err, &refused) {
+		return err
+	}
+	switch refused.status {
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return fmt.Errorf("%w: %w", gladestream.ErrRejected, err)
+	case http.StatusNotFound, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return fmt.Errorf("%w: %w", gladestream.ErrNotOpened, err)
+	}
+	return err
+}
+
+// Probe returns an error that is gladestream.ErrNotOpened if nothing answers at the engine's address.
+func (c *Client) Probe(ctx context.Context, b gladeapi.BackendServer) error {
+	response, err := c.do(ctx, http.MethodGet, b.Address, "/health", nil)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
 // Attach joins an attempt that still runs on an engine, after the first tokens of that attempt.
 func (c *Client) Attach(ctx context.Context, o gladestream.OpenRequest, after int) (*gladestream.Source, error) {
 	path := "/v1/completions/" + IDPrefix + o.Attempt.ID() + "?starting_after=" + strconv.Itoa(after)
@@ -92,19 +126,21 @@
 
 // Tokenize returns the engine's own tokens of a prompt or of chat messages.
 func (c *Client) Tokenize(ctx context.Context, b gladeapi.BackendServer, r TokenizeRequest) ([]int32, error) {
+	answer, err := c.tokenize(ctx, b, r)
+	return answer.Tokens, err
+}
+
+func (c *Client) tokenize(ctx context.Context, b gladeapi.BackendServer, r TokenizeRequest) (TokenizeResponse, error) {
+	var answer TokenizeResponse
 	body, err := json.Marshal(r)
 	if err != nil {
-		return nil, eris.Wrap(err, "tokenize request")
+		return answer, eris.Wrap(err, "tokenize request")
 	}
 	response, err := c.post(ctx, b.Address, "/tokenize", body)
 	if err != nil {
-		return nil, err
-	}
-	var answer TokenizeResponse
-	if err := decode(response, &answer); err != nil {
-		return nil, err
+		return answer, err
 	}
-	return answer.Tokens, nil
+	return answer, decode(response, &answer)
 }
 
 // Load returns an engine's report of its load.
@@ -122,6 +158,8 @@
 }
 
 func (c *Client) do(ctx context.Context, method, address, path string, body []byte) (*http.Response, error) {
+	connected := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, eris.Wrap(err, "engine request")
@@ -129,16 +167,37 @@
 	request.Header.Set("Content-Type", "application/json")
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, eris.Wrapf(ErrUnreachable, "%s %s: %v", method, path, err)
+		if !connected {
+			return nil, fmt.Errorf("%w: %w: %s %s: %w", ErrUnreachable, gladestream.ErrNotOpened, method, path, err)
+		}
+		return nil, fmt.Errorf("%w: %s %s: %w", ErrBroken, method, path, err)
 	}
 	if response.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(io.LimitReader(response.Body, 1<<10))
+		text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
 		_ = response.Body.Close()
-		return nil, eris.Wrapf(ErrRefused, "%s %s: status %d: %s", method, path, response.StatusCode, bytes.TrimSpace(text))
+		return nil, fmt.Errorf("%s %s: %w", method, path, &statusError{
+			status: response.StatusCode, text: string(bytes.TrimSpace(text)),
+		})
 	}
 	return response, nil
 }
 
+// statusError is an answer with an error status; it is ErrRefused.
+type statusError struct {
+	status int
+	text   string
+}
+
+// Error returns the status and the text of the answer.
+func (e *statusError) Error() string {
+	return fmt.Sprintf("engine refused the request: status %d: %s", e.status, e.text)
+}
+
+// Unwrap returns ErrRefused.
+func (e *statusError) Unwrap() error {
+	return ErrRefused
+}
+
 func decode(response *http.Response, v any) error {
 	defer func() { _ = response.Body.Close() }()
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(v); err != nil {
--- a/gladeengine/source.go
+++ b/gladeengine/source.go
@@ -5,7 +5,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
+	"slices"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -18,19 +21,42 @@
 func (c *Client) source(response *http.Response, cancel context.CancelFunc, o gladestream.OpenRequest) *gladestream.Source {
 	scanner := bufio.NewScanner(response.Body)
 	scanner.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
-	want := o.Attempt.ID()
+	d := &decoder{scanner: scanner, attempt: o.Attempt.ID(), promptTokens: o.PromptTokens, delivered: o.Delivered}
 	return &gladestream.Source{
-		Next: func() (gladestream.Event, error) { return next(scanner, want) },
+		Next: d.next,
 		Close: func() {
+			if d.finished {
+				go drain(response.Body, cancel)
+				return
+			}
 			cancel()
 			_ = response.Body.Close()
 		},
 	}
 }
 
-func next(scanner *bufio.Scanner, want string) (gladestream.Event, error) {
-	for scanner.Scan() {
-		data, ok := bytes.CutPrefix(scanner.Bytes(), []byte("data:"))
+// drain reads what is left of a finished stream for a short time.
+func drain(body io.ReadCloser, cancel context.CancelFunc) {
+	timer := time.AfterFunc(drainTime, cancel)
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxAnswerBytes))
+	timer.Stop()
+	_ = body.Close()
+	cancel()
+}
+
+// decoder reads the server-sent events of one attempt.
+type decoder struct {
+	scanner *bufio.Scanner
+	attempt string
+	// promptTokens and delivered are what the engine was given, unless it got text.
+	promptTokens []int32
+	delivered    []int32
+	finished     bool
+}
+
+func (d *decoder) next() (gladestream.Event, error) {
+	for d.scanner.Scan() {
+		data, ok := bytes.CutPrefix(d.scanner.Bytes(), []byte("data:"))
 		if !ok {
 			continue
 		}
@@ -38,14 +64,31 @@
 		if string(data) == "[DONE]" {
 			return gladestream.Event{End: true}, nil
 		}
-		return event(data, want)
+		e, err := event(data, d.attempt)
+		if err == nil {
+			err = d.checkPrompt(e.PromptTokens)
+		}
+		d.finished = e.Finish != ""
+		return e, err
 	}
-	if err := scanner.Err(); err != nil {
+	if err := d.scanner.Err(); err != nil {
 		return gladestream.Event{}, eris.Wrapf(ErrBroken, "read: %v", err)
 	}
 	return gladestream.Event{}, eris.Wrap(ErrBroken, "no end event")
 }
 
+// checkPrompt refuses a stream that goes on after another prompt than the one that was sent.
+func (d *decoder) checkPrompt(ids []int32) error {
+	n := len(d.promptTokens)
+	if len(ids) == 0 || n == 0 {
+		return nil
+	}
+	if len(ids) != n+len(d.delivered) || !slices.Equal(ids[:n], d.promptTokens) || !slices.Equal(ids[n:], d.delivered) {
+		return eris.Wrap(ErrForeign, "stream of another prompt")
+	}
+	return nil
+}
+
 func event(data []byte, want string) (gladestream.Event, error) {
 	var chunk CompletionChunk
 	if err := json.Unmarshal(data, &chunk); err != nil {
@@ -64,13 +107,20 @@
 	choice := &chunk.Choices[0]
 	e.PromptTokens = choice.PromptTokenIDs
 	e.Tokens = tokens(choice)
-	if choice.FinishReason != nil {
-		e.Finish = gladeapi.FinishReason(*choice.FinishReason)
+	if choice.FinishReason == nil {
+		return e, nil
+	}
+	e.Finish = gladeapi.FinishReason(*choice.FinishReason)
+	if e.Finish != gladeapi.FinishStop && e.Finish != gladeapi.FinishLength {
+		return gladestream.Event{}, eris.Wrapf(ErrBroken, "finish reason %q", e.Finish)
 	}
 	return e, nil
 }
 
 func tokens(choice *CompletionChoice) []gladestream.EventToken {
+	if len(choice.TokenIDs) == 0 && choice.Text != "" {
+		return []gladestream.EventToken{{ID: textToken(choice.Text), Text: choice.Text, Logprobs: choice.Logprobs}}
+	}
 	ts := make([]gladestream.EventToken, len(choice.TokenIDs))
 	for i, id := range choice.TokenIDs {
 		ts[i].ID = id
--- a/gladeengine/wire.go
+++ b/gladeengine/wire.go
@@ -61,12 +61,16 @@
 	Model    string          `json:"model"`
 	Prompt   string          `json:"prompt,omitempty"`
 	Messages json.RawMessage `json:"messages,omitempty"`
+	// ReturnTokenStrs asks for the text of each token.
+	ReturnTokenStrs bool `json:"return_token_strs,omitempty"`
 }
 
 // TokenizeResponse is the answer of POST /tokenize.
 type TokenizeResponse struct {
 	Count  int     `json:"count"`
 	Tokens []int32 `json:"tokens"`
+	// TokenStrs are the texts of the tokens, if asked for.
+	TokenStrs []string `json:"token_strs,omitempty"`
 }
 
 // IDPrefix precedes the caller's request_id in the id of each event.
--- a/gladestandin/engine.go
+++ b/gladestandin/engine.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 	defaultPrefillTime = 50 * time.Microsecond
 	defaultMaxBatch    = 64
 	defaultOrphanTime  = 30 * time.Second
+	crashDelay         = time.Millisecond
 	// prefillChunk is the most prompt tokens that one step computes.
 	prefillChunk = 2048
 )
@@ -175,11 +177,11 @@
 	close(e.died)
 }
 
-// die is a death by a fault.
+// die is a death by a fault, after which the server closes as soon as what was sent is on its way.
 func (e *Engine) die() {
 	e.end()
 	if e.config.Crash != nil {
-		go e.config.Crash()
+		time.AfterFunc(crashDelay, e.config.Crash)
 	}
 }
 
@@ -276,5 +278,9 @@
 		text = string(q.Messages)
 	}
 	ids := Tokenize(text)
-	writeJSON(w, gladeengine.TokenizeResponse{Count: len(ids), Tokens: ids})
+	answer := gladeengine.TokenizeResponse{Count: len(ids), Tokens: ids}
+	if q.ReturnTokenStrs {
+		answer.TokenStrs = strings.Fields(text)
+	}
+	writeJSON(w, answer)
 }
--- a/gladestandin/engine_faults.go
+++ b/gladestandin/engine_faults.go
@@ -76,9 +76,9 @@
 	e.SetFaults(f)
 }
 
-// due reports whether a fault that happens once happens at token n, and takes it away.
+// due reports whether a fault that happens once happens by token n, and takes it away.
 func due(at *int, n int) bool {
-	if *at == 0 || *at != n {
+	if *at == 0 || n < *at {
 		return false
 	}
 	*at = 0
--- a/gladestream/journal.go
+++ b/gladestream/journal.go
@@ -11,31 +11,25 @@
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 )
 
-// The errors of a Journal.
-var (
-	ErrStaleAttempt = eris.New("event of an attempt that is no longer current")
-	ErrGap          = eris.New("token index skips")
-	ErrRepeat       = eris.New("token index repeats")
-	ErrEnded        = eris.New("generation has ended")
-	ErrPosition     = eris.New("position does not match the journal")
-)
-
 // Journal holds the tokens of one generation and wakes its readers.
 type Journal struct {
 	// Generation is never changed.
 	Generation *gladeapi.Generation
 
-	mu           sync.Mutex
-	tokens       []gladeapi.Token
-	digest       xxhash.Digest
-	attempt      gladeapi.Attempt
-	base         int
+	mu      sync.Mutex
+	tokens  []gladeapi.Token
+	digest  xxhash.Digest
+	attempt gladeapi.Attempt
+	base    int
+	// joining is set until the first event after a join.
+	joining      bool
 	promptTokens []int32
 	backend      gladeapi.BackendServer
 	finish       gladeapi.FinishReason
 	err          error
 	changed      chan struct{}
 	stops        StopFilter
+	stopped      bool
 	// gated readers see only the first released tokens.
 	gated    bool
 	released int
@@ -43,7 +37,7 @@
 
 // NewJournal returns an empty journal.
 func NewJournal(g *gladeapi.Generation) *Journal {
-	j := &Journal{Generation: g, changed: make(chan struct{}), stops: StopFilter{Stops: g.Sampling.Stop}}
+	j := &Journal{Generation: g, promptTokens: g.PromptTokens, changed: make(chan struct{}), stops: StopFilter{Stops: g.Sampling.Stop}}
 	j.digest.Reset()
 	return j
 }
@@ -51,7 +45,9 @@
 // RestoreJournal returns a journal with the tokens that another VM's journal held.
 func RestoreJournal(g *gladeapi.Generation, promptTokens []int32, tokens []gladeapi.Token) *Journal {
 	j := NewJournal(g)
-	j.promptTokens = promptTokens
+	if len(promptTokens) > 0 {
+		j.promptTokens = promptTokens
+	}
 	for _, t := range tokens {
 		j.push(EventToken{ID: t.ID, Text: t.Text, Logprobs: t.Logprobs})
 	}
@@ -98,6 +94,7 @@
 	j.attempt = a
 	j.backend = b
 	j.base = len(j.tokens)
+	j.joining = false
 	ids := make([]int32, len(j.tokens))
 	for i := range j.tokens {
 		ids[i] = j.tokens[i].ID
@@ -105,16 +102,37 @@
 	return ids
 }
 
+// Join makes an attempt that another VM began the current one and returns the number of its tokens held.
+func (j *Journal) Join(p Placement) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.attempt = p.Attempt
+	j.backend = p.Backend
+	j.base = min(p.Base, len(j.tokens))
+	j.joining = true
+	return len(j.tokens) - j.base
+}
+
+// rejoin allows the next event of the current attempt to overlap the tokens held.
+func (j *Journal) rejoin() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.joining = true
+	return len(j.tokens) - j.base
+}
+
 // Append adds the tokens of an event, all or none.
 func (j *Journal) Append(a gladeapi.Attempt, e Event) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if j.joining {
+		e = j.trim(e)
+	}
 	if err := j.admit(a, e); err != nil {
 		return err
 	}
-	if len(e.PromptTokens) > 0 && len(j.promptTokens) == 0 {
-		j.promptTokens = e.PromptTokens
-	}
+	j.joining = j.joining && len(e.Tokens) == 0
+	j.learnPrompt(e.PromptTokens)
 	for _, t := range e.Tokens {
 		if j.push(t) {
 			break
@@ -129,6 +147,30 @@
 	return nil
 }
 
+// learnPrompt keeps the prompt tokens that an engine tells, without the prefix that a resumed attempt adds.
+func (j *Journal) learnPrompt(ids []int32) {
+	if len(j.promptTokens) == 0 && len(ids) > j.base {
+		j.promptTokens = ids[:len(ids)-j.base]
+	}
+}
+
+// trim cuts the tokens held already from the first event after a join, if they are the same.
+func (j *Journal) trim(e Event) Event {
+	held := len(j.tokens) - j.base
+	n := held - e.First
+	if e.First < 0 || n <= 0 || n >= len(e.Tokens) {
+		return e
+	}
+	for i, t := range e.Tokens[:n] {
+		if j.tokens[j.base+e.First+i].ID != t.ID {
+			return e
+		}
+	}
+	e.Tokens = e.Tokens[n:]
+	e.First = held
+	return e
+}
+
 func (j *Journal) admit(a gladeapi.Attempt, e Event) error {
 	if a != j.attempt {
 		return eris.Wrapf(ErrStaleAttempt, "%s, current is %s", a.ID(), j.attempt.ID())
@@ -136,6 +178,10 @@
 	if j.ended() {
 		return ErrEnded
 	}
+	limit := j.Generation.Sampling.MaxTokens
+	if limit > 0 && len(j.tokens)+len(e.Tokens) > limit {
+		return eris.Wrapf(ErrExcess, "limit is %d", limit)
+	}
 	if e.First < 0 || len(e.Tokens) == 0 {
 		return nil
 	}
@@ -164,6 +210,7 @@
 	_, stopped := j.stops.Push(t.Text)
 	if stopped {
 		j.finish = gladeapi.FinishStop
+		j.stopped = true
 	}
 	return stopped
 }
@@ -265,6 +312,41 @@
 	return j.promptTokens
 }
 
+// texts returns the text of each token.
+func (j *Journal) texts() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	all := make([]string, len(j.tokens))
+	for i := range j.tokens {
+		all[i] = j.tokens[i].Text
+	}
+	return all
+}
+
+// cut reports whether the generation ended while its engine may still add tokens.
+func (j *Journal) cut() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.stopped
+}
+
+// holds reports whether the journal's tokens are those of ids, by the prefix hash.
+func (j *Journal) holds(ids []int32) bool {
+	var digest xxhash.Digest
+	digest.Reset()
+	var b [4]byte
+	for _, id := range ids {
+		binary.LittleEndian.PutUint32(b[:], uint32(id))
+		_, _ = digest.Write(b[:])
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if len(ids) != len(j.tokens) {
+		return false
+	}
+	return len(ids) == 0 || j.tokens[len(ids)-1].Prefix == digest.Sum64()
+}
+
 // Usage counts each token once.
 func (j *Journal) Usage() gladeapi.Usage {
 	j.mu.Lock()
--- a/gladestream/runner.go
+++ b/gladestream/runner.go
@@ -2,65 +2,93 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"net/http"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/rotisserie/eris"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladecheck"
 	"github.com/eelgrassglade/eelgrassglade/gladerecord"
+	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
 )
 
-// ErrStalled means that an engine sent no token for longer than the timeout between tokens.
-var ErrStalled = eris.New("engine stalled")
-
 const (
-	defaultStallTimeout = time.Second
-	defaultRetryPause   = 20 * time.Millisecond
-	resumePriority      = -1000
+	defaultRetryPause    = 20 * time.Millisecond
+	maxRetryPause        = 500 * time.Millisecond
+	maxPauseDoublings    = 8
+	defaultMaxAttempts   = 32
+	defaultAttachTimeout = 250 * time.Millisecond
+	maxApartTries        = 8
+	probePause           = 10 * time.Millisecond
+	cancelTimeout        = 10 * time.Second
+	resumePriority       = -1000
 )
 
 // Config configures a Runner.
 type Config struct {
 	// Choose picks the engine of an attempt.
 	Choose func(context.Context, gladeapi.Need) (gladeapi.Choice, error)
+	// Blocks returns the hashes of a prompt's leading blocks for Choose; nil leaves them out.
+	Blocks func(*gladeapi.Generation) []uint64
 	// Open starts an attempt on an engine.
 	Open func(context.Context, OpenRequest) (*Source, error)
 	// Attach joins an attempt that still runs on an engine, after its first tokens; nil never does.
 	Attach func(ctx context.Context, o OpenRequest, after int) (*Source, error)
+	// Probe returns ErrNotOpened of an engine whose process is gone; nil knows of none.
+	Probe func(context.Context, gladeapi.BackendServer) error
 	// OnStart is called with each new run, before its first attempt.
 	OnStart func(*Run)
 	// Cancel asks an engine to stop an attempt.
 	Cancel func(context.Context, gladeapi.BackendServer, gladeapi.Attempt) error
-	// StallTimeout is the longest wait for an event; zero means 1 s.
-	StallTimeout time.Duration
-	// RetryPause is the wait before asking again when no engine can be chosen; zero means 20 ms.
+	// Retry reports whether the retry budget allows a further attempt of a generation without a token; nil always does.
+	Retry func() bool
+	// Suspects finds poison requests; nil suspects none.
+	Suspects *gladesuspect.Tracker
+	Timeouts Timeouts
+	// RetryPause is the first wait before asking again when no engine can be chosen; zero means 20 ms.
 	RetryPause time.Duration
-	Log        hclog.Logger
-	Check      *gladecheck.Checker
-	Record     *gladerecord.Recorder
+	// MaxAttempts bounds the attempts that reached an engine; zero means 32.
+	MaxAttempts int
+	// AttachTimeout bounds the wait for an engine to join an attempt or to answer a probe; zero means 250 ms.
+	AttachTimeout time.Duration
+	Metrics       metrics.Registry
+	Log           hclog.Logger
+	Check         *gladecheck.Checker
+	Record        *gladerecord.Recorder
 }
 
 // Runner runs generations.
 type Runner struct {
-	config Config
+	config  Config
+	metrics *instruments
+	paces   paces
+
+	mu   sync.Mutex
+	live map[string]map[gladeapi.Attempt]context.CancelCauseFunc
 }
 
 // NewRunner returns a Runner.
 func NewRunner(c Config) *Runner {
-	if c.StallTimeout == 0 {
-		c.StallTimeout = defaultStallTimeout
-	}
+	c.Timeouts.setDefaults()
 	if c.RetryPause == 0 {
 		c.RetryPause = defaultRetryPause
 	}
+	if c.MaxAttempts == 0 {
+		c.MaxAttempts = defaultMaxAttempts
+	}
+	if c.AttachTimeout == 0 {
+		c.AttachTimeout = defaultAttachTimeout
+	}
 	if c.Log == nil {
 		c.Log = hclog.NewNullLogger()
 	}
-	return &Runner{config: c}
+	return &Runner{
+		config:  c,
+		metrics: newInstruments(c.Metrics),
+		live:    map[string]map[gladeapi.Attempt]context.CancelCauseFunc{},
+	}
 }
 
 // Run is one generation in progress.
@@ -88,134 +116,47 @@
 	go func() {
 		defer close(done)
 		defer cancel()
-		r.run(ctx, j, p)
+		x := &execution{Runner: r, journal: j, g: j.Generation, number: p.Attempt.Number}
+		x.run(ctx, p)
 	}()
 	return run
 }
 
-func (r *Runner) run(ctx context.Context, j *Journal, p Placement) {
-	g := j.Generation
-	var avoid []string
-	for number := p.Attempt.Number + 1; !j.End().Ended(); number++ {
-		choice, err := r.choose(ctx, j, avoid)
-		if err != nil {
-			j.Fail(err)
-			return
-		}
-		a := gladeapi.Attempt{Request: g.ID, Number: number, Nonce: rand.Text()[:8]}
-		r.config.Record.Add(g.ID, "stream", "attempt", "%s on %s: %s", a.ID(), choice.Backend.ID, choice.Reason)
-		err = r.attempt(ctx, j, a, choice.Backend)
-		choice.Release(outcome(err))
-		if err == nil {
-			return
-		}
-		r.config.Record.Add(g.ID, "stream", "attemptFailed", "%s after %d tokens: %v", a.ID(), j.Len(), err)
-		if ctx.Err() != nil {
-			r.giveUp(ctx, j, a, choice.Backend)
-			return
-		}
-		avoid = []string{choice.Backend.ID}
+// Move makes the streams on an engine go on elsewhere, without a failure of the engine, and returns their number.
+func (r *Runner) Move(engine string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, cancel := range r.live[engine] {
+		cancel(ErrMoved)
 	}
+	return len(r.live[engine])
 }
 
-func (r *Runner) choose(ctx context.Context, j *Journal, avoid []string) (gladeapi.Choice, error) {
-	g := j.Generation
-	for {
-		choice, err := r.config.Choose(ctx, gladeapi.Need{
-			Target: g.Target,
-			Avoid:  avoid,
-			Resume: j.Len() > 0,
-			Tokens: g.Sampling.MaxTokens - j.Len(),
-		})
-		if err == nil {
-			return choice, nil
-		}
-		avoid = nil
-		select {
-		case <-time.After(r.config.RetryPause):
-		case <-ctx.Done():
-			return choice, endOf(ctx, j, err)
-		}
+// Live returns the number of attempts on each engine.
+func (r *Runner) Live() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := make(map[string]int, len(r.live))
+	for engine, attempts := range r.live {
+		n[engine] = len(attempts)
 	}
+	return n
 }
 
-func (r *Runner) attempt(ctx context.Context, j *Journal, a gladeapi.Attempt, b gladeapi.BackendServer) error {
-	delivered := j.Begin(a, b)
-	o := OpenRequest{
-		Generation:   j.Generation,
-		Backend:      b,
-		Attempt:      a,
-		PromptTokens: j.PromptTokens(),
-		Delivered:    delivered,
-		Priority:     j.Generation.Priority,
-	}
-	if len(delivered) > 0 {
-		o.Priority += resumePriority
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	watchdog := time.AfterFunc(r.config.StallTimeout, func() { cancel(ErrStalled) })
-	defer watchdog.Stop()
-	s, err := r.config.Open(ctx, o)
-	if err != nil {
-		return cause(ctx, err)
-	}
-	defer s.Close()
-	for {
-		e, err := s.Next()
-		if err != nil {
-			return cause(ctx, err)
-		}
-		watchdog.Reset(r.config.StallTimeout)
-		if err := j.Append(a, e); err != nil {
-			return err
+// enter notes an attempt for Move and returns the function that ends the note.
+func (r *Runner) enter(engine string, a gladeapi.Attempt, cancel context.CancelCauseFunc) func() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.live[engine] == nil {
+		r.live[engine] = map[gladeapi.Attempt]context.CancelCauseFunc{}
+	}
+	r.live[engine][a] = cancel
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.live[engine], a)
+		if len(r.live[engine]) == 0 {
+			delete(r.live, engine)
 		}
-		if j.End().Ended() {
-			return nil
-		}
-	}
-}
-
-func (r *Runner) giveUp(ctx context.Context, j *Journal, a gladeapi.Attempt, b gladeapi.BackendServer) {
-	j.Fail(endOf(ctx, j, ctx.Err()))
-	if r.config.Cancel == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.config.StallTimeout)
-	defer cancel()
-	if err := r.config.Cancel(ctx, b, a); err != nil {
-		r.config.Log.Debug("Cancel failed.", "attempt", a.ID(), "error", err)
-	}
-}
-
-func cause(ctx context.Context, err error) error {
-	if c := context.Cause(ctx); c != nil {
-		return c
-	}
-	return err
-}
-
-func outcome(err error) gladeapi.Outcome {
-	switch {
-	case err == nil:
-		return gladeapi.OutcomeDone
-	case eris.Is(err, ErrStalled):
-		return gladeapi.OutcomeStalled
-	case eris.Is(err, context.Canceled):
-		return gladeapi.OutcomeCancelled
-	}
-	return gladeapi.OutcomeFailed
-}
-
-func endOf(ctx context.Context, j *Journal, err error) error {
-	ran := gladeapi.DidRun
-	if j.Len() == 0 {
-		ran = gladeapi.Unknown
-	}
-	return &gladeapi.Refusal{
-		Status:  http.StatusGatewayTimeout,
-		Code:    gladeapi.CodeDeadline,
-		Message: "generation ended after " + context.Cause(ctx).Error() + ": " + err.Error(),
-		Ran:     ran,
 	}
 }
--- a/gladestream/source.go
+++ b/gladestream/source.go
@@ -15,6 +15,8 @@
 	PromptTokens []int32
 	// Delivered are the tokens of earlier attempts, which the engine gets as part of its prompt.
 	Delivered []int32
+	// Texts are those of Delivered, set if some engine told no token identifiers.
+	Texts []string
 	// Priority is passed to the engine, lower first.
 	Priority int
 }
--- a/gladesuspect/tracker.go
+++ b/gladesuspect/tracker.go
@@ -34,8 +34,10 @@
 	Window time.Duration
 	// MassDeaths is the number of other servers of a failure domain whose death in a Window acquits; zero means 3.
 	MassDeaths int
-	// Lost reports whether much of a failure domain is down now; it is asked before a refusal. Nil says no.
-	Lost func(ctx context.Context, failureDomain string) bool
+	// Servers are all known servers and Down reports whether one does not answer now.  Before a refusal they show
+	// whether a failure domain is lost; nil says that none ever is.
+	Servers func() []gladeapi.BackendServer
+	Down    func(context.Context, gladeapi.BackendServer) bool
 	// OnRefused is called with each new refusal of this Tracker.
 	OnRefused func(Refused)
 	Log       hclog.Logger
@@ -97,8 +99,9 @@
 	}
 }
 
-// Enter notes that a request runs on a server until Leave or Died is called, unless suspects must be kept apart there.
-func (t *Tracker) Enter(fingerprint uint64, server gladeapi.BackendServer) (*Visit, bool) {
+// Enter notes that a request runs on a server until Leave or Died is called, unless suspects must be kept apart
+// there; with apart it also fails where a suspect would join a suspect that need not be alone.
+func (t *Tracker) Enter(fingerprint uint64, server gladeapi.BackendServer, apart bool) (*Visit, bool) {
 	if t == nil || fingerprint == 0 {
 		return nil, true
 	}
@@ -107,6 +110,9 @@
 	if t.collides(server.ID, fingerprint) {
 		return nil, false
 	}
+	if apart && t.level(fingerprint) > 0 && t.runsSuspect(server.ID, fingerprint) {
+		return nil, false
+	}
 	t.sequence++
 	v := &Visit{tracker: t, fingerprint: fingerprint, server: server, sequence: t.sequence}
 	t.visits[server.ID] = append(t.visits[server.ID], v)
--- a/gladesuspect/tracker_test.go
+++ b/gladesuspect/tracker_test.go
@@ -27,7 +27,7 @@
 }
 
 func enter(c *qt.C, t *Tracker, fingerprint uint64, s gladeapi.BackendServer) *Visit {
-	v, ok := t.Enter(fingerprint, s)
+	v, ok := t.Enter(fingerprint, s, false)
 	c.Assert(ok, qt.IsTrue)
 	return v
 }
@@ -75,7 +75,7 @@
 			c.Assert(v.Suspect, qt.IsTrue)
 		}
 		alone := enter(c, tracker, guilty, server(1))
-		_, ok := tracker.Enter(innocent, server(1))
+		_, ok := tracker.Enter(innocent, server(1), false)
 		c.Assert(ok, qt.IsFalse)
 		v, err := judge(tracker, innocent)
 		c.Assert(err, qt.IsNil)
@@ -110,15 +110,24 @@
 }
 
 func TestLostFailureDomainAcquitsWhoSawTwoOfItsDeaths(t *testing.T) {
-	virtual(t, func(c *qt.C) {
-		tracker := New(Config{Lost: func(context.Context, string) bool { return true }})
-		for i := range 2 {
-			enter(c, tracker, innocent, server(i)).Died()
-		}
-		_, err := judge(tracker, innocent)
-		c.Assert(err, qt.IsNil)
-		c.Assert(tracker.Suspects(), qt.Equals, 0)
-	})
+	for _, lost := range []bool{true, false} {
+		virtual(t, func(c *qt.C) {
+			tracker := New(Config{
+				Servers: func() []gladeapi.BackendServer {
+					return []gladeapi.BackendServer{server(0), server(1), server(2), server(3)}
+				},
+				Down: func(_ context.Context, s gladeapi.BackendServer) bool {
+					return lost || s.ID == "e0" || s.ID == "e1"
+				},
+			})
+			for i := range 2 {
+				enter(c, tracker, innocent, server(i)).Died()
+			}
+			_, err := judge(tracker, innocent)
+			c.Assert(errors.Is(err, ErrPoison), qt.Equals, !lost)
+			c.Assert(tracker.Suspects(), qt.Equals, 0)
+		})
+	}
 }
 
 func TestTwoPoisonRequestsAtOnceAreBothRefused(t *testing.T) {
@@ -145,7 +154,7 @@
 			fmt.Println(err)
 			return
 		}
-		v, _ := tracker.Enter(guilty, server(i))
+		v, _ := tracker.Enter(guilty, server(i), false)
 		v.Died()
 	}
 	// Output: 2 servers: backend servers died under this request
--- a/gladesuspect/verdict.go
+++ b/gladesuspect/verdict.go
@@ -157,34 +157,24 @@
 	return refusal(r)
 }
 
-// lost reports whether a failure domain is down now, and withdraws the deaths there from all requests if it is.
-func (t *Tracker) lost(ctx context.Context, deaths []*death) bool {
-	if t.config.Lost == nil {
-		return false
-	}
-	lost := false
-	for _, d := range deaths {
-		if t.config.Lost(ctx, d.server.FailureDomain) {
-			t.mu.Lock()
-			t.forget(d)
-			t.mu.Unlock()
-			lost = true
-		}
-	}
-	return lost
-}
-
 // refuse remembers the request and acquits the others that ran on the servers it killed.
 func (t *Tracker) refuse(fingerprint uint64, deaths []*death) Refused {
-	r := Refused{Fingerprint: fingerprint, Until: time.Now().Add(t.config.Memory)}
+	r := Refused{Fingerprint: fingerprint, Until: time.Now().Add(t.config.Memory), Servers: servers(deaths)}
 	for _, d := range deaths {
-		r.Servers = append(r.Servers, d.server.ID)
 		t.forget(d)
 	}
 	t.remember(r)
 	return r
 }
 
+func servers(deaths []*death) []string {
+	ids := make([]string, len(deaths))
+	for i, d := range deaths {
+		ids[i] = d.server.ID
+	}
+	return ids
+}
+
 func (t *Tracker) remember(r Refused) {
 	t.refused[r.Fingerprint] = r
 	if len(t.refused) <= maxRefused {
