Measure resume latency, extra resource use and the entry VM's cost per token

Cause: no figure yet for what a loss costs the caller and the engines. Change: `gladebench experiment resume` loses one engine or a failure domain's engines by death, stall and pause under many streams and compares with a restart from zero, which wraps Open; `experiment entry-cost` compares streams through one VM with the engines themselves. A lost failure domain now acquits suspects without the wait for further deaths. Conclusion: resume is measured against a baseline of our own in one run.

--- /dev/null
+++ b/cmd/gladebench/entry_cost.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/eelgrassglade/eelgrassglade/gladecluster"
+	"github.com/eelgrassglade/eelgrassglade/gladestandin"
+)
+
+// entryCostConfig is what the flags of the experiment set.
+type entryCostConfig struct {
+	streams   int
+	tokens    int
+	prompt    int
+	rounds    int
+	tokenTime time.Duration
+}
+
+func entryCostCommand() *cli.Command {
+	c := &entryCostConfig{}
+	return &cli.Command{
+		Name:  "entry-cost",
+		Usage: "measure the entry VM's processor time per token and added latency against the engines themselves",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "streams", Value: 64, Destination: &c.streams},
+			&cli.IntFlag{Name: "tokens", Value: 400, Destination: &c.tokens},
+			&cli.IntFlag{Name: "prompt", Value: 600, Usage: "words of each prompt", Destination: &c.prompt},
+			&cli.IntFlag{Name: "rounds", Value: 3, Destination: &c.rounds},
+			&cli.DurationFlag{Name: "token-time", Value: 20 * time.Millisecond, Destination: &c.tokenTime},
+		},
+		Action: func(ctx context.Context, _ *cli.Command) error { return runEntryCost(ctx, c) },
+	}
+}
+
+// costs are the measurements of one way to the engines.
+type costs struct {
+	name    string
+	url     func(stream int) string
+	model   string
+	cpu     time.Duration
+	tokens  int
+	first   *hdrhistogram.Histogram
+	spacing *hdrhistogram.Histogram
+	mu      sync.Mutex
+}
+
+func newCosts(name, model string, url func(int) string) *costs {
+	histogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxGap.Microseconds(), significant) }
+	return &costs{name: name, model: model, url: url, first: histogram(), spacing: histogram()}
+}
+
+func runEntryCost(ctx context.Context, c *entryCostConfig) error {
+	k, closeCluster, err := gladecluster.New(gladecluster.Config{
+		VMs: 1, Engines: 4, Engine: gladestandin.EngineConfig{TokenTime: c.tokenTime, CacheBlocks: 1},
+	})
+	if err != nil {
+		return err
+	}
+	defer closeCluster()
+	engine := func(i int) string { return "http://" + k.Engines[i%len(k.Engines)].Backend.Address }
+	direct := newCosts("engine", gladecluster.ModelName+"@1", engine)
+	via := newCosts("entry VM", gladecluster.ModelName, func(int) string { return k.VMs[0].URL() })
+	for range c.rounds {
+		for _, w := range []*costs{direct, via} {
+			if err := w.round(ctx, c); err != nil {
+				return eris.Wrap(err, w.name)
+			}
+		}
+	}
+	fmt.Println("| way | tokens | processor µs per token | first token p50 ms | p95 | spacing p50 ms | p95 | p99 |")
+	fmt.Println("|---|---|---|---|---|---|---|---|")
+	for _, w := range []*costs{direct, via} {
+		millis := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+		fmt.Printf("| %s | %d | %.1f | %.2f | %.2f | %.2f | %.2f | %.2f |\n", w.name, w.tokens, w.perToken(),
+			millis(w.first, 50), millis(w.first, 95), millis(w.spacing, 50), millis(w.spacing, 95), millis(w.spacing, 99))
+	}
+	fmt.Printf("entry VM alone: %.1f µs of processor time per token\n", via.perToken()-direct.perToken())
+	return nil
+}
+
+func (w *costs) perToken() float64 {
+	return float64(w.cpu.Microseconds()) / float64(w.tokens)
+}
+
+// round runs all streams once and adds the processor time that the whole process spent.
+func (w *costs) round(ctx context.Context, c *entryCostConfig) error {
+	before := processorTime()
+	errs := make(chan error, c.streams)
+	for i := range c.streams {
+		go func() { errs <- w.stream(ctx, c, i) }()
+		time.Sleep(c.tokenTime / time.Duration(c.streams))
+	}
+	var first error
+	for range c.streams {
+		if err := <-errs; err != nil {
+			first = err
+		}
+	}
+	w.cpu += processorTime() - before
+	w.tokens += c.streams * c.tokens
+	return first
+}
+
+func (w *costs) stream(ctx context.Context, c *entryCostConfig, i int) error {
+	body, err := json.Marshal(map[string]any{
+		"model": w.model, "prompt": strings.Repeat(fmt.Sprintf("s%d ", i), c.prompt), "max_tokens": c.tokens,
+		"seed": i, "stream": true, "ignore_eos": true, "return_token_ids": true, "request_id": fmt.Sprintf("%s-%d-%d", w.name, i, time.Now().UnixNano()),
+	})
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, w.url(i)+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Authorization", "Bearer "+gladecluster.APIKey)
+	sent := time.Now()
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return w.read(response, sent, c.tokens)
+}
+
+// read times the events of one stream.
+func (w *costs) read(response *http.Response, sent time.Time, want int) error {
+	last := sent
+	n := 0
+	scanner := bufio.NewScanner(response.Body)
+	for n < want && scanner.Scan() {
+		if !bytes.HasPrefix(scanner.Bytes(), []byte("data: {")) {
+			continue
+		}
+		now := time.Now()
+		h := w.spacing
+		if n == 0 {
+			h = w.first
+		}
+		w.mu.Lock()
+		_ = h.RecordValue(now.Sub(last).Microseconds())
+		w.mu.Unlock()
+		last = now
+		n++
+	}
+	if n < want {
+		return eris.Errorf("status %s: %d events, want %d", response.Status, n, want)
+	}
+	return nil
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/cmd/gladebench/resume_pool.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+	"github.com/eelgrassglade/eelgrassglade/gladeengine"
+	"github.com/eelgrassglade/eelgrassglade/gladeroute"
+	"github.com/eelgrassglade/eelgrassglade/gladestandin"
+	"github.com/eelgrassglade/eelgrassglade/gladestream"
+	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
+)
+
+const (
+	resumePoolName = "resume"
+	// baselineWait keeps the restart from zero from being taken for a stall.
+	baselineWait = time.Hour
+	// baselineFirst is how long the baseline waits for the first token of a restart.
+	baselineFirst = 1500 * time.Millisecond
+)
+
+var (
+	resumeDomains = []string{"shubra", "helwan", "giza"}
+	resumeTarget  = gladeapi.Target{Model: "glade-llm", Version: "1"}
+)
+
+// resumePool is the engines of three failure domains on loopback and one Runner in each domain.
+type resumePool struct {
+	engines map[string]*gladestandin.Engine
+	servers []gladeapi.BackendServer
+	runners []*gladestream.Runner
+	kills   map[string]func()
+	closers []func()
+}
+
+func newResumePool(c *resumeConfig, fromZero bool) (*resumePool, error) {
+	p := &resumePool{engines: map[string]*gladestandin.Engine{}, kills: map[string]func(){}}
+	for i := range c.engines {
+		if err := p.addEngine(c, fmt.Sprintf("engine-%02d", i+1), resumeDomains[i%len(resumeDomains)]); err != nil {
+			p.close()
+			return nil, err
+		}
+	}
+	for _, domain := range resumeDomains {
+		p.addRunner(domain, fromZero)
+	}
+	return p, nil
+}
+
+func (p *resumePool) addEngine(c *resumeConfig, id, domain string) error {
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	e := gladestandin.NewEngine(gladestandin.EngineConfig{
+		ID: id, TokenTime: c.tokenTime, BatchTime: c.tokenTime / 100, PrefillTime: c.prefillTime,
+	})
+	s := &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout}
+	go func() { _ = s.Serve(l) }()
+	kill := sync.OnceFunc(func() {
+		_ = s.Close()
+		e.Close()
+	})
+	p.closers = append(p.closers, kill)
+	p.engines[id] = e
+	p.kills[id] = kill
+	p.servers = append(p.servers, gladeapi.BackendServer{
+		ID: id, Kind: gladeapi.KindEngine, Address: l.Addr().String(), FailureDomain: domain, Incarnation: "1", Pool: resumePoolName,
+	})
+	return nil
+}
+
+func (p *resumePool) addRunner(domain string, fromZero bool) {
+	client, closeClient := gladeengine.New(gladeengine.Config{})
+	p.closers = append(p.closers, closeClient)
+	table := &gladeroute.Table{FailureDomain: domain}
+	table.Set(p.servers)
+	config := gladestream.Config{
+		Choose: func(_ context.Context, n gladeapi.Need) (gladeapi.Choice, error) {
+			return table.Choose(resumePoolName, n)
+		},
+		Open:   client.Open,
+		Attach: client.Attach,
+		Probe:  client.Probe,
+		Cancel: client.Cancel,
+		Suspects: gladesuspect.New(gladesuspect.Config{
+			Servers: table.Backends,
+			Down:    func(ctx context.Context, b gladeapi.BackendServer) bool { return client.Probe(ctx, b) != nil },
+		}),
+	}
+	if fromZero {
+		config.Open = openFromZero(client.Open)
+		config.Timeouts = gladestream.Timeouts{FirstResumed: baselineWait, FirstCeiling: baselineWait}
+	}
+	p.runners = append(p.runners, gladestream.NewRunner(config))
+}
+
+func (p *resumePool) close() {
+	for _, f := range p.closers {
+		f()
+	}
+}
+
+// counts returns the sum over all engines, also those killed.
+func (p *resumePool) counts() gladestandin.EngineCounts {
+	var sum gladestandin.EngineCounts
+	for _, e := range p.engines {
+		c := e.Counts()
+		sum.Requests += c.Requests
+		sum.PrefillTokens += c.PrefillTokens
+		sum.CachedTokens += c.CachedTokens
+		sum.RecomputedTokens += c.RecomputedTokens
+		sum.Tokens += c.Tokens
+		sum.Cancelled += c.Cancelled
+		sum.Attached += c.Attached
+	}
+	return sum
+}
+
+type openFunc func(context.Context, gladestream.OpenRequest) (*gladestream.Source, error)
+
+// openFromZero is the baseline: a resumed attempt computes all tokens again, and those delivered before are dropped.
+func openFromZero(open openFunc) openFunc {
+	return func(ctx context.Context, o gladestream.OpenRequest) (*gladestream.Source, error) {
+		skip := len(o.Delivered)
+		o.Delivered = nil
+		s, err := open(ctx, o)
+		if err != nil || skip == 0 {
+			return s, err
+		}
+		next := s.Next
+		silence := time.AfterFunc(baselineFirst, s.Close)
+		s.Next = func() (gladestream.Event, error) {
+			for {
+				e, err := next()
+				silence.Stop()
+				if err != nil || e.First >= skip || e.End {
+					e.First -= skip
+					return e, err
+				}
+			}
+		}
+		return s, nil
+	}
+}
--- a/gladesuspect/verdict.go
+++ b/gladesuspect/verdict.go
@@ -133,22 +133,22 @@
 	return false
 }
 
-// confirm waits for other deaths of the same moment, and refuses the request if the evidence still holds.
+// confirm waits for other deaths of the same moment, and refuses the request if the evidence still holds; a failure
+// domain that is seen to be lost acquits it at once.
 func (t *Tracker) confirm(ctx context.Context, fingerprint uint64) error {
+	if t.acquitted(ctx, fingerprint) {
+		return nil
+	}
 	select {
 	case <-time.After(t.config.Window):
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	t.mu.Lock()
-	guilty := t.guilty(fingerprint)
-	deaths := slices.Clone(t.blamed[fingerprint])
-	t.mu.Unlock()
-	if !guilty || t.lost(ctx, deaths) {
+	if t.acquitted(ctx, fingerprint) {
 		return nil
 	}
 	t.mu.Lock()
-	r := t.refuse(fingerprint, deaths)
+	r := t.refuse(fingerprint, slices.Clone(t.blamed[fingerprint]))
 	t.mu.Unlock()
 	t.config.Log.Warn("Request refused as poison.", "fingerprint", fingerprint, "engines", r.Servers)
 	if t.config.OnRefused != nil {
@@ -157,6 +157,15 @@
 	return refusal(r)
 }
 
+// acquitted reports whether the evidence against a request no longer holds.
+func (t *Tracker) acquitted(ctx context.Context, fingerprint uint64) bool {
+	t.mu.Lock()
+	guilty := t.guilty(fingerprint)
+	deaths := slices.Clone(t.blamed[fingerprint])
+	t.mu.Unlock()
+	return !guilty || t.lost(ctx, deaths)
+}
+
 // refuse remembers the request and acquits the others that ran on the servers it killed.
 func (t *Tracker) refuse(fingerprint uint64, deaths []*death) Refused {
 	r := Refused{Fingerprint: fingerprint, Until: time.Now().Add(t.config.Memory), Servers: servers(deaths)}
