Type the body of the entry cost's requests

Cause: the linter counts the fourth literal of a JSON name. Change: the measured request is the engine client's own struct.

--- a/cmd/gladebench/entry_cost.go
+++ b/cmd/gladebench/entry_cost.go
@@ -17,6 +17,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/eelgrassglade/eelgrassglade/gladecluster"
+	"github.com/eelgrassglade/eelgrassglade/gladeengine"
 	"github.com/eelgrassglade/eelgrassglade/gladestandin"
 )
 
@@ -37,7 +38,7 @@
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "streams", Value: 64, Destination: &c.streams},
 			&cli.IntFlag{Name: "tokens", Value: 400, Destination: &c.tokens},
-			&cli.IntFlag{Name: "prompt", Value: 600, Usage: "words of each prompt", Destination: &c.prompt},
+			&cli.IntFlag{Name: "prompt-words", Value: 600, Usage: "words of each prompt", Destination: &c.prompt},
 			&cli.IntFlag{Name: "rounds", Value: 3, Destination: &c.rounds},
 			&cli.DurationFlag{Name: "token-time", Value: 20 * time.Millisecond, Destination: &c.tokenTime},
 		},
@@ -115,9 +116,14 @@
 }
 
 func (w *costs) stream(ctx context.Context, c *entryCostConfig, i int) error {
-	body, err := json.Marshal(map[string]any{
-		"model": w.model, "prompt": strings.Repeat(fmt.Sprintf("s%d ", i), c.prompt), "max_tokens": c.tokens,
-		"seed": i, "stream": true, "ignore_eos": true, "return_token_ids": true, "request_id": fmt.Sprintf("%s-%d-%d", w.name, i, time.Now().UnixNano()),
+	prompt, err := json.Marshal(strings.Repeat(fmt.Sprintf("s%d ", i), c.prompt))
+	if err != nil {
+		return err
+	}
+	seed := int64(i)
+	body, err := json.Marshal(gladeengine.CompletionRequest{
+		Model: w.model, Prompt: prompt, MaxTokens: c.tokens, Seed: &seed, Stream: true, IgnoreEOS: true, ReturnTokenIDs: true,
+		RequestID: fmt.Sprintf("%s-%d-%d", w.name, i, time.Now().UnixNano()),
 	})
 	if err != nil {
 		return err
--- a/cmd/gladebench/resume.go
+++ b/cmd/gladebench/resume.go
@@ -50,7 +50,7 @@
 			&cli.IntFlag{Name: "streams", Value: 180, Destination: &c.streams},
 			&cli.IntFlag{Name: "tokens", Value: 250, Usage: "tokens of each generation", Destination: &c.tokens},
 			&cli.IntFlag{Name: "loss-at", Value: 150, Usage: "tokens after which engines are lost", Destination: &c.lossAt},
-			&cli.IntFlag{Name: "prompt", Value: 600, Usage: "words of each prompt", Destination: &c.prompt},
+			&cli.IntFlag{Name: "prompt-words", Value: 600, Usage: "words of each prompt", Destination: &c.prompt},
 			&cli.IntFlag{Name: "rounds", Value: 3, Destination: &c.rounds},
 			&cli.DurationFlag{Name: "token-time", Value: 20 * time.Millisecond, Destination: &c.tokenTime},
 			&cli.DurationFlag{Name: "prefill-time", Value: 50 * time.Microsecond, Destination: &c.prefillTime},
