--- a/gladecluster/process.go
+++ b/gladecluster/process.go
@@ -28,20 +28,26 @@
 func (k *Cluster) startEngine(domain, id string) error {
 	c := k.config.Engine
 	c.ID = id
+	c.Incarnation = k.incarnation()
+	s := &Server{}
+	c.Crash = func() { s.Kill() }
 	engine := gladestandin.NewEngine(c)
+	k.onClose(engine.Close)
 	address, kill, err := k.serve(id, engine)
 	if err != nil {
 		return err
 	}
-	s := &Server{Engine: engine, Backend: gladeapi.BackendServer{
-		ID: id, Kind: gladeapi.KindEngine, Address: address, FailureDomain: domain, Incarnation: k.incarnation(), Pool: PoolName,
-	}}
+	s.Engine = engine
+	s.Backend = gladeapi.BackendServer{
+		ID: id, Kind: gladeapi.KindEngine, Address: address, FailureDomain: domain, Incarnation: c.Incarnation, Pool: PoolName,
+	}
 	s.Kill = func() {
 		k.mu.Lock()
 		s.Dead = true
 		k.mu.Unlock()
 		engine.Close()
 		kill()
+		engine.Close()
 	}
 	k.onClose(engine.Close)
 	k.mu.Lock()
--- a/gladesuspect/verdict.go
+++ b/gladesuspect/verdict.go
@@ -133,22 +133,22 @@
 	return false
 }
 
-// confirm waits for other deaths of the same moment, and refuses the request if the evidence still holds.
+// confirm waits for other deaths of the same moment, and refuses the request if the evidence still holds; a failure
+// domain that is seen to be lost acquits it at once.
 func (t *Tracker) confirm(ctx context.Context, fingerprint uint64) error {
+	if t.acquitted(ctx, fingerprint) {
+		return nil
+	}
 	select {
 	case <-time.After(t.config.Window):
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	t.mu.Lock()
-	guilty := t.guilty(fingerprint)
-	deaths := slices.Clone(t.blamed[fingerprint])
-	t.mu.Unlock()
-	if !guilty || t.lost(ctx, deaths) {
+	if t.acquitted(ctx, fingerprint) {
 		return nil
 	}
 	t.mu.Lock()
-	r := t.refuse(fingerprint, deaths)
+	r := t.refuse(fingerprint, slices.Clone(t.blamed[fingerprint]))
 	t.mu.Unlock()
 	t.config.Log.Warn("Request refused as poison.", "fingerprint", fingerprint, "engines", r.Servers)
 	if t.config.OnRefused != nil {
@@ -157,34 +157,33 @@
 	return refusal(r)
 }
 
-// lost reports whether a failure domain is down now, and withdraws the deaths there from all requests if it is.
-func (t *Tracker) lost(ctx context.Context, deaths []*death) bool {
-	if t.config.Lost == nil {
-		return false
-	}
-	lost := false
-	for _, d := range deaths {
-		if t.config.Lost(ctx, d.server.FailureDomain) {
-			t.mu.Lock()
-			t.forget(d)
-			t.mu.Unlock()
-			lost = true
-		}
-	}
-	return lost
+// acquitted reports whether the evidence against a request no longer holds.
+func (t *Tracker) acquitted(ctx context.Context, fingerprint uint64) bool {
+	t.mu.Lock()
+	guilty := t.guilty(fingerprint)
+	deaths := slices.Clone(t.blamed[fingerprint])
+	t.mu.Unlock()
+	return !guilty || t.lost(ctx, deaths)
 }
 
 // refuse remembers the request and acquits the others that ran on the servers it killed.
 func (t *Tracker) refuse(fingerprint uint64, deaths []*death) Refused {
-	r := Refused{Fingerprint: fingerprint, Until: time.Now().Add(t.config.Memory)}
+	r := Refused{Fingerprint: fingerprint, Until: time.Now().Add(t.config.Memory), Servers: servers(deaths)}
 	for _, d := range deaths {
-		r.Servers = append(r.Servers, d.server.ID)
 		t.forget(d)
 	}
 	t.remember(r)
 	return r
 }
 
+func servers(deaths []*death) []string {
+	ids := make([]string, len(deaths))
+	for i, d := range deaths {
+		ids[i] = d.server.ID
+	}
+	return ids
+}
+
 func (t *Tracker) remember(r Refused) {
 	t.refused[r.Fingerprint] = r
 	if len(t.refused) <= maxRefused {
