Grant leases with fencing numbers on objects of the platform

Cause: nothing chose which VM of a failure domain may give orders to engines.

Change: gladelease takes and renews a lease by conditional update; the fencing number rises with each grant. A holder stops at two thirds of the duration by its monotonic and its wall clock, whichever ran further, and at once when the wall clock steps back. A candidate waits the whole duration after it first saw a version. Lost answers are read back by nonce; a renewal of the same grant whose outcome was unknown counts as none.

Conclusion: order-givers can be chosen by this; what takes orders still has to compare the numbers.

--- /dev/null
+++ b/gladelease/lease.go
@@ -0,0 +1,300 @@
+package gladelease
+
+import (
+	"cmp"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrassglade/eelgrassglade/gladestore"
+)
+
+// Kind is the kind of object that leases are.
+const Kind = "leases"
+
+const (
+	defaultDuration = 9 * time.Second
+	releaseTimeout  = time.Second
+	// A holder renews after a sixth of the duration and stops at two thirds.
+	renewalsPerLease = 6
+	maxWallStep      = 500 * time.Millisecond
+)
+
+// errLost ends a grant.
+var errLost = eris.New("lease lost")
+
+// Clock returns the time by a clock that never goes back and by the wall clock.
+type Clock func() (monotonic time.Duration, wall time.Time)
+
+// Grant is one holder's time with the lease.
+type Grant struct {
+	// FencingNumber is higher than that of every grant before.
+	FencingNumber int64
+	// Before says whether the lease had a holder before that did not release it.
+	Before bool
+}
+
+// Config configures a Lease.
+type Config struct {
+	Store *gladestore.Client
+	// Name is the lease's and Holder this process's.
+	Name   string
+	Holder string
+	// Duration is the time after which a lease that is not renewed may be taken; zero means 9 s.
+	Duration time.Duration
+	// Candidate says whether this process wants the lease now; nil always does.
+	Candidate func() bool
+	// Lead is called for each grant, if set; its ctx ends with the grant.
+	Lead func(ctx context.Context, g Grant)
+	// Clock replaces the clocks, if set.
+	Clock Clock
+	Log   hclog.Logger
+}
+
+// record is the value of the lease's object.
+type record struct {
+	Holder string `json:"holder"`
+	// Session names the Lease that holds it and Nonce the write.
+	Session        string `json:"session"`
+	Nonce          string `json:"nonce"`
+	FencingNumber  int64  `json:"fencingNumber"`
+	DurationMillis int64  `json:"durationMillis"`
+}
+
+// Lease is one process's candidacy for, or hold on, a lease.
+type Lease struct {
+	config  Config
+	log     hclog.Logger
+	session string
+
+	mu    sync.Mutex
+	held  bool
+	grant Grant
+	since instant
+}
+
+// instant is a moment by both clocks.
+type instant struct {
+	monotonic time.Duration
+	wall      time.Time
+}
+
+// New starts a candidacy and returns its clean-up function, which releases the lease.
+func New(c Config) (*Lease, func()) {
+	c.Duration = cmp.Or(c.Duration, defaultDuration)
+	if c.Log == nil {
+		c.Log = hclog.NewNullLogger()
+	}
+	if c.Clock == nil {
+		start := time.Now()
+		c.Clock = func() (time.Duration, time.Time) { return time.Since(start), time.Now().Round(0) }
+	}
+	l := &Lease{config: c, log: c.Log, session: rand.Text()}
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	tasks.Go(func() { l.run(ctx) })
+	return l, func() {
+		cancel()
+		tasks.Wait()
+	}
+}
+
+// Held returns the grant if it holds now; the answer is only good for a step that checks the fencing number.
+func (l *Lease) Held() (Grant, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.grant, l.held && l.left(l.since) > 0
+}
+
+func (l *Lease) now() instant {
+	monotonic, wall := l.config.Clock()
+	return instant{monotonic: monotonic, wall: wall}
+}
+
+// left returns how long a write that was sent at an instant lets its sender hold the lease.
+func (l *Lease) left(sent instant) time.Duration {
+	now := l.now()
+	passed := now.monotonic - sent.monotonic
+	walled := now.wall.Sub(sent.wall)
+	if walled < passed-maxWallStep {
+		return 0
+	}
+	return l.config.Duration*2/3 - max(passed, walled)
+}
+
+func (l *Lease) run(ctx context.Context) {
+	var seen sighting
+	for ctx.Err() == nil {
+		if l.config.Candidate == nil || l.config.Candidate() {
+			l.try(ctx, &seen)
+		}
+		sleep(ctx, l.config.Duration/renewalsPerLease)
+	}
+}
+
+// sighting is the version of another's lease and when it was first seen.
+type sighting struct {
+	version int64
+	at      instant
+}
+
+// try takes the lease if it is free and holds it to its end.
+func (l *Lease) try(ctx context.Context, seen *sighting) {
+	o, r, err := l.read(ctx)
+	if err != nil {
+		l.log.Debug("Lease not read.", "error", err)
+		return
+	}
+	if o.Version != seen.version {
+		*seen = sighting{version: o.Version, at: l.now()}
+	}
+	free := r.Holder == "" || r.Session == l.session
+	if !free && !l.expired(&r, seen.at) {
+		return
+	}
+	sent := l.now()
+	g := Grant{FencingNumber: r.FencingNumber + 1, Before: r.Holder != ""}
+	version, err := l.write(ctx, l.record(l.config.Holder, g), o.Version)
+	if err != nil {
+		l.log.Debug("Lease not taken.", "error", err)
+		return
+	}
+	*seen = sighting{}
+	l.hold(ctx, g, sent, version)
+}
+
+// expired tells whether another's lease went without renewal for its duration; a wall clock's step does not shorten it.
+func (l *Lease) expired(r *record, seen instant) bool {
+	return l.now().monotonic-seen.monotonic >= time.Duration(r.DurationMillis)*time.Millisecond
+}
+
+func (l *Lease) read(ctx context.Context) (gladestore.Object, record, error) {
+	var r record
+	o, err := l.config.Store.Get(ctx, Kind, l.config.Name)
+	if errors.Is(err, gladestore.ErrNotFound) {
+		return o, r, nil
+	}
+	if err != nil {
+		return o, r, err
+	}
+	return o, r, eris.Wrap(json.Unmarshal(o.Value, &r), "lease")
+}
+
+func (l *Lease) record(holder string, g Grant) record {
+	return record{
+		Holder:         holder,
+		Session:        l.session,
+		Nonce:          rand.Text(),
+		FencingNumber:  g.FencingNumber,
+		DurationMillis: l.config.Duration.Milliseconds(),
+	}
+}
+
+// write replaces the given version, zero for none, and reads a lost answer back.
+func (l *Lease) write(ctx context.Context, r record, version int64) (int64, error) {
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return 0, eris.Wrap(err, "lease")
+	}
+	mine := func(found []byte) bool {
+		var f record
+		return json.Unmarshal(found, &f) == nil && f.Nonce == r.Nonce
+	}
+	var o gladestore.Object
+	if version == 0 {
+		o, err = l.config.Store.CreateOnce(ctx, Kind, l.config.Name, raw, mine)
+	} else {
+		o, err = l.config.Store.UpdateOnce(ctx, Kind, l.config.Name, raw, version, mine)
+	}
+	return o.Version, err
+}
+
+// hold keeps a grant until it is lost or ctx is done.
+func (l *Lease) hold(ctx context.Context, g Grant, sent instant, version int64) {
+	l.set(true, g, sent)
+	l.log.Info("Lease taken.", "name", l.config.Name, "fencingNumber", g.FencingNumber)
+	lead, cancel := context.WithCancel(ctx)
+	var tasks sync.WaitGroup
+	if l.config.Lead != nil {
+		tasks.Go(func() { l.config.Lead(lead, g) })
+	}
+	var err error
+	for err == nil {
+		sent, version, err = l.keep(ctx, g, sent, version)
+	}
+	l.set(false, Grant{}, sent)
+	l.log.Info("Lease ended.", "name", l.config.Name, "fencingNumber", g.FencingNumber, "reason", err)
+	cancel()
+	tasks.Wait()
+	if ctx.Err() != nil {
+		l.release(g, version)
+	}
+}
+
+// keep waits for the time of the next renewal and renews until that succeeds or time is up.
+func (l *Lease) keep(ctx context.Context, g Grant, sent instant, version int64) (instant, int64, error) {
+	sleep(ctx, l.config.Duration/renewalsPerLease)
+	for ctx.Err() == nil {
+		left := l.left(sent)
+		if left <= 0 {
+			return sent, version, eris.Wrap(errLost, "not renewed in time")
+		}
+		next := l.now()
+		call, cancel := context.WithTimeout(ctx, left)
+		renewed, err := l.write(call, l.record(l.config.Holder, g), version)
+		cancel()
+		if err == nil {
+			l.set(true, g, next)
+			return next, renewed, nil
+		}
+		if errors.Is(err, gladestore.ErrConflict) {
+			if version, err = l.own(ctx, g, version); err != nil {
+				return sent, version, err
+			}
+		}
+		sleep(ctx, min(left, l.config.Duration/(2*renewalsPerLease)))
+	}
+	return sent, version, ctx.Err()
+}
+
+// own returns the version that an earlier write of this grant left, which counts as no renewal.
+func (l *Lease) own(ctx context.Context, g Grant, version int64) (int64, error) {
+	o, r, err := l.read(ctx)
+	if err != nil {
+		return version, nil //nolint:nilerr // an outage says nothing about the lease; time decides
+	}
+	if r.Session != l.session || r.FencingNumber != g.FencingNumber {
+		return version, eris.Wrap(errLost, "taken by another")
+	}
+	return o.Version, nil
+}
+
+func (l *Lease) set(held bool, g Grant, since instant) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held, l.grant, l.since = held, g, since
+}
+
+// release lets others take the lease at once.
+func (l *Lease) release(g Grant, version int64) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	if _, err := l.write(ctx, l.record("", g), version); err != nil {
+		l.log.Debug("Lease not released.", "error", err)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
