Answer /services/ from every VM

Cause: gladeservice and gladeonce were not reachable by callers.

Change: gladedaemon wires them. /services/{route}/... calls the route's pool; POST /services/{route}/keys gives a VM's own key, which any VM forwards to its maker by a peer call. With the platform out, the VMs that this one knows are asked for the key; a VM lost within the repeat window makes the answer unknown. A stopping VM makes no keys and waits for the calls that it runs for others. Old claims are swept by the VM that rendezvous picks for a shard, and only while another VM's clock agrees. Retry budget as a service of the kernel. Settings [calls] and [limits] with checks. gladecluster starts plain services (field Services) and its first note has two routes.

--- a/gladecluster/cluster.go
+++ b/gladecluster/cluster.go
@@ -39,6 +39,8 @@
 	// Engines and VMs are the numbers in each failure domain; zero means two.
 	Engines int
 	VMs     int
+	// Services is the number of plain services in each failure domain.
+	Services int
 	// Network runs the cluster in memory; nil means loopback TCP.
 	Network *gladewire.Network
 	// Engine configures all engines.
@@ -55,6 +57,7 @@
 type Server struct {
 	Backend gladeapi.BackendServer
 	Engine  *gladestandin.Engine
+	Service *gladestandin.Service
 	// Kill closes the listener and all connections.
 	Kill func()
 }
@@ -78,7 +81,10 @@
 type Cluster struct {
 	Platform *gladestandin.Platform
 	Engines  []*Server
-	VMs      []*VM
+	Services []*Server
+	// Ledger counts the runs of all services.
+	Ledger gladestandin.Ledger
+	VMs    []*VM
 
 	config  Config
 	closers []func()
@@ -95,6 +101,7 @@
 			Models: []gladenote.Model{{
 				Name: ModelName, Pool: PoolName, DefaultVersion: "1", Context: 32768, MaxTokens: 16384,
 			}},
+			Routes:        DefaultRoutes(),
 			Versions:      []gladenote.Version{{Model: ModelName, Name: "1", Weights: "weights://glade-llm/1"}},
 			Organisations: []gladenote.Organisation{{Name: OrganisationName, KeyHashes: []string{gladenote.HashKey(APIKey)}}},
 		},
@@ -142,6 +149,11 @@
 				return err
 			}
 		}
+		for i := range k.config.Services {
+			if err := k.addService(domain, i); err != nil {
+				return err
+			}
+		}
 	}
 	k.Publish()
 	for _, domain := range k.config.FailureDomains {
@@ -160,6 +172,9 @@
 	for _, e := range k.Engines {
 		list.Backends = append(list.Backends, e.Backend)
 	}
+	for _, s := range k.Services {
+		list.Backends = append(list.Backends, s.Backend)
+	}
 	k.Platform.SetVMs(list)
 }
 
--- /dev/null
+++ b/gladedaemon/calls.go
@@ -0,0 +1,228 @@
+package gladedaemon
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+	"github.com/eelgrassglade/eelgrassglade/gladeconfig"
+	"github.com/eelgrassglade/eelgrassglade/gladekernel"
+	"github.com/eelgrassglade/eelgrassglade/gladelimit"
+	"github.com/eelgrassglade/eelgrassglade/gladenote"
+	"github.com/eelgrassglade/eelgrassglade/gladeonce"
+	"github.com/eelgrassglade/eelgrassglade/gladepeer"
+	"github.com/eelgrassglade/eelgrassglade/gladeroute"
+	"github.com/eelgrassglade/eelgrassglade/gladeservice"
+	"github.com/eelgrassglade/eelgrassglade/gladestore"
+)
+
+// ServiceCalls and ServiceBudget are the names of the calls to plain services and of the retry budget.
+const (
+	ServiceCalls  = "calls"
+	ServiceBudget = "budget"
+)
+
+const (
+	methodAskKey   = "calls.ask"
+	methodRunCall  = "calls.run"
+	methodNow      = "calls.now"
+	maxWitnesses   = 32
+	maxClockSkew   = time.Minute
+	witnessRefresh = time.Second
+)
+
+// Calls answers callers of plain services.
+type Calls struct {
+	daemon *Daemon
+	notes  *Notes
+	node   *gladepeer.Node
+	budget *gladelimit.Budget
+	client *gladeservice.Client
+	once   *gladeonce.Once
+	issuer *gladeonce.Issuer
+	// forwarded counts the calls that this VM runs for others.
+	forwarded sync.WaitGroup
+
+	mu    sync.Mutex
+	known map[string]string
+	lost  time.Time
+	shard int
+}
+
+func (d *Daemon) addCalls() error {
+	c := &Calls{daemon: d, known: map[string]string{}}
+	var table *gladeroute.Table
+	var store *gladestore.Client
+	for _, err := range []error{
+		lookup(d, ServiceNotes, &c.notes),
+		lookup(d, ServicePeers, &c.node),
+		lookup(d, ServiceBudget, &c.budget),
+		lookup(d, ServiceRoutes, &table),
+		lookup(d, ServiceStore, &store),
+	} {
+		if err != nil {
+			return err
+		}
+	}
+	c.client = d.newServiceClient(table, c.budget)
+	if err := c.addOnce(store); err != nil {
+		return err
+	}
+	gladepeer.Handle(c.node, methodAskKey, func(_ context.Context, _ string, q gladeonce.AskRequest) (gladeonce.AskAnswer, error) {
+		return c.once.Look(q), nil
+	})
+	gladepeer.Handle(c.node, methodRunCall, c.runForwarded)
+	gladepeer.Handle(c.node, methodNow, func(context.Context, string, struct{}) (time.Time, error) { return time.Now(), nil })
+	d.loop(gladeconfig.Duration(witnessRefresh), func(context.Context) { c.refreshWitnesses() })
+	d.loop(d.settings.Calls.SweepInterval, c.sweep)
+	return d.kernel.Provide(ServiceCalls, c)
+}
+
+func lookup[T any](d *Daemon, name string, service *T) error {
+	s, err := gladekernel.Lookup[T](&d.kernel, name)
+	*service = s
+	return err
+}
+
+func (d *Daemon) newServiceClient(table *gladeroute.Table, budget *gladelimit.Budget) *gladeservice.Client {
+	client, closeClient := gladeservice.New(gladeservice.Config{
+		Choose:         table.Choose,
+		Retry:          budget.Retry,
+		Dial:           d.dial,
+		MaxAnswerBytes: d.settings.Calls.MaxAnswerBytes,
+		MaxAttempts:    d.settings.Calls.MaxAttempts,
+		Metrics:        d.metrics,
+		Log:            d.log.Named("calls"),
+		Check:          d.check,
+		Record:         d.record,
+	})
+	d.kernel.OnClose(closeClient)
+	return client
+}
+
+func (c *Calls) addOnce(store *gladestore.Client) error {
+	d, s := c.daemon, &c.daemon.settings.Calls
+	self := c.node.Self()
+	once, closeOnce, err := gladeonce.New(gladeonce.Config{
+		VM:           self.Name,
+		Incarnation:  self.Incarnation,
+		Store:        store,
+		Ask:          c.ask,
+		Peers:        c.witnesses,
+		ClaimTimeout: s.ClaimTimeout.D(),
+		Retention:    s.Retention.D(),
+		KeptBytes:    s.KeptBytes,
+		Metrics:      d.metrics,
+		Log:          d.log.Named("once"),
+		Check:        d.check,
+	})
+	if err != nil {
+		return err
+	}
+	d.kernel.OnClose(closeOnce)
+	c.once = once
+	c.issuer = gladeonce.NewIssuer(gladeonce.IssuerConfig{
+		VM: self.Name, Incarnation: self.Incarnation, Lifetime: s.KeyLifetime.D(), KeptBytes: s.KeptBytes,
+	})
+	return nil
+}
+
+func (c *Calls) ask(ctx context.Context, vm string, q gladeonce.AskRequest) (gladeonce.AskAnswer, error) {
+	return gladepeer.Call[gladeonce.AskRequest, gladeonce.AskAnswer](ctx, c.node, vm, methodAskKey, q)
+}
+
+// refreshWitnesses notes when a VM, and what it knew of keys, was lost.
+func (c *Calls) refreshWitnesses() {
+	members := c.node.Members()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := make(map[string]string, len(members))
+	for _, m := range members {
+		now[m.Name] = m.Incarnation
+	}
+	for name, incarnation := range c.known {
+		if now[name] != incarnation {
+			c.lost = time.Now()
+		}
+	}
+	c.known = now
+}
+
+// witnesses returns the VMs that may know of a key and whether none that knew was lost of late.
+func (c *Calls) witnesses() ([]string, bool) {
+	c.refreshWitnesses()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	names := make([]string, 0, len(c.known))
+	for name := range c.known {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	complete := c.lost.IsZero() || time.Since(c.lost) > c.daemon.settings.Calls.RepeatWindow.D()
+	if len(names) > maxWitnesses {
+		return nil, false
+	}
+	return names, complete
+}
+
+// sweep removes old claims from the next shard that this VM is responsible for.
+func (c *Calls) sweep(ctx context.Context) {
+	for range gladeonce.Shards {
+		c.shard = (c.shard + 1) % gladeonce.Shards
+		if c.owns(c.shard) {
+			break
+		}
+	}
+	if !c.clockAgrees(ctx) {
+		return
+	}
+	if _, err := c.once.Sweep(ctx, c.shard, time.Now()); err != nil {
+		c.daemon.log.Named("once").Debug("Claims not swept.", "error", err)
+	}
+}
+
+func (c *Calls) owns(shard int) bool {
+	suffix := "/" + strconv.Itoa(shard)
+	self := xxhash.Sum64String(c.node.Self().Name + suffix)
+	for _, m := range c.node.Members() {
+		if xxhash.Sum64String(m.Name+suffix) > self {
+			return false
+		}
+	}
+	return true
+}
+
+// clockAgrees reports whether another VM's wall clock, if there is one, is near this VM's.
+func (c *Calls) clockAgrees(ctx context.Context) bool {
+	members := c.node.Members()
+	if len(members) == 0 {
+		return true
+	}
+	m := members[c.shard%len(members)]
+	theirs, err := gladepeer.Call[struct{}, time.Time](ctx, c.node, m.Name, methodNow, struct{}{})
+	return err == nil && time.Since(theirs.Round(0)).Abs() < maxClockSkew
+}
+
+// callRequest is a call under a key that the asked VM made.
+type callRequest struct {
+	ID           string          `json:"id"`
+	Organisation string          `json:"organisation"`
+	Route        gladenote.Route `json:"route"`
+	Key          string          `json:"key"`
+	Method       string          `json:"method"`
+	Path         string          `json:"path"`
+	Header       http.Header     `json:"header"`
+	Body         []byte          `json:"body"`
+}
+
+// callAnswer is what came of a callRequest.
+type callAnswer struct {
+	Outcome *gladeonce.Outcome `json:"outcome,omitempty"`
+	Refusal *gladeapi.Refusal  `json:"refusal,omitempty"`
+}
--- a/gladedaemon/daemon.go
+++ b/gladedaemon/daemon.go
@@ -84,6 +84,8 @@
 		d.addPeers,
 		d.addNotes,
 		d.addRoutes,
+		d.addLimits,
+		d.addCalls,
 		d.addEngines,
 		d.addStreams,
 		d.addEntry,
--- a/gladedaemon/entry.go
+++ b/gladedaemon/entry.go
@@ -34,7 +34,12 @@
 	if err != nil {
 		return err
 	}
+	calls, err := gladekernel.Lookup[*Calls](&d.kernel, ServiceCalls)
+	if err != nil {
+		return err
+	}
 	server := gladeentry.New(gladeentry.Config{
+		Services:     calls.Serve,
 		VM:           d.settings.VM.Name,
 		State:        notes.State,
 		Start:        runner.Start,
@@ -54,7 +59,7 @@
 	d.drains = append(d.drains, func(ctx context.Context) {
 		time.Sleep(d.settings.Entry.LameDuck.D())
 		shutdown(ctx)
-	})
+	}, calls.drain)
 	return d.kernel.Provide(ServiceEntry, server)
 }
 
