--- a/gladecluster/cluster.go
+++ b/gladecluster/cluster.go
@@ -45,6 +45,8 @@
 	// Engines and VMs are the numbers in each failure domain; zero means two.
 	Engines int
 	VMs     int
+	// Services is the number of plain services in each failure domain.
+	Services int
 	// Network runs the cluster in memory; nil means loopback TCP.
 	Network *gladewire.Network
 	// Engine configures all engines.
@@ -61,6 +63,7 @@
 type Server struct {
 	Backend gladeapi.BackendServer
 	Engine  *gladestandin.Engine
+	Service *gladestandin.Service
 	// Dead is set once the server was killed.
 	Dead bool
 	// Kill closes the listener and all connections.
@@ -92,7 +95,10 @@
 type Cluster struct {
 	Platform *gladestandin.Platform
 	Engines  []*Server
-	VMs      []*VM
+	Services []*Server
+	// Ledger counts the runs of all services.
+	Ledger gladestandin.Ledger
+	VMs    []*VM
 
 	config   Config
 	platform string
@@ -112,6 +118,7 @@
 			Models: []gladenote.Model{{
 				Name: ModelName, Pool: PoolName, DefaultVersion: "1", Context: 32768, MaxTokens: 16384,
 			}},
+			Routes:        DefaultRoutes(),
 			Versions:      []gladenote.Version{{Model: ModelName, Name: "1", Weights: "weights://glade-llm/1"}},
 			Organisations: []gladenote.Organisation{{Name: OrganisationName, KeyHashes: []string{gladenote.HashKey(APIKey)}}},
 		},
@@ -160,6 +167,11 @@
 				return err
 			}
 		}
+		for i := range k.config.Services {
+			if err := k.addService(domain, i); err != nil {
+				return err
+			}
+		}
 	}
 	k.Publish()
 	for _, domain := range k.config.FailureDomains {
--- a/gladecluster/process.go
+++ b/gladecluster/process.go
@@ -209,6 +209,9 @@
 	for _, e := range k.LiveEngines() {
 		list.Backends = append(list.Backends, e.Backend)
 	}
+	for _, v := range k.Services {
+		list.Backends = append(list.Backends, v.Backend)
+	}
 	for _, v := range k.LiveVMs() {
 		list.Entries = append(list.Entries, v.Entry)
 	}
