--- a/gladeconfig/settings.go
+++ b/gladeconfig/settings.go
@@ -52,7 +52,7 @@
 		Profile:     "nile-fixer",
 		Entry:       defaultEntry(),
 		Operators:   Operators{Listen: "127.0.0.1:8081"},
-		Peers:       Peers{Listen: "127.0.0.1:8082"},
+		Peers:       defaultPeers(),
 		Platform:    defaultPlatform(),
 		Generations: defaultGenerations(),
 		Standby:     defaultStandby(),
