--- a/cmd/gladebench/experiment.go
+++ b/cmd/gladebench/experiment.go
@@ -7,6 +7,6 @@
 	return &cli.Command{
 		Name:     "experiment",
 		Usage:    "measure one part and print its table",
-		Commands: []*cli.Command{},
+		Commands: []*cli.Command{membershipCommand()},
 	}
 }
--- a/gladedaemon/peers.go
+++ b/gladedaemon/peers.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
-	"github.com/eelgrassglade/eelgrassglade/gladekernel"
 	"github.com/eelgrassglade/eelgrassglade/gladepeer"
 )
 
@@ -41,8 +40,3 @@
 func newIncarnation() string {
 	return fmt.Sprintf("%013x-%s", time.Now().UnixMilli(), rand.Text()[:8])
 }
-
-// peers returns the service that addPeers provided.
-func (d *Daemon) peers() (*gladepeer.Node, error) {
-	return gladekernel.Lookup[*gladepeer.Node](&d.kernel, ServicePeers)
-}
--- a/gladepeer/node_test.go
+++ b/gladepeer/node_test.go
@@ -154,7 +154,7 @@
 		c := qt.New(t)
 		nodes, closers := fleet(c, &gladewire.Network{}, 3, 1)
 		time.Sleep(5 * time.Second)
-		gone := nodes[2].Self()
+		gone := *find(nodes[1], "vm-2")
 		closers[2]()
 		time.Sleep(3 * time.Minute)
 		nodes[0].answer(message{Rows: []row{{Member: gone}}})
