--- a/gladedaemon/daemon.go
+++ b/gladedaemon/daemon.go
@@ -24,6 +24,7 @@
 	ServiceRoutes  = "routes"
 	ServiceEngines = "engines"
 	ServiceStreams = "streams"
+	ServiceStandby = "standby"
 	ServiceEntry   = "entry"
 	ServiceMetrics = "metrics"
 	ServiceRecord  = "record"
@@ -85,8 +86,10 @@
 		d.addNotes,
 		d.addRoutes,
 		d.addEngines,
+		d.addStandby,
 		d.addStreams,
 		d.addEntry,
+		d.handOverAgain,
 		d.addOperators,
 	} {
 		if err := add(); err != nil {
--- a/gladedaemon/entry.go
+++ b/gladedaemon/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/eelgrassglade/eelgrassglade/gladeentry"
 	"github.com/eelgrassglade/eelgrassglade/gladekernel"
+	"github.com/eelgrassglade/eelgrassglade/gladestandby"
 	"github.com/eelgrassglade/eelgrassglade/gladestream"
 )
 
@@ -31,7 +32,12 @@
 	if err != nil {
 		return err
 	}
+	standby, err := gladekernel.Lookup[*gladestandby.Service](&d.kernel, ServiceStandby)
+	if err != nil {
+		return err
+	}
 	server := gladeentry.New(gladeentry.Config{
+		Recover:      standby.Recover,
 		VM:           d.settings.VM.Name,
 		State:        notes.State,
 		Start:        runner.Start,
--- a/gladedaemon/routes.go
+++ b/gladedaemon/routes.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/eelgrassglade/eelgrassglade/gladekernel"
+	"github.com/eelgrassglade/eelgrassglade/gladepeer"
 	"github.com/eelgrassglade/eelgrassglade/gladeroute"
 	"github.com/eelgrassglade/eelgrassglade/gladestore"
 )
@@ -13,6 +14,10 @@
 	if err != nil {
 		return err
 	}
+	peers, err := gladekernel.Lookup[*gladepeer.Node](&d.kernel, ServicePeers)
+	if err != nil {
+		return err
+	}
 	log := d.log.Named("routes")
 	table := &gladeroute.Table{FailureDomain: d.settings.VM.FailureDomain}
 	d.loop(d.settings.Platform.VMInterval, func(ctx context.Context) {
@@ -21,6 +26,7 @@
 			log.Warn("VM list not read.", "error", err)
 			return
 		}
+		peers.Learn(list.Entries)
 		if len(list.Backends) > 0 {
 			table.Set(list.Backends)
 		}
