--- a/gladestandby/directory.go
+++ b/gladestandby/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -119,10 +120,12 @@
 		standing, err := call(ctx, s, home, methodClaim, s.serveClaim, q)
 		if err != nil {
 			failure = err
+			s.config.Log.Debug("Home failed.", "home", home, "error", err)
 			continue
 		}
 		if standing.Request == c.Request && standing.Owner == c.Owner {
-			s.tasks.Go(func() { s.copyClaim(s.ctx, k, c, homes[i+1:]) })
+			others := slices.Delete(slices.Clone(homes), i, i+1)
+			s.tasks.Go(func() { s.copyClaim(s.ctx, k, c, others) })
 		}
 		return standing, nil
 	}
@@ -138,8 +141,8 @@
 	}
 }
 
-// search asks all live VMs for a key, because its homes do not know it.
-func (s *Service) search(ctx context.Context, k runKey) (Claim, bool) {
+// search asks all live VMs for a key, because its homes know it only by the given request.
+func (s *Service) search(ctx context.Context, k runKey, without string) (Claim, bool) {
 	names := s.ranked(k.key, "")
 	answers := make(chan FindAnswer, len(names))
 	slots := make(chan struct{}, maxSearches)
@@ -156,7 +159,7 @@
 	}
 	var best FindAnswer
 	for range names {
-		if a := <-answers; a.Found && (!best.Found || a.Claim.Epoch > best.Claim.Epoch) {
+		if a := <-answers; a.Found && a.Claim.Request != without && (!best.Found || a.Claim.Epoch > best.Claim.Epoch) {
 			best = a
 		}
 	}
--- a/gladestandby/mirror.go
+++ b/gladestandby/mirror.go
@@ -62,7 +62,7 @@
 	defer cancel()
 	tokens, end, err := j.Read(ctx, max(q.From, 0))
 	if err != nil {
-		return answer, nil //nolint:nilerr // no token in time is an empty answer
+		return answer, nil
 	}
 	if j.Abandoned() {
 		return FollowAnswer{State: stateUnknown}, nil
@@ -135,6 +135,9 @@
 			m.append(&answer)
 			continue
 		}
+		if err == nil && answer.State == statePending && pause(ctx) {
+			continue
+		}
 		if ctx.Err() != nil {
 			m.journal.Fail(lost("the caller left"))
 			return
@@ -143,6 +146,16 @@
 	}
 }
 
+// pause waits for another VM to begin a run, whose pending state ends by itself.
+func pause(ctx context.Context) bool {
+	select {
+	case <-time.After(pendingPause):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // append adds the tokens of an answer, each of which must be the next one.
 func (m *mirror) append(a *FollowAnswer) {
 	var tokens []gladestream.EventToken
--- a/gladestandby/recover.go
+++ b/gladestandby/recover.go
@@ -49,8 +49,9 @@
 	case err != nil:
 		s.config.Log.Warn("Key not claimed.", "request", g.ID, "error", err)
 		standing = mine
-	case standing.Owner == mine.Owner && standing.Incarnation == mine.Incarnation && standing.Request != mine.Request:
-		standing, err = s.claim(ctx, k, mine, standing.Request)
+	case standing.Owner == mine.Owner && standing.Incarnation == mine.Incarnation:
+		// This VM claimed the key before for a run that was refused or has ended.
+		standing = mine
 	}
 	if standing.Request == mine.Request {
 		return s.unclaimed(ctx, g, p)
@@ -68,8 +69,8 @@
 	if p == nil {
 		return nil, nil
 	}
-	c, found := s.search(ctx, keyOf(g))
-	if found && c.Request != g.ID {
+	c, found := s.search(ctx, keyOf(g), g.ID)
+	if found {
 		run, err := s.reach(ctx, keyOf(g), c, p)
 		if !eris.Is(err, errGone) {
 			return run, err
@@ -90,8 +91,11 @@
 	}
 	s.expect(k, g.ID)
 	standing, err := s.claim(ctx, k, s.newClaim(g), lost.Request)
+	if err != nil {
+		s.config.Log.Warn("Key not claimed.", "request", g.ID, "error", err)
+	}
 	if err != nil || standing.Request == g.ID {
-		return nil, nil
+		return nil, nil //nolint:nilerr // without a home the run begins unclaimed, which is safe without a position
 	}
 	run, err := s.reach(ctx, k, standing, p)
 	if eris.Is(err, errGone) {
