--- a/gladecluster/standby_test.go
+++ b/gladecluster/standby_test.go
@@ -99,6 +99,7 @@
 
 func TestVMDies(t *testing.T) {
 	atOnce := func(s *gladeconfig.Settings) { s.Standby.ReleaseAtOnce = true }
+	slow := func(s *gladeconfig.Settings) { s.Standby.BatchInterval = gladeconfig.Duration(900 * time.Millisecond) }
 	late := func(s *gladeconfig.Settings) { s.Standby.ProtectTokens = 32 }
 	for _, test := range []struct {
 		name     string
@@ -130,6 +131,10 @@
 			go c.holder().Stop()
 			after(10*time.Millisecond, c.cluster.VMs[0].Kill)
 		}, 1},
+		{"standby stopped just before the VM dies", slow, func(c *standbyCase) {
+			c.holder().Stop()
+			c.cluster.VMs[0].Kill()
+		}, 1},
 		{"VM cut off from its caller only", nil, func(c *standbyCase) { c.network.Cut(c.cluster.VMs[0].Name, CallerHost) }, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/gladedaemon/daemon.go
+++ b/gladedaemon/daemon.go
@@ -21,6 +21,7 @@
 	ServiceStore   = "store"
 	ServicePeers   = "peers"
 	ServiceNotes   = "notes"
+	ServiceRoster  = "roster"
 	ServiceRoutes  = "routes"
 	ServiceEngines = "engines"
 	ServiceStreams = "streams"
@@ -83,6 +84,7 @@
 		d.addBasics,
 		d.addStore,
 		d.addPeers,
+		d.addRoster,
 		d.addNotes,
 		d.addRoutes,
 		d.addEngines,
