--- a/cmd/gladebench/experiment.go
+++ b/cmd/gladebench/experiment.go
@@ -10,6 +10,7 @@
 		Commands: []*cli.Command{
 			resumeCommand(),
 			entryCostCommand(),
+			membershipCommand(),
 		},
 	}
 }
