Explain requests across VMs and ask for credentials

Cause: explain showed only what one VM saw, links between VMs were plain, and whoever reached the operators' listener read and drove the system. Membership asks one member of its failure domain a second and at most two others, half of before. Conclusion: without credentials nobody reads or drives a VM that others can reach.

--- a/gladecluster/process.go
+++ b/gladecluster/process.go
@@ -107,6 +107,8 @@
 	s.Entry.Listen = k.address(name, entryPort)
 	s.Operators.Listen = k.address(name, operatorsPort)
 	s.Peers.Listen = k.address(name, peersPort)
+	s.Operators.Insecure = true
+	s.Peers.Insecure = true
 	if k.config.Settings != nil {
 		k.config.Settings(&s)
 	}
--- a/gladeconfig/settings.go
+++ b/gladeconfig/settings.go
@@ -51,7 +51,7 @@
 	return Settings{
 		Profile:     "nile-fixer",
 		Entry:       defaultEntry(),
-		Operators:   Operators{Listen: "127.0.0.1:8081"},
+		Operators:   defaultOperators(),
 		Peers:       defaultPeers(),
 		Platform:    defaultPlatform(),
 		Generations: defaultGenerations(),
--- a/gladedaemon/entry.go
+++ b/gladedaemon/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladeentry"
 	"github.com/eelgrassglade/eelgrassglade/gladekernel"
 	"github.com/eelgrassglade/eelgrassglade/gladestandby"
@@ -70,7 +71,11 @@
 
 // serve adds a listener with a handler and returns its address and graceful shutdown.
 func (d *Daemon) serve(address string, h http.Handler) (string, func(context.Context), error) {
-	l, err := d.listen("tcp", address)
+	return d.serveOn(d.listen, address, h)
+}
+
+func (d *Daemon) serveOn(listen gladeapi.Listen, address string, h http.Handler) (string, func(context.Context), error) {
+	l, err := listen("tcp", address)
 	if err != nil {
 		return "", nil, eris.Wrap(err, "listen")
 	}
--- a/gladepeer/exchange.go
+++ b/gladepeer/exchange.go
@@ -17,6 +17,8 @@
 	maxRounds = 4
 	// relaysPerDomain is the number of VMs of a failure domain that exchange with another one.
 	relaysPerDomain = 2
+	// maxRelayed bounds the other failure domains that one VM exchanges with in one interval.
+	maxRelayed = 2
 	// strayOneIn is how seldom an address outside the live members is tried.
 	strayOneIn = 4
 	// pauseIntervals is the number of missed intervals that count as a pause of this VM.
@@ -77,10 +79,8 @@
 	for _, m := range pick(local, n.config.Fanout) {
 		addresses[m.PeerAddress] = true
 	}
-	for domain, members := range live {
-		if domain != n.self.FailureDomain && n.relays(domain, local) {
-			addresses[pick(members, 1)[0].PeerAddress] = true
-		}
+	for _, domain := range n.relayed(live) {
+		addresses[pick(live[domain], 1)[0].PeerAddress] = true
 	}
 	for _, address := range n.strays(live) {
 		addresses[address] = true
@@ -104,6 +104,17 @@
 	return live
 }
 
+// relayed returns the failure domains that this VM exchanges with in this interval; n.mu is held.
+func (n *Node) relayed(live map[string][]*Member) []string {
+	var domains []string
+	for domain := range live {
+		if domain != n.self.FailureDomain && n.relays(domain, live[n.self.FailureDomain]) {
+			domains = append(domains, domain)
+		}
+	}
+	return pick(domains, maxRelayed)
+}
+
 // relays reports whether this VM is one of those that exchange with a failure domain; n.mu is held.
 func (n *Node) relays(domain string, local []*Member) bool {
 	own := Rendezvous(domain, n.self.Name)
--- a/gladepeer/node.go
+++ b/gladepeer/node.go
@@ -36,7 +36,7 @@
 	defaultInterval     = time.Second
 	defaultSuspicion    = 5 * time.Second
 	defaultForgetAfter  = 2 * time.Minute
-	defaultFanout       = 2
+	defaultFanout       = 1
 	defaultCallTimeout  = 10 * time.Second
 	defaultMessageBytes = 8 << 20
 	maxFactBytes        = 16 << 10
@@ -58,7 +58,7 @@
 	Suspicion time.Duration
 	// ForgetAfter is the silence after which a member is removed; zero means 2 minutes.
 	ForgetAfter time.Duration
-	// Fanout is the number of members of the failure domain asked at each interval; zero means 2.
+	// Fanout is the number of members of the failure domain asked at each interval; zero means 1.
 	Fanout int
 	// CallTimeout bounds calls whose context has no deadline; zero means 10 s.
 	CallTimeout time.Duration
@@ -217,6 +217,27 @@
 	return live
 }
 
+// Silent returns the other VMs that are known but no longer heard of, by name.
+func (n *Node) Silent() []Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	heard := map[string]bool{n.self.Name: true}
+	for _, m := range n.rows {
+		if n.live(m) {
+			heard[m.Name] = true
+		}
+	}
+	var silent []Member
+	for _, m := range n.rows {
+		if !heard[m.Name] {
+			heard[m.Name] = true
+			silent = append(silent, *m)
+		}
+	}
+	slices.SortFunc(silent, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return silent
+}
+
 // Publish sets a fact about this VM that reaches all others with the membership.
 func (n *Node) Publish(fact string, value any) error {
 	raw, err := json.Marshal(value)
