--- a/gladecluster/process.go
+++ b/gladecluster/process.go
@@ -45,9 +45,11 @@
 		k.mu.Lock()
 		s.Dead = true
 		k.mu.Unlock()
+		engine.Close()
 		kill()
 		engine.Close()
 	}
+	k.onClose(engine.Close)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.Engines = append(k.Engines, s)
@@ -209,6 +211,9 @@
 	for _, e := range k.LiveEngines() {
 		list.Backends = append(list.Backends, e.Backend)
 	}
+	for _, v := range k.Services {
+		list.Backends = append(list.Backends, v.Backend)
+	}
 	for _, v := range k.LiveVMs() {
 		list.Entries = append(list.Entries, v.Entry)
 	}
--- a/gladedaemon/daemon.go
+++ b/gladedaemon/daemon.go
@@ -87,6 +87,8 @@
 		d.addRoster,
 		d.addNotes,
 		d.addRoutes,
+		d.addLimits,
+		d.addCalls,
 		d.addEngines,
 		d.addStandby,
 		d.addStreams,
