--- a/gladecluster/cluster.go
+++ b/gladecluster/cluster.go
@@ -127,6 +127,7 @@
 			Models: []gladenote.Model{{
 				Name: ModelName, Pool: PoolName, DefaultVersion: "1", Context: 32768, MaxTokens: 16384,
 			}},
+			Routes:        DefaultRoutes(),
 			Versions:      []gladenote.Version{{Model: ModelName, Name: "1", Weights: "weights://glade-llm/1"}},
 			Organisations: []gladenote.Organisation{{Name: OrganisationName, KeyHashes: []string{gladenote.HashKey(APIKey)}}},
 		},
--- a/gladecluster/process.go
+++ b/gladecluster/process.go
@@ -32,9 +32,13 @@
 func (k *Cluster) startEngine(domain, id string) error {
 	c := k.config.Engine
 	c.ID = id
-	s := &Server{Engine: gladestandin.NewEngine(c), Backend: gladeapi.BackendServer{
-		ID: id, Kind: gladeapi.KindEngine, FailureDomain: domain, Pool: k.config.EnginePool,
+	c.Incarnation = k.incarnation()
+	s := &Server{Backend: gladeapi.BackendServer{
+		ID: id, Kind: gladeapi.KindEngine, FailureDomain: domain, Incarnation: c.Incarnation, Pool: k.config.EnginePool,
 	}}
+	c.Crash = func() { s.Kill() }
+	s.Engine = gladestandin.NewEngine(c)
+	k.onClose(s.Engine.Close)
 	if err := k.startServer(s, s.Engine); err != nil {
 		return err
 	}
@@ -47,7 +51,7 @@
 func (k *Cluster) startService(domain, id string) error {
 	service := gladestandin.NewService(gladestandin.ServiceConfig{ID: id, RunTime: serviceRunTime, Ledger: k.Ledger})
 	s := &Server{Service: service, Backend: gladeapi.BackendServer{
-		ID: id, Kind: gladeapi.KindService, FailureDomain: domain, Pool: k.config.ServicePool,
+		ID: id, Kind: gladeapi.KindService, FailureDomain: domain, Incarnation: k.incarnation(), Pool: k.config.ServicePool,
 	}}
 	if err := k.startServer(s, service); err != nil {
 		return err
@@ -65,12 +69,14 @@
 		return err
 	}
 	s.Backend.Address = address
-	s.Backend.Incarnation = k.incarnation()
 	s.Kill = func() {
 		k.mu.Lock()
 		s.Dead = true
 		k.mu.Unlock()
 		kill()
+		if s.Engine != nil {
+			s.Engine.Close()
+		}
 	}
 	return nil
 }
@@ -128,6 +134,8 @@
 	s.Entry.Listen = k.address(name, entryPort)
 	s.Operators.Listen = k.address(name, operatorsPort)
 	s.Peers.Listen = k.address(name, peersPort)
+	s.Operators.Insecure = true
+	s.Peers.Insecure = true
 	if k.config.Settings != nil {
 		k.config.Settings(&s)
 	}
