--- a/cmd/gladebench/capacity.go
+++ b/cmd/gladebench/capacity.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"runtime"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -64,15 +63,6 @@
 	return float64(m.HeapAlloc)
 }
 
-// processorTime returns the processor time that this process has spent.
-func processorTime() time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
 // loadState returns the state with the default note and so many organisations.
 func loadState(n int) (*gladenote.State, error) {
 	state, err := (&gladenote.State{}).Apply(gladecluster.DefaultNote())
--- a/cmd/gladebench/experiment.go
+++ b/cmd/gladebench/experiment.go
@@ -12,6 +12,7 @@
 			entryCostCommand(),
 			membershipCommand(),
 			capacityCommand(),
+			randomCommand(),
 		},
 	}
 }
--- a/cmd/gladebench/load.go
+++ b/cmd/gladebench/load.go
@@ -19,6 +19,8 @@
 	"github.com/eelgrassglade/eelgrassglade/gladestandin"
 )
 
+const flagTokenTime = "token-time"
+
 func loadCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "load",
@@ -32,7 +34,7 @@
 			&cli.IntFlag{Name: "short-tokens", Usage: "mean tokens of the others", Value: 100},
 			&cli.IntFlag{Name: "vms", Usage: "daemons in each of 3 failure domains", Value: 2},
 			&cli.IntFlag{Name: "engines", Usage: "engines in each failure domain", Value: 4},
-			&cli.DurationFlag{Name: "token-time", Usage: "engines' time between tokens", Value: 30 * time.Millisecond},
+			&cli.DurationFlag{Name: flagTokenTime, Usage: "engines' time between tokens", Value: 30 * time.Millisecond},
 			&cli.StringSliceFlag{Name: "settings", Usage: "compare daemons with settings `FILE`s, in alternating rounds"},
 			&cli.IntFlag{Name: "rounds", Usage: "rounds of each settings file", Value: 1},
 			&cli.StringSliceFlag{Name: "entry", Usage: "load daemons at `URL` instead of starting some"},
@@ -141,7 +143,7 @@
 		FailureDomains: []string{"shubra", "helwan", "giza"},
 		VMs:            c.Int("vms"),
 		Engines:        c.Int("engines"),
-		Engine:         gladestandin.EngineConfig{TokenTime: c.Duration("token-time")},
+		Engine:         gladestandin.EngineConfig{TokenTime: c.Duration(flagTokenTime)},
 		Note:           gladeload.Note(c.Int("organisations")),
 		Settings: func(s *gladeconfig.Settings) {
 			own := *s
--- a/gladereplay/fault.go
+++ b/gladereplay/fault.go
@@ -69,6 +69,10 @@
 		s.Kill()
 		return nil
 	}},
+	EngineFault: {target: true, ends: true,
+		begin: func(r *run, f *Fault) error { return r.setEngineFaults(f.Target, f.Engine) },
+		end:   func(r *run, f *Fault) error { return r.setEngineFaults(f.Target, nil) },
+	},
 	ServiceFault: {target: true, ends: true,
 		begin: func(r *run, f *Fault) error { return r.setServiceFault(f.Target, f.Service) },
 		end:   func(r *run, f *Fault) error { return r.setServiceFault(f.Target, nil) },
@@ -85,6 +89,19 @@
 	}},
 }
 
+// setEngineFaults sets the faults of one engine, or of all for TargetAll.
+func (r *run) setEngineFaults(target string, f *gladestandin.Faults) error {
+	if f == nil {
+		f = &gladestandin.Faults{}
+	}
+	for _, e := range r.cluster.LiveEngines() {
+		if target == TargetAll || target == e.Backend.ID {
+			e.Engine.SetFaults(*f)
+		}
+	}
+	return nil
+}
+
 func (r *run) setServiceFault(target string, f *gladestandin.ServiceFault) error {
 	s, err := r.cluster.Service(target)
 	if err != nil {
--- a/gladereplay/replay_test.go
+++ b/gladereplay/replay_test.go
@@ -12,12 +12,19 @@
 	"github.com/hashicorp/go-hclog"
 )
 
+// standstill is the real time after which a run in virtual time is given up.
+const standstill = time.Minute
+
 func virtually(t *testing.T, trace *Trace, c Config) *Report {
 	t.Helper()
 	if os.Getenv("GLADE_LOG") != "" {
 		c.Log = hclog.New(&hclog.LoggerOptions{Level: hclog.Debug})
 	}
 	var report *Report
+	var text strings.Builder
+	_ = trace.Write(&text)
+	guard := time.AfterFunc(standstill, func() { panic("virtual time stands still:\n" + text.String()) })
+	defer guard.Stop()
 	synctest.Test(t, func(t *testing.T) {
 		var err error
 		report, err = Run(t.Context(), trace, c)
@@ -30,7 +37,7 @@
 func TestTraces(t *testing.T) {
 	paths, err := filepath.Glob("testdata/*.jsonl")
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, len(paths) >= 5, qt.IsTrue, qt.Commentf("%d traces", len(paths)))
+	qt.Assert(t, len(paths) >= 12, qt.IsTrue, qt.Commentf("%d traces", len(paths)))
 	for _, path := range paths {
 		t.Run(strings.TrimSuffix(filepath.Base(path), ".jsonl"), func(t *testing.T) {
 			trace, err := Load(path)
--- a/gladereplay/run.go
+++ b/gladereplay/run.go
@@ -21,6 +21,8 @@
 const (
 	defaultLimit   = 10 * time.Minute
 	sampleInterval = 100 * time.Millisecond
+	// warmUp is the time in which the VMs of a new cluster hear of each other before a trace begins.
+	warmUp = 5 * time.Second
 )
 
 // Config configures a run.
@@ -137,6 +139,7 @@
 	caller, closeCaller := cluster.Caller()
 	defer closeCaller()
 	r.caller = caller
+	sleepUntil(ctx, time.Now().Add(warmUp))
 	r.start = time.Now()
 	r.replay(ctx)
 	r.judge()
--- a/gladereplay/trace.go
+++ b/gladereplay/trace.go
@@ -93,12 +93,18 @@
 	CutPlatform       FaultKind = "cutPlatform"
 	LeaveBackend      FaultKind = "leaveBackend"
 	KillService       FaultKind = "killService"
+	EngineFault       FaultKind = "engineFault"
 	ServiceFault      FaultKind = "serviceFault"
 	PlatformFault     FaultKind = "platformFault"
 )
 
-// TargetBusy is the engine that runs a stream when the fault happens.
-const TargetBusy = "busy"
+// Targets that stand for engines by what they do.
+const (
+	// TargetBusy is an engine that runs a stream when the fault happens.
+	TargetBusy = "busy"
+	// TargetAll is every engine.
+	TargetAll = "all"
+)
 
 // Fault is one failure.
 type Fault struct {
@@ -109,7 +115,8 @@
 	Other string `json:"other,omitempty"`
 	// For ends a pause or cut, and is the time that a leaving backend server is given.
 	For gladeconfig.Duration `json:"for,omitzero"`
-	// Service and Platform are what a stand-in does wrong until For is over.
+	// Engine, Service and Platform are what a stand-in does wrong until For is over.
+	Engine   *gladestandin.Faults         `json:"engine,omitempty"`
 	Service  *gladestandin.ServiceFault   `json:"service,omitempty"`
 	Platform *gladestandin.PlatformFaults `json:"platform,omitempty"`
 }
