--- a/gladedaemon/operators.go
+++ b/gladedaemon/operators.go
@@ -27,6 +27,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		metrics.WriteJSONOnce(d.metrics, w)
 	})
+	handleProfiles(mux)
 	if err := d.handleExplain(mux); err != nil {
 		return err
 	}
