--- a/cmd/gladebench/experiment.go
+++ b/cmd/gladebench/experiment.go
@@ -10,6 +10,8 @@
 		Commands: []*cli.Command{
 			resumeCommand(),
 			entryCostCommand(),
+			membershipCommand(),
+			capacityCommand(),
 		},
 	}
 }
--- a/gladedaemon/entry.go
+++ b/gladedaemon/entry.go
@@ -9,8 +9,10 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladeentry"
 	"github.com/eelgrassglade/eelgrassglade/gladekernel"
+	"github.com/eelgrassglade/eelgrassglade/gladestandby"
 	"github.com/eelgrassglade/eelgrassglade/gladestream"
 )
 
@@ -31,7 +33,17 @@
 	if err != nil {
 		return err
 	}
+	calls, err := gladekernel.Lookup[*Calls](&d.kernel, ServiceCalls)
+	if err != nil {
+		return err
+	}
+	standby, err := gladekernel.Lookup[*gladestandby.Service](&d.kernel, ServiceStandby)
+	if err != nil {
+		return err
+	}
 	server := gladeentry.New(gladeentry.Config{
+		Services:     calls.Serve,
+		Recover:      standby.Recover,
 		VM:           d.settings.VM.Name,
 		State:        notes.State,
 		Start:        runner.Start,
@@ -43,7 +55,8 @@
 		Check:        d.check,
 		Record:       d.record,
 	})
-	address, shutdown, err := d.serve(d.settings.Entry.Listen, server)
+	d.kernel.OnDump("entry", func() any { return server.State() })
+	address, shutdown, err := d.serve(d.settings.Entry.Listen, d.closing(server))
 	if err != nil {
 		return err
 	}
@@ -51,7 +64,7 @@
 	d.drains = append(d.drains, func(ctx context.Context) {
 		time.Sleep(d.settings.Entry.LameDuck.D())
 		shutdown(ctx)
-	})
+	}, calls.drain)
 	return d.kernel.Provide(ServiceEntry, server)
 }
 
@@ -62,9 +75,23 @@
 	return n.Ready()
 }
 
+// closing asks callers to open another connection, which the balancer leads elsewhere, while the VM stops.
+func (d *Daemon) closing(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // serve adds a listener with a handler and returns its address and graceful shutdown.
 func (d *Daemon) serve(address string, h http.Handler) (string, func(context.Context), error) {
-	l, err := d.listen("tcp", address)
+	return d.serveOn(d.listen, address, h)
+}
+
+func (d *Daemon) serveOn(listen gladeapi.Listen, address string, h http.Handler) (string, func(context.Context), error) {
+	l, err := listen("tcp", address)
 	if err != nil {
 		return "", nil, eris.Wrap(err, "listen")
 	}
--- a/gladeentry/registry.go
+++ b/gladeentry/registry.go
@@ -129,9 +129,22 @@
 	time.AfterFunc(g.retention, func() { g.forget(e) })
 }
 
-// len returns the number of entries that have a key.
-func (g *registry) len() int {
+// State is what a state dump shows of the entry.
+type State struct {
+	// Keyed is the number of generations that can be asked for again by their key.
+	Keyed int `json:"keyed"`
+	// Unread is how many of them have no reader now.
+	Unread int `json:"unread"`
+}
+
+func (g *registry) state() State {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.runs)
+	s := State{Keyed: len(g.runs)}
+	for _, e := range g.runs {
+		if e.readers == 0 {
+			s.Unread++
+		}
+	}
+	return s
 }
