Give orders to engines by lease until they hold what the note asks

Cause: release notes named weights but nobody loaded them, and the status of a note had no account of the engines.

Change: one VM of each failure domain, by lease, reads what its engines hold and orders the difference with the grant's fencing number; it keeps no state, so a successor goes on from what it reads. Before pools that ignore fencing numbers a successor waits for the lease and the longest life of an order. Loads share a rate limit, versions move without a gap in ready copies, weights that a note withdrew stay while any VM tells that a generation runs on them and for a grace after that. The engine stand-in takes the orders, refuses old fencing numbers if it is told to and shows ready targets in its load report.

Trials with the last-copy rule, the in-use rules, the wait, the rate, the omission of dead engines and the stand-in's refusal taken out fail a test each. The crash test ends two givers in a row at 43 points of a rollout, with and without fencing.

Conclusion: note status now needs the engines as well as the VMs.

--- a/gladedaemon/daemon.go
+++ b/gladedaemon/daemon.go
@@ -24,6 +24,7 @@
 	ServiceRoutes  = "routes"
 	ServiceEngines = "engines"
 	ServiceStreams = "streams"
+	ServiceOrders  = "orders"
 	ServiceEntry   = "entry"
 	ServiceMetrics = "metrics"
 	ServiceRecord  = "record"
@@ -86,6 +87,7 @@
 		d.addRoutes,
 		d.addEngines,
 		d.addStreams,
+		d.addOrders,
 		d.addEntry,
 		d.addOperators,
 	} {
--- a/gladedaemon/streams.go
+++ b/gladedaemon/streams.go
@@ -50,6 +50,7 @@
 		Attach:        engines.Attach,
 		Probe:         engines.Probe,
 		Cancel:        engines.Cancel,
+		OnStart:       notes.Track,
 		Suspects:      suspects,
 		Timeouts:      d.timeouts(),
 		MaxAttempts:   d.settings.Generations.MaxAttempts,
