--- a/gladedaemon/daemon.go
+++ b/gladedaemon/daemon.go
@@ -26,6 +26,7 @@
 	ServiceEngines = "engines"
 	ServiceStreams = "streams"
 	ServiceStandby = "standby"
+	ServiceOrders  = "orders"
 	ServiceEntry   = "entry"
 	ServiceMetrics = "metrics"
 	ServiceRecord  = "record"
@@ -92,6 +93,7 @@
 		d.addEngines,
 		d.addStandby,
 		d.addStreams,
+		d.addOrders,
 		d.addEntry,
 		d.handOverAgain,
 		d.addOperators,
