Count what callers meet

Cause: the entry had no metrics. Change: generations, joined callers, tokens, refusals by code, time to the first token. Conclusion: visible at /metrics and in the dump.

--- a/gladedaemon/entry.go
+++ b/gladedaemon/entry.go
@@ -51,6 +51,7 @@
 		MaxBodyBytes: d.settings.Entry.MaxBodyBytes,
 		Deadline:     d.settings.Entry.RequestDeadline.D(),
 		Grace:        d.settings.Entry.ReconnectGrace.D(),
+		Metrics:      d.metrics,
 		Log:          d.log.Named("entry"),
 		Check:        d.check,
 		Record:       d.record,
--- a/gladeentry/parse.go
+++ b/gladeentry/parse.go
@@ -60,6 +60,7 @@
 	includeUsage bool
 	position     *gladeapi.Position
 	bodyHash     uint64
+	received     time.Time
 }
 
 func badField(field, format string, args ...any) *gladeapi.Refusal {
@@ -86,7 +87,7 @@
 		Arrived:      time.Now(),
 		Deadline:     time.Now().Add(s.config.Deadline),
 	}
-	q := &request{generation: g, model: b.Model, chat: chat, stream: b.Stream, bodyHash: xxhash.Sum64(raw)}
+	q := &request{generation: g, model: b.Model, chat: chat, stream: b.Stream, bodyHash: xxhash.Sum64(raw), received: time.Now()}
 	q.includeUsage = b.StreamOptions != nil && b.StreamOptions.IncludeUsage
 	if err := s.fill(q, &b); err != nil {
 		return nil, err
--- a/gladeentry/refuse.go
+++ b/gladeentry/refuse.go
@@ -47,6 +47,7 @@
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, err error) {
 	f := asRefusal(err)
 	id := requestID(r)
+	s.meters.refused(f.Code)
 	s.config.Record.Add(id, "entry", "refused", "%d %s: %s", f.Status, f.Code, f.Message)
 	WriteRefusal(w, id, f)
 }
--- a/gladeentry/serve.go
+++ b/gladeentry/serve.go
@@ -55,6 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.count(q, e)
 	if e.bodyHash != q.bodyHash {
 		s.runs.leave(e)
 		return nil, keyReused()
@@ -62,6 +63,14 @@
 	return e, nil
 }
 
+func (s *Server) count(q *request, e *entry) {
+	if e.run.Journal.Generation == q.generation {
+		s.meters.generations.Inc(1)
+		return
+	}
+	s.meters.joined.Inc(1)
+}
+
 func keyReused() *gladeapi.Refusal {
 	return &gladeapi.Refusal{
 		Status: http.StatusUnprocessableEntity, Code: gladeapi.CodeKeyReused,
--- a/gladeentry/server.go
+++ b/gladeentry/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladecheck"
@@ -54,6 +55,7 @@
 	Grace time.Duration
 	// Retention is how long an ended generation can be asked for again by its key; zero means 2 minutes.
 	Retention time.Duration
+	Metrics   metrics.Registry
 	Log       hclog.Logger
 	Check     *gladecheck.Checker
 	Record    *gladerecord.Recorder
@@ -64,6 +66,7 @@
 	config   Config
 	mux      *http.ServeMux
 	runs     registry
+	meters   *meters
 	sequence atomic.Uint64
 	instance string
 }
@@ -85,7 +88,7 @@
 	if c.Log == nil {
 		c.Log = hclog.NewNullLogger()
 	}
-	s := &Server{config: c, mux: http.NewServeMux(), instance: newInstance()}
+	s := &Server{config: c, mux: http.NewServeMux(), instance: newInstance(), meters: newMeters(c.Metrics)}
 	s.runs.grace = c.Grace
 	s.runs.retention = c.Retention
 	s.mux.HandleFunc("POST /v1/completions", s.authenticated(s.serveCompletion))
--- a/gladeentry/write.go
+++ b/gladeentry/write.go
@@ -20,6 +20,7 @@
 			return
 		}
 		t.add(pieces)
+		s.meters.delivered(q, pieces)
 		if !end.Ended() {
 			continue
 		}
@@ -61,6 +62,7 @@
 		if out.err != nil {
 			return
 		}
+		s.meters.delivered(q, pieces)
 		if end.Ended() {
 			s.endStream(out, q, in, end)
 			return
@@ -76,6 +78,7 @@
 	defer out.send()
 	if end.Err != nil {
 		f := asRefusal(end.Err)
+		s.meters.refused(f.Code)
 		s.config.Record.Add(q.generation.ID, "entry", "ended", "%s: %s", f.Code, f.Message)
 		out.event(errorBody(q.generation.ID, f))
 		return
