--- a/gladeentry/server.go
+++ b/gladeentry/server.go
@@ -105,6 +105,11 @@
 	s.mux.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), requestIDKey{}, id)))
 }
 
+// State returns what a state dump shows.
+func (s *Server) State() State {
+	return s.runs.state()
+}
+
 type requestIDKey struct{}
 
 func requestID(r *http.Request) string {
