--- a/gladedaemon/streams.go
+++ b/gladedaemon/streams.go
@@ -43,9 +43,9 @@
 		return err
 	}
 	runner := gladestream.NewRunner(gladestream.Config{
-		OnStart: func(r *gladestream.Run) {
-			notes.Track(r)
-			standby.OnStart(r)
+		OnStart: func(run *gladestream.Run) {
+			standby.OnStart(run)
+			notes.Track(run)
 		},
 		Choose: func(_ context.Context, n gladeapi.Need) (gladeapi.Choice, error) {
 			return table.Choose(notes.State().Models[n.Target.Model].Pool, n)
