--- a/cmd/gladebench/experiment.go
+++ b/cmd/gladebench/experiment.go
@@ -11,6 +11,7 @@
 			resumeCommand(),
 			entryCostCommand(),
 			membershipCommand(),
+			takeoverCommand(),
 		},
 	}
 }
--- a/gladepeer/exchange.go
+++ b/gladepeer/exchange.go
@@ -19,6 +19,8 @@
 	relaysPerDomain = 2
 	// maxRelayed bounds the other failure domains that one VM exchanges with in one interval.
 	maxRelayed = 2
+	// remoteSections is the number of other failure domains in each digest.
+	remoteSections = 1
 	// strayOneIn is how seldom an address outside the live members is tried.
 	strayOneIn = 4
 	// pauseIntervals is the number of missed intervals that count as a pause of this VM.
@@ -190,7 +192,7 @@
 	}
 }
 
-// digest returns this failure domain's short digest and one other's, in turn; n.mu is held.
+// digest returns this failure domain's short digest and some others', in turn; n.mu is held.
 func (n *Node) digest() []section {
 	sections := []section{n.beats(n.self.FailureDomain)}
 	domains := map[string]bool{}
@@ -201,9 +203,12 @@
 	if len(domains) == 0 {
 		return sections
 	}
-	n.turn++
 	others := slices.Sorted(maps.Keys(domains))
-	return append(sections, n.beats(others[n.turn%len(others)]))
+	for range min(remoteSections, len(others)) {
+		n.turn++
+		sections = append(sections, n.beats(others[n.turn%len(others)]))
+	}
+	return sections
 }
 
 func (n *Node) serveExchange(_ context.Context, _ string, in message) (message, error) {
--- a/gladepeer/node.go
+++ b/gladepeer/node.go
@@ -36,13 +36,13 @@
 	defaultInterval     = time.Second
 	defaultSuspicion    = 5 * time.Second
 	defaultForgetAfter  = 2 * time.Minute
-	defaultFanout       = 1
+	defaultFanout       = 2
 	defaultCallTimeout  = 10 * time.Second
 	defaultMessageBytes = 8 << 20
 	maxFactBytes        = 16 << 10
 	maxTombstones       = 8192
 	// remoteSuspicion multiplies Suspicion for members of other failure domains.
-	remoteSuspicion = 3
+	remoteSuspicion = 4
 )
 
 // Config configures a Node.
@@ -54,11 +54,11 @@
 	// Interval is the time between exchanges; zero means 1 s.
 	Interval time.Duration
 	// Suspicion is the silence after which a member of the same failure domain counts as dead; zero means 5 s.
-	// Members of other failure domains are given three times as long.
+	// Members of other failure domains are given four times as long.
 	Suspicion time.Duration
 	// ForgetAfter is the silence after which a member is removed; zero means 2 minutes.
 	ForgetAfter time.Duration
-	// Fanout is the number of members of the failure domain asked at each interval; zero means 1.
+	// Fanout is the number of members of the failure domain asked at each interval; zero means 2.
 	Fanout int
 	// CallTimeout bounds calls whose context has no deadline; zero means 10 s.
 	CallTimeout time.Duration
@@ -107,7 +107,9 @@
 	conns  map[*jsonrpc2.Conn]struct{}
 	busy   map[string]bool
 	turn   int
-	seen   *lru.Cache[string, struct{}]
+	// notices are the functions by name, seen the identifiers of those that have arrived.
+	notices map[string]func(origin string, body json.RawMessage) error
+	seen    *lru.Cache[string, struct{}]
 }
 
 type handler func(ctx context.Context, params json.RawMessage) (any, error)
@@ -143,7 +145,7 @@
 	}
 	seen, err := lru.New[string, struct{}](maxTombstones)
 	if err != nil {
-		return nil, eris.Wrap(err, "seen rumours")
+		return nil, eris.Wrap(err, "seen notices")
 	}
 	n := &Node{
 		config:    c,
@@ -157,9 +159,11 @@
 		links:     map[string]*link{},
 		conns:     map[*jsonrpc2.Conn]struct{}{},
 		busy:      map[string]bool{},
+		notices:   map[string]func(string, json.RawMessage) error{},
 		seen:      seen,
 	}
 	Handle(n, methodExchange, n.serveExchange)
+	Handle(n, methodNotice, n.serveNotice)
 	return n, nil
 }
 
--- a/gladepeer/node_test.go
+++ b/gladepeer/node_test.go
@@ -248,6 +248,30 @@
 	})
 }
 
+func TestNoticeReachesMost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		nodes, closers := fleet(c, &gladewire.Network{}, 30, 2)
+		counts := make([]atomic.Int64, len(nodes))
+		for i, n := range nodes {
+			HandleNotice(n, "suspect", func(_ string, body uint64) { counts[i].Add(int64(body)) })
+		}
+		time.Sleep(20 * time.Second)
+		c.Assert(Notify(nodes[0], "suspect", uint64(1)), qt.IsNil)
+		c.Assert(eris.Is(Notify(nodes[0], "suspect", make([]byte, maxNoticeBytes)), ErrTooLarge), qt.IsTrue)
+		time.Sleep(time.Second)
+		reached := 0
+		for i := range counts {
+			c.Assert(counts[i].Load() <= 1, qt.IsTrue)
+			reached += int(counts[i].Load())
+		}
+		c.Assert(reached >= 20, qt.IsTrue, qt.Commentf("%d VMs reached", reached))
+		for _, closeNode := range closers {
+			closeNode()
+		}
+	})
+}
+
 func FuzzAnswer(f *testing.F) {
 	f.Add([]byte(`{"s":[{"d":"domain-0","s":1,"b":"AAAA","e":"AAAAAAAAAAAAAAAAAAA="}],"w":[1,2],"r":[{"name":"x"}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
