--- a/gladedaemon/streams.go
+++ b/gladedaemon/streams.go
@@ -43,7 +43,10 @@
 		return err
 	}
 	runner := gladestream.NewRunner(gladestream.Config{
-		OnStart: standby.OnStart,
+		OnStart: func(run *gladestream.Run) {
+			standby.OnStart(run)
+			notes.Track(run)
+		},
 		Choose: func(_ context.Context, n gladeapi.Need) (gladeapi.Choice, error) {
 			return table.Choose(notes.State().Models[n.Target.Model].Pool, n)
 		},
