--- /dev/null
+++ b/cmd/gladebench/processor.go
@@ -0,0 +1,15 @@
+package main
+
+import (
+	"syscall"
+	"time"
+)
+
+// processorTime returns the processor time that this process has spent.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
