Show that the checks catch deliberate breakages

Cause: a check that never fails proves nothing. Change: a table of breakages, each made by a test around the stand-ins or the callers' handler (new seams gladecluster.Config.Wrap and OnVM, gladedaemon.Config.Callers): token left out, old attempt's token, other generation's token, wrong prefix hash, another's answer, notRun that ran, repeated non-idempotent call, skipped claim, hidden leaving, cutting stop, note backwards. A plain service's own error status is no refusal.

--- a/gladecaller/call.go
+++ b/gladecaller/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -32,6 +33,7 @@
 
 // CallAnswer is all that a caller got for one Call.
 type CallAnswer struct {
+	// Status is the plain service's own, zero if its answer did not arrive.
 	Status  int
 	Body    string
 	Refusal *gladeapi.Refusal
@@ -93,15 +95,16 @@
 	defer func() { _ = response.Body.Close() }()
 	t.Status = response.StatusCode
 	t.RequestID = response.Header.Get(gladeentry.HeaderRequestID)
-	if response.StatusCode != http.StatusOK {
-		t.Refusal, t.Err = readRefusal(response.StatusCode, response.Body)
-		return t
-	}
 	raw, err := io.ReadAll(io.LimitReader(response.Body, maxCallAnswerBytes))
 	if err != nil {
 		t.Err = eris.Wrap(ErrCut, err.Error())
 		return t
 	}
+	var e gladeentry.ErrorBody
+	if response.StatusCode != http.StatusOK && json.Unmarshal(raw, &e) == nil && e.Error.Code != "" {
+		t.Refusal = refusalOf(response.StatusCode, &e)
+		return t
+	}
 	a.Status, a.Body = response.StatusCode, string(raw)
 	return t
 }
--- a/gladecluster/cluster.go
+++ b/gladecluster/cluster.go
@@ -61,6 +61,10 @@
 	Settings func(*gladeconfig.Settings)
 	// Note is the first release note; nil means DefaultNote.
 	Note *gladenote.Note
+	// Wrap replaces the handler of a stand-in, or of a VM's callers, if set.
+	Wrap func(host string, h http.Handler) http.Handler
+	// OnVM is called with each VM that has started, if set.
+	OnVM func(*VM)
 	// OnArrival is called with all work that reaches a backend server, if set.
 	OnArrival func(Arrival)
 	Log       hclog.Logger
@@ -153,6 +157,9 @@
 	}
 	c.EnginePool = cmp.Or(c.EnginePool, PoolName)
 	c.ServicePool = cmp.Or(c.ServicePool, DefaultServicePool)
+	if c.Wrap == nil {
+		c.Wrap = func(_ string, h http.Handler) http.Handler { return h }
+	}
 	k := &Cluster{Platform: &gladestandin.Platform{}, Ledger: &gladestandin.Ledger{}, config: c}
 	if err := k.start(); err != nil {
 		k.close()
--- a/gladecluster/host.go
+++ b/gladecluster/host.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		return "", nil, err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readyTimeout}
+	s := &http.Server{Handler: k.config.Wrap(name, h), ReadHeaderTimeout: readyTimeout}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/gladecluster/process.go
+++ b/gladecluster/process.go
@@ -92,7 +92,8 @@
 	on := k.host(name)
 	d, _, err := gladedaemon.New(gladedaemon.Config{
 		Settings: k.settings(domain, name), Dial: on.dial, Listen: on.listen,
-		Log: k.config.Log.Named(name), Check: k.config.Check,
+		Callers: func(h http.Handler) http.Handler { return k.config.Wrap(name, h) },
+		Log:     k.config.Log.Named(name), Check: k.config.Check,
 	})
 	if err != nil {
 		return nil, err
@@ -119,6 +120,9 @@
 		cancel()
 		<-done
 	})
+	if k.config.OnVM != nil {
+		k.config.OnVM(v)
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.VMs = append(k.VMs, v)
--- a/gladedaemon/daemon.go
+++ b/gladedaemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync/atomic"
 
 	"github.com/hashicorp/go-hclog"
@@ -39,7 +40,9 @@
 	// Dial and Listen replace the network, if set.
 	Dial   gladeapi.Dial
 	Listen gladeapi.Listen
-	Log    hclog.Logger
+	// Callers wraps the handler of the callers' requests, if set.
+	Callers func(http.Handler) http.Handler
+	Log     hclog.Logger
 	// Check receives broken invariants; nil makes one that logs.
 	Check *gladecheck.Checker
 }
@@ -50,6 +53,7 @@
 	settings gladeconfig.Settings
 	dial     gladeapi.Dial
 	listen   gladeapi.Listen
+	callers  func(http.Handler) http.Handler
 	log      hclog.Logger
 	check    *gladecheck.Checker
 	record   *gladerecord.Recorder
@@ -68,6 +72,7 @@
 		settings: c.Settings,
 		dial:     c.Dial,
 		listen:   c.Listen,
+		callers:  c.Callers,
 		log:      c.Log,
 		check:    c.Check,
 		metrics:  metrics.NewRegistry(),
@@ -75,6 +80,9 @@
 	if d.listen == nil {
 		d.listen = net.Listen
 	}
+	if d.callers == nil {
+		d.callers = func(h http.Handler) http.Handler { return h }
+	}
 	if d.log == nil {
 		d.log = hclog.NewNullLogger()
 	}
--- a/gladedaemon/entry.go
+++ b/gladedaemon/entry.go
@@ -57,7 +57,7 @@
 		Record:       d.record,
 	})
 	d.kernel.OnDump("entry", func() any { return server.State() })
-	address, shutdown, err := d.serve(d.settings.Entry.Listen, d.closing(server))
+	address, shutdown, err := d.serve(d.settings.Entry.Listen, d.closing(d.callers(server)))
 	if err != nil {
 		return err
 	}
