--- a/gladeconfig/load.go
+++ b/gladeconfig/load.go
@@ -86,7 +86,7 @@
 func (l *loader) profile(tree map[string]any) Settings {
 	name, ok := tree["profile"].(string)
 	if !ok {
-		return Default()
+		name = ProfileNileFixer
 	}
 	s, err := Profile(name)
 	if err != nil {
--- a/gladeconfig/profile.go
+++ b/gladeconfig/profile.go
@@ -19,7 +19,7 @@
 )
 
 var profiles = map[string]func(*Settings){
-	ProfileNileFixer:  func(*Settings) {},
+	ProfileNileFixer:  preferLatency,
 	ProfileRathuPaara: preferResources,
 }
 
@@ -36,9 +36,16 @@
 	return s, nil
 }
 
+// preferLatency holds every shown token at a standby, so that a loss of VM and engine together repeats no work.
+func preferLatency(s *Settings) {
+	s.Standby.ReleaseAtOnce = false
+	s.Standby.BatchInterval = Duration(20 * time.Millisecond)
+	s.Standby.ProtectTokens = 0
+}
+
 // preferResources gives up some resume latency for fewer messages and less work done twice.
 func preferResources(s *Settings) {
 	s.Standby.ReleaseAtOnce = true
-	s.Standby.ProtectAfter = Duration(2 * time.Second)
-	s.Standby.BatchInterval = Duration(250 * time.Millisecond)
+	s.Standby.BatchInterval = Duration(200 * time.Millisecond)
+	s.Standby.ProtectTokens = 64
 }
