--- a/gladedaemon/notes_status.go
+++ b/gladedaemon/notes_status.go
@@ -35,13 +35,15 @@
 	at map[string]time.Time
 }
 
-func (h *heardDomains) mark(domain string) {
+func (h *heardDomains) mark(domain string, at time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.at == nil {
 		h.at = map[string]time.Time{}
 	}
-	h.at[domain] = time.Now()
+	if at.After(h.at[domain]) {
+		h.at[domain] = at
+	}
 }
 
 func (h *heardDomains) last(domain string) time.Time {
@@ -68,7 +70,7 @@
 	cancel()
 	domains := map[string]bool{n.domain: true}
 	for _, m := range n.node.Members() {
-		n.heard.mark(m.FailureDomain)
+		n.heard.mark(m.FailureDomain, m.Heard)
 	}
 	for _, name := range n.heard.names() {
 		domains[name] = true
@@ -111,7 +113,7 @@
 		d, err := gladepeer.Call[domainQuery, gladenote.DomainStatus](call, n.node, m.Name, methodNoteDomain, domainQuery{Number: number})
 		cancel()
 		if err == nil {
-			n.heard.mark(domain)
+			n.heard.mark(domain, time.Now())
 			return d
 		}
 		reason = "can't be heard: " + err.Error()
