Avoid engines and failure domains that went silent, for all streams of a VM

Change: the streams of a Runner share which engines they lost; an engine is avoided for 5 s or until it sends a token, and a whole failure domain once two of its engines are silent and no token has come from it since. Dials are bounded by 500 ms. A watchdog whose timer fires late waits for a grace, as its own process was paused.

--- a/cmd/gladebench/entry_cost.go
+++ b/cmd/gladebench/entry_cost.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -40,7 +39,7 @@
 			&cli.IntFlag{Name: "tokens", Value: 400, Destination: &c.tokens},
 			&cli.IntFlag{Name: "prompt-words", Value: 600, Usage: "words of each prompt", Destination: &c.prompt},
 			&cli.IntFlag{Name: "rounds", Value: 3, Destination: &c.rounds},
-			&cli.DurationFlag{Name: "token-time", Value: 20 * time.Millisecond, Destination: &c.tokenTime},
+			&cli.DurationFlag{Name: tokenTimeFlag, Value: 20 * time.Millisecond, Destination: &c.tokenTime},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error { return runEntryCost(ctx, c) },
 	}
@@ -167,11 +166,3 @@
 	}
 	return nil
 }
-
-func processorTime() time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
--- a/cmd/gladebench/resume.go
+++ b/cmd/gladebench/resume.go
@@ -25,6 +25,7 @@
 	maxGap         = 5 * time.Minute
 	significant    = 3
 	resumeSeed     = 11
+	tokenTimeFlag  = "token-time"
 )
 
 // resumeConfig is what the flags of the experiment set.
@@ -52,7 +53,7 @@
 			&cli.IntFlag{Name: "loss-at", Value: 150, Usage: "tokens after which engines are lost", Destination: &c.lossAt},
 			&cli.IntFlag{Name: "prompt-words", Value: 600, Usage: "words of each prompt", Destination: &c.prompt},
 			&cli.IntFlag{Name: "rounds", Value: 3, Destination: &c.rounds},
-			&cli.DurationFlag{Name: "token-time", Value: 20 * time.Millisecond, Destination: &c.tokenTime},
+			&cli.DurationFlag{Name: tokenTimeFlag, Value: 20 * time.Millisecond, Destination: &c.tokenTime},
 			&cli.DurationFlag{Name: "prefill-time", Value: 50 * time.Microsecond, Destination: &c.prefillTime},
 			&cli.DurationFlag{Name: "pause", Value: 3 * time.Second, Destination: &c.pause},
 			&cli.BoolFlag{Name: "json", Usage: "print JSON instead of a table"},
--- a/cmd/gladebench/resume_pool.go
+++ b/cmd/gladebench/resume_pool.go
@@ -84,10 +84,11 @@
 		Choose: func(_ context.Context, n gladeapi.Need) (gladeapi.Choice, error) {
 			return table.Choose(resumePoolName, n)
 		},
-		Open:   client.Open,
-		Attach: client.Attach,
-		Probe:  client.Probe,
-		Cancel: client.Cancel,
+		Open:    client.Open,
+		Attach:  client.Attach,
+		Probe:   client.Probe,
+		Cancel:  client.Cancel,
+		Servers: table.Backends,
 		Suspects: gladesuspect.New(gladesuspect.Config{
 			Servers: table.Backends,
 			Down:    func(ctx context.Context, b gladeapi.BackendServer) bool { return client.Probe(ctx, b) != nil },
--- a/gladedaemon/streams.go
+++ b/gladedaemon/streams.go
@@ -57,6 +57,7 @@
 		Probe:         engines.Probe,
 		Cancel:        engines.Cancel,
 		Suspects:      suspects,
+		Servers:       func() []gladeapi.BackendServer { return enginesOf(table) },
 		Timeouts:      d.timeouts(),
 		MaxAttempts:   d.settings.Generations.MaxAttempts,
 		AttachTimeout: d.settings.Generations.JoinTimeout.D(),
--- a/gladeengine/client.go
+++ b/gladeengine/client.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"slices"
@@ -33,6 +35,7 @@
 )
 
 const (
+	defaultDialTimeout = 500 * time.Millisecond
 	idleConnsPerEngine = 256
 	maxAnswerBytes     = 8 << 20
 	maxErrorBytes      = 1 << 10
@@ -44,6 +47,8 @@
 type Config struct {
 	// Dial replaces the network, if set.
 	Dial gladeapi.Dial
+	// DialTimeout bounds the wait for a connection; zero means 500 ms.
+	DialTimeout time.Duration
 }
 
 // Client calls engines, whichever their addresses.
@@ -53,8 +58,17 @@
 
 // New returns a client and its clean-up function.
 func New(c Config) (*Client, func()) {
+	if c.Dial == nil {
+		c.Dial = (&net.Dialer{}).DialContext
+	}
+	timeout := cmp.Or(c.DialTimeout, defaultDialTimeout)
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		return c.Dial(ctx, network, address)
+	}
 	transport := &http.Transport{
-		DialContext:         c.Dial,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: idleConnsPerEngine,
 		DisableCompression:  true,
 	}
@@ -94,9 +108,13 @@
 	return err
 }
 
-// Probe returns an error that is gladestream.ErrNotOpened if nothing answers at the engine's address.
+// Probe returns an error that is gladestream.ErrNotOpened if no process listens at the engine's address; a host
+// that does not answer at all may as well be cut off.
 func (c *Client) Probe(ctx context.Context, b gladeapi.BackendServer) error {
 	response, err := c.do(ctx, http.MethodGet, b.Address, "/health", nil)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return eris.Wrapf(ErrBroken, "no answer: %v", err)
+	}
 	if err != nil {
 		return err
 	}
--- a/gladestream/choose.go
+++ b/gladestream/choose.go
@@ -66,23 +66,32 @@
 	return x.pick(ctx, &v)
 }
 
-// pick chooses an engine apart from other suspects and from those that failed, if there is one.
+// pick chooses an engine that is in no trouble, apart from other suspects and from those that failed, if there is one.
 func (x *execution) pick(ctx context.Context, v *gladesuspect.Verdict) (gladeapi.Choice, *gladesuspect.Visit, error) {
 	avoid := slices.Concat(x.avoid, v.Avoid)
+	troubled := x.troubles.avoid(x.config.Servers)
+	choice, visit, err := x.pickApart(ctx, v, slices.Concat(avoid, troubled))
+	if err != nil && !final(err) && len(troubled) > 0 {
+		choice, visit, err = x.pickApart(ctx, v, avoid)
+	}
+	if err != nil && !final(err) && v.Suspect {
+		choice, visit, err = x.pickFrom(ctx, v, slices.Concat(x.avoid, v.Forbid), false)
+	}
+	return choice, visit, err
+}
+
+// pickApart chooses an engine that runs no other suspect if the request is one.
+func (x *execution) pickApart(
+	ctx context.Context, v *gladesuspect.Verdict, avoid []string,
+) (gladeapi.Choice, *gladesuspect.Visit, error) {
 	for range maxApartTries {
 		choice, visit, err := x.pickFrom(ctx, v, avoid, true)
-		if err == nil || final(err) {
-			return choice, visit, err
-		}
 		if !errors.Is(err, errApart) {
-			break
+			return choice, visit, err
 		}
 		avoid = append(avoid, choice.Backend.ID)
 	}
-	if !v.Suspect {
-		return gladeapi.Choice{}, nil, errNoEngine
-	}
-	return x.pickFrom(ctx, v, slices.Concat(x.avoid, v.Forbid), false)
+	return gladeapi.Choice{}, nil, errNoEngine
 }
 
 func (x *execution) pickFrom(
--- a/gladestream/execution.go
+++ b/gladestream/execution.go
@@ -114,6 +114,9 @@
 	if errors.Is(err, ErrMoved) {
 		x.metrics.moves.Inc(1)
 	}
+	if !errors.Is(err, ErrMoved) {
+		x.troubles.lost(&p.backend)
+	}
 	x.avoid = append(slices.DeleteFunc(x.avoid, func(id string) bool { return id == p.backend.ID }), p.backend.ID)
 	switch {
 	case x.journal.Len() > p.from:
@@ -171,7 +174,7 @@
 	inner, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer x.enter(p.backend.ID, p.attempt, cancel)()
-	w := newWatchdog(func() { cancel(ErrStalled) })
+	w := newWatchdog(x.config.Timeouts.Floor, func() { cancel(ErrStalled) })
 	defer w.stop()
 	err := work(inner, w)
 	if err != nil && context.Cause(inner) != nil {
--- a/gladestream/faults_test.go
+++ b/gladestream/faults_test.go
@@ -1,6 +1,7 @@
 package gladestream_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -187,3 +188,32 @@
 		}
 	})
 }
+
+func TestWholeFailureDomainStalledOrCutOff(t *testing.T) {
+	for name, lose := range map[string]func(*pool, int){
+		"stalled": func(p *pool, i int) { p.engines[i].SetFaults(gladestandin.Faults{Stall: true}) },
+		"paused":  func(p *pool, i int) { p.network.Pause(p.servers[i].ID) },
+	} {
+		for _, streams := range []int{1, 24} {
+			t.Run(fmt.Sprint(name, streams), func(t *testing.T) {
+				virtual(t, gladestandin.EngineConfig{}, []int{6, 6, 6}, func(p *pool) {
+					runs := make([]*gladestream.Run, streams)
+					for i := range runs {
+						runs[i] = p.runner.Start(generation(string(rune('a'+i)), prompt+string(rune('a'+i)), 500))
+					}
+					time.Sleep(500 * time.Millisecond)
+					for i := range 6 {
+						lose(p, i)
+					}
+					for i, run := range runs {
+						p.exact(wait(run), prompt+string(rune('a'+i)), 500)
+					}
+					for _, s := range p.servers[:6] {
+						p.network.Resume(s.ID)
+					}
+					p.settled()
+				})
+			})
+		}
+	}
+}
--- a/gladestream/follow.go
+++ b/gladestream/follow.go
@@ -9,25 +9,6 @@
 	"github.com/eelgrassglade/eelgrassglade/gladecheck"
 )
 
-// watchdog calls a function when nothing has happened for a time.
-type watchdog struct {
-	timer *time.Timer
-}
-
-func newWatchdog(f func()) *watchdog {
-	w := &watchdog{timer: time.AfterFunc(time.Hour, f)}
-	w.timer.Stop()
-	return w
-}
-
-func (w *watchdog) wait(d time.Duration) {
-	w.timer.Reset(d)
-}
-
-func (w *watchdog) stop() {
-	w.timer.Stop()
-}
-
 // follow takes the events of an attempt into the journal, and joins the attempt again if only the connection is lost.
 func (x *execution) follow(ctx context.Context, p *place, s *Source, w *watchdog) error {
 	for {
@@ -93,6 +74,7 @@
 // gained notes that tokens have come.
 func (x *execution) gained(p *place, e Event, now time.Time) {
 	p.numbered = e.First >= 0
+	x.troubles.token(&p.backend, now)
 	limit := x.g.Sampling.MaxTokens
 	x.config.Check.That(limit == 0 || x.journal.Len() <= limit, gladecheck.TokensOnce, "%s: %d tokens of %d",
 		x.g.ID, x.journal.Len(), limit)
--- a/gladestream/pool_test.go
+++ b/gladestream/pool_test.go
@@ -67,6 +67,7 @@
 			Probe:    client.Probe,
 			Cancel:   client.Cancel,
 			Suspects: p.suspects,
+			Servers:  p.table.Backends,
 			Check:    &gladecheck.Checker{OnBroken: func(i gladecheck.Invariant, m string) { t.Errorf("%s: %s", i, m) }},
 		}
 		p.runner = gladestream.NewRunner(p.config)
--- a/gladestream/runner.go
+++ b/gladestream/runner.go
@@ -30,6 +30,8 @@
 type Config struct {
 	// Choose picks the engine of an attempt.
 	Choose func(context.Context, gladeapi.Need) (gladeapi.Choice, error)
+	// Servers are all known engines, by which a failure domain in trouble is avoided whole; nil avoids engines only.
+	Servers func() []gladeapi.BackendServer
 	// Blocks returns the hashes of a prompt's leading blocks for Choose; nil leaves them out.
 	Blocks func(*gladeapi.Generation) []uint64
 	// Open starts an attempt on an engine.
@@ -61,9 +63,10 @@
 
 // Runner runs generations.
 type Runner struct {
-	config  Config
-	metrics *instruments
-	paces   paces
+	config   Config
+	metrics  *instruments
+	paces    paces
+	troubles troubles
 
 	mu   sync.Mutex
 	live map[string]map[gladeapi.Attempt]context.CancelCauseFunc
--- /dev/null
+++ b/gladestream/watchdog_test.go
@@ -0,0 +1,49 @@
+package gladestream
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+)
+
+func TestWatchdogOfAPausedProcessWaitsForTheGrace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := 0
+		w := newWatchdog(time.Second, func() { calls++ })
+		w.deadline.Store(time.Now().Add(-time.Minute).UnixNano())
+		w.fire()
+		qt.Assert(t, calls, qt.Equals, 0)
+		time.Sleep(2 * time.Second)
+		qt.Assert(t, calls, qt.Equals, 1)
+	})
+}
+
+func TestTroublesOfAFailureDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		all := []gladeapi.BackendServer{
+			{ID: "a1", FailureDomain: "a"}, {ID: "a2", FailureDomain: "a"}, {ID: "a3", FailureDomain: "a"},
+			{ID: "b1", FailureDomain: "b"}, {ID: "b2", FailureDomain: "b"},
+		}
+		servers := func() []gladeapi.BackendServer { return all }
+		var x troubles
+		x.token(&all[0], time.Now())
+		time.Sleep(time.Millisecond)
+		x.lost(&all[0])
+		c.Assert(x.avoid(servers), qt.DeepEquals, []string{"a1"})
+		x.lost(&all[1])
+		c.Assert(x.avoid(servers), qt.Contains, "a3")
+		c.Assert(x.avoid(servers), qt.Not(qt.Contains), "b1")
+		time.Sleep(time.Millisecond)
+		x.token(&all[2], time.Now())
+		c.Assert(x.avoid(servers), qt.Not(qt.Contains), "a3")
+		x.token(&all[0], time.Now())
+		c.Assert(x.avoid(servers), qt.DeepEquals, []string{"a2"})
+		time.Sleep(2 * troubleTime)
+		c.Assert(x.avoid(servers), qt.HasLen, 0)
+	})
+}
