--- a/gladecaller/call.go
+++ b/gladecaller/call.go
@@ -100,9 +100,9 @@
 		t.Err = eris.Wrap(ErrCut, err.Error())
 		return t
 	}
-	var e gladeentry.ErrorBody
-	if response.StatusCode != http.StatusOK && json.Unmarshal(raw, &e) == nil && e.Error.Code != "" {
-		t.Refusal = refusalOf(response.StatusCode, &e)
+	var body gladeentry.ErrorBody
+	if response.StatusCode != http.StatusOK && json.Unmarshal(raw, &body) == nil && body.Error.Code != "" {
+		t.Refusal = refusalOf(response.StatusCode, &body)
 		return t
 	}
 	a.Status, a.Body = response.StatusCode, string(raw)
