--- a/gladecluster/arrival.go
+++ b/gladecluster/arrival.go
@@ -14,7 +14,8 @@
 
 // Arrival is work that reached a backend server.
 type Arrival struct {
-	Backend string
+	Backend     string
+	Incarnation string
 	// RequestID is the caller's request, without the number and nonce of an attempt.
 	RequestID string
 	Key       string
@@ -22,12 +23,13 @@
 }
 
 // observe reports the work that reaches a backend server before the server sees it.
-func (k *Cluster) observe(backend string, h http.Handler) http.Handler {
+func (k *Cluster) observe(s *Server, h http.Handler) http.Handler {
 	if k.config.OnArrival == nil {
 		return h
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		a := Arrival{Backend: backend, At: time.Now(), Key: r.Header.Get(gladeentry.HeaderIdempotencyKey)}
+		a := Arrival{Backend: s.Backend.ID, Incarnation: s.Backend.Incarnation, At: time.Now()}
+		a.Key = r.Header.Get(gladeentry.HeaderIdempotencyKey)
 		a.RequestID = r.Header.Get(gladeentry.HeaderRequestID)
 		if r.URL.Path == "/v1/completions" {
 			a.RequestID = attemptOf(r)
--- a/gladecluster/process.go
+++ b/gladecluster/process.go
@@ -64,7 +64,7 @@
 
 func (k *Cluster) startServer(s *Server, h http.Handler) error {
 	id := s.Backend.ID
-	address, kill, err := k.serve(id, k.observe(id, h))
+	address, kill, err := k.serve(id, k.observe(s, h))
 	if err != nil {
 		return err
 	}
--- a/gladereplay/fault.go
+++ b/gladereplay/fault.go
@@ -83,7 +83,7 @@
 	},
 	LeaveBackend: {target: true, ends: true, begin: func(r *run, f *Fault) error {
 		return r.eachEngine(f.Target, func(e *gladecluster.Server) error {
-			r.leaving(e.Backend.ID)
+			r.leaving(e.Backend.ID + "/" + e.Backend.Incarnation)
 			return r.cluster.Leave(e.Backend.ID, f.For.D())
 		})
 	}},
--- a/gladereplay/judge.go
+++ b/gladereplay/judge.go
@@ -112,7 +112,7 @@
 // judgeLeaving checks that a leaving backend server got no new request after the grace.
 func (r *run) judgeLeaving() {
 	for _, a := range r.arrivals {
-		from, leaving := r.leavingFrom[a.Backend]
+		from, leaving := r.leavingFrom[a.Backend+"/"+a.Incarnation]
 		if leaving && a.At.After(from.Add(leavingGrace)) {
 			r.fail(gladecheck.LeavingGetsNoWork, a.RequestID, "%s got it %s after it was leaving", a.Backend, a.At.Sub(from))
 		}
--- a/gladereplay/run.go
+++ b/gladereplay/run.go
@@ -303,6 +303,7 @@
 	r.disturbed[name] = true
 }
 
+// leaving notes since when a backend server of an incarnation is announced as leaving.
 func (r *run) leaving(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
