Show a credit posting in the demo; kill only engines that were busy at first

Cause: a test that killed busy engines one by one could kill the one just resumed on. Change: the list is taken before the first kill; the demo posts one credit to two VMs at once. Conclusion: the tests kill what they mean to.

--- a/cmd/gladebench/demo.go
+++ b/cmd/gladebench/demo.go
@@ -7,12 +7,15 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
+	"github.com/eelgrassglade/eelgrassglade/gladecaller"
 	"github.com/eelgrassglade/eelgrassglade/gladecluster"
 	"github.com/eelgrassglade/eelgrassglade/gladeentry"
 	"github.com/eelgrassglade/eelgrassglade/gladerecord"
@@ -37,12 +40,14 @@
 func demo(ctx context.Context, _ *cli.Command) error {
 	k, closeCluster, err := gladecluster.New(gladecluster.Config{
 		FailureDomains: []string{"shubra", "helwan", "giza"},
+		Services:       1,
 	})
 	if err != nil {
 		return err
 	}
 	defer closeCluster()
-	fmt.Printf("%d VMs, %d engines in 3 failure domains are ready\n", len(k.VMs), len(k.Engines))
+	fmt.Printf("%d VMs, %d engines, %d plain services in 3 failure domains are ready\n",
+		len(k.VMs), len(k.Engines), len(k.Services))
 	r, err := streamAndKill(ctx, k)
 	if err != nil {
 		return err
@@ -52,7 +57,36 @@
 	}
 	fmt.Printf("engine killed after token %d; output went on after %s; %d tokens, none missing or repeated\n",
 		demoKillAt, r.gap.Round(100*time.Microsecond), len(r.texts))
-	return printExplain(ctx, k.VMs[0], r.request)
+	if err := printExplain(ctx, k.VMs[0], r.request); err != nil {
+		return err
+	}
+	return postTwice(ctx, k)
+}
+
+// postTwice sends one credit posting to two VMs at once.
+func postTwice(ctx context.Context, k *gladecluster.Cluster) error {
+	caller, closeCaller := k.Caller()
+	defer closeCaller()
+	var tasks sync.WaitGroup
+	answers := make([]*gladecaller.CallAnswer, 2)
+	for i := range answers {
+		tasks.Go(func() {
+			answers[i] = caller.Call(ctx, gladecaller.Call{
+				Route: gladecluster.CreditsRoute, Body: "credit lab seven", Key: "credit-7", Entry: k.VMs[i].Name,
+			})
+		})
+	}
+	tasks.Wait()
+	for _, a := range answers {
+		if !a.Answered() {
+			return eris.Errorf("credit posting: refusal %v, error %v", a.Refusal, a.Err)
+		}
+	}
+	if n := k.Ledger.Total(); n != 1 {
+		return eris.Errorf("credit posting ran %d times", n)
+	}
+	fmt.Println("one credit posting sent to two VMs at once ran once; both got its answer")
+	return nil
 }
 
 type demoResult struct {
@@ -114,10 +148,9 @@
 }
 
 func killBusy(k *gladecluster.Cluster) {
-	for _, e := range k.Engines {
-		if e.Engine.Running() > 0 {
-			e.Kill()
-		}
+	busy := slices.DeleteFunc(k.LiveEngines(), func(e *gladecluster.Server) bool { return e.Engine.Running() == 0 })
+	for _, e := range busy {
+		e.Kill()
 	}
 }
 
--- a/gladecluster/cluster_test.go
+++ b/gladecluster/cluster_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,10 +55,9 @@
 		c.Assert(err, qt.IsNil)
 		defer closeCluster()
 		time.AfterFunc(300*time.Millisecond, func() {
-			for _, e := range k.Engines {
-				if e.Engine.Running() > 0 {
-					e.Kill()
-				}
+			busy := slices.DeleteFunc(k.LiveEngines(), func(e *Server) bool { return e.Engine.Running() == 0 })
+			for _, e := range busy {
+				e.Kill()
 			}
 		})
 		c.Assert(complete(c, k.VMs[0], 100), qt.Equals, want(100, 1))
--- a/gladeentry/openai_test.go
+++ b/gladeentry/openai_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -129,11 +130,11 @@
 	})
 }
 
+// killBusy kills the engines that run something now, not those that go on with it.
 func killBusy(k *gladecluster.Cluster) {
-	for _, e := range k.Engines {
-		if e.Engine.Running() > 0 {
-			e.Kill()
-		}
+	busy := slices.DeleteFunc(k.LiveEngines(), func(e *gladecluster.Server) bool { return e.Engine.Running() == 0 })
+	for _, e := range busy {
+		e.Kill()
 	}
 }
 
