--- a/gladeconfig/load.go
+++ b/gladeconfig/load.go
@@ -37,7 +37,7 @@
 
 // Is reports whether the target is ErrInvalid.
 func (c *Complaint) Is(target error) bool {
-	return target == ErrInvalid //nolint:errorlint // the sentinel itself is asked for
+	return target == ErrInvalid
 }
 
 // Load reads a file of settings and returns all complaints at once.
