--- a/gladeapi/generation.go
+++ b/gladeapi/generation.go
@@ -57,6 +57,8 @@
 	Messages     []byte   `json:"messages,omitempty"`
 	Sampling     Sampling `json:"sampling"`
 	Priority     int      `json:"priority"`
+	// Blocks are the hashes of the prompt's leading blocks, by which engines with its prefix are found.
+	Blocks []uint64 `json:"blocks,omitempty"`
 	// Fingerprint is the xxhash64 of target and prompt, equal for a request sent again.
 	Fingerprint uint64    `json:"fingerprint"`
 	Arrived     time.Time `json:"arrived"`
--- /dev/null
+++ b/gladeroute/blocks.go
@@ -0,0 +1,48 @@
+package gladeroute
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// BlockTokens is the number of tokens in a block of a prompt of token identifiers.
+	BlockTokens = 64
+	// BlockBytes is the number of bytes in a block of a prompt of text.
+	BlockBytes = 256
+	// MaxBlocks bounds the number of leading blocks that are hashed.
+	MaxBlocks = 32
+)
+
+// Blocks returns the hashes of a prompt's leading blocks, each over all bytes up to its end; target separates weights.
+func Blocks(target, prompt string) []uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(target + "\x00")
+	hashes := make([]uint64, 0, min(MaxBlocks, len(prompt)/BlockBytes))
+	for len(prompt) >= BlockBytes && len(hashes) < MaxBlocks {
+		_, _ = d.WriteString(prompt[:BlockBytes])
+		prompt = prompt[BlockBytes:]
+		hashes = append(hashes, d.Sum64())
+	}
+	return hashes
+}
+
+// TokenBlocks returns the hashes of the leading blocks of a prompt of token identifiers.
+func TokenBlocks(target string, tokens []int32) []uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(target + "\x00")
+	hashes := make([]uint64, 0, min(MaxBlocks, len(tokens)/BlockTokens))
+	var block [4 * BlockTokens]byte
+	for len(tokens) >= BlockTokens && len(hashes) < MaxBlocks {
+		for i, id := range tokens[:BlockTokens] {
+			binary.LittleEndian.PutUint32(block[4*i:], uint32(id))
+		}
+		_, _ = d.Write(block[:])
+		tokens = tokens[BlockTokens:]
+		hashes = append(hashes, d.Sum64())
+	}
+	return hashes
+}
--- a/gladestream/runner.go
+++ b/gladestream/runner.go
@@ -123,6 +123,7 @@
 	for {
 		choice, err := r.config.Choose(ctx, gladeapi.Need{
 			Target: g.Target,
+			Blocks: g.Blocks,
 			Avoid:  avoid,
 			Resume: j.Len() > 0,
 			Tokens: g.Sampling.MaxTokens - j.Len(),
