--- a/gladedaemon/routes.go
+++ b/gladedaemon/routes.go
@@ -15,8 +15,8 @@
 
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladepeer"
+	"github.com/eelgrassglade/eelgrassglade/gladeroster"
 	"github.com/eelgrassglade/eelgrassglade/gladeroute"
-	"github.com/eelgrassglade/eelgrassglade/gladestore"
 )
 
 const (
@@ -50,9 +50,9 @@
 }
 
 func (d *Daemon) addRoutes() error {
-	var store *gladestore.Client
+	var roster *gladeroster.Roster
 	var node *gladepeer.Node
-	if err := lookup(d, ServiceStore, &store); err != nil {
+	if err := lookup(d, ServiceRoster, &roster); err != nil {
 		return err
 	}
 	if err := lookup(d, ServicePeers, &node); err != nil {
@@ -67,16 +67,16 @@
 		ReportAge:      s.ReportAge.D(),
 		Check:          d.check,
 	}
-	d.addBackendList(store, table)
+	d.addBackendList(roster, table)
 	d.addLoads(node, table)
 	d.kernel.OnDump("routes", func() any { return table.Statuses() })
 	return d.kernel.Provide(ServiceRoutes, table)
 }
 
-func (d *Daemon) addBackendList(store *gladestore.Client, table *gladeroute.Table) {
+func (d *Daemon) addBackendList(roster *gladeroster.Roster, table *gladeroute.Table) {
 	log := d.log.Named("routes")
 	d.loop(d.settings.Platform.VMInterval, func(ctx context.Context) {
-		list, err := store.VMs(ctx)
+		list, err := roster.VMs(ctx)
 		if err != nil {
 			log.Warn("VM list not read.", "error", err)
 			return
--- a/gladeroute/blocks.go
+++ b/gladeroute/blocks.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 )
 
 const (
@@ -46,3 +48,15 @@
 	}
 	return hashes
 }
+
+// GenerationBlocks returns the hashes of the leading blocks of a generation's prompt.
+func GenerationBlocks(g *gladeapi.Generation) []uint64 {
+	target := g.Target.String()
+	switch {
+	case len(g.PromptTokens) > 0:
+		return TokenBlocks(target, g.PromptTokens)
+	case len(g.Messages) > 0:
+		return Blocks(target, string(g.Messages))
+	}
+	return Blocks(target, g.Prompt)
+}
--- a/gladeroute/choose.go
+++ b/gladeroute/choose.go
@@ -13,6 +13,8 @@
 	reasonAffinity = "holds the prefix"
 	reasonBounded  = "next for the prefix, the first is loaded"
 	reasonLoad     = "less loaded of two"
+	reasonApart    = "fewest suspects"
+	reasonLeast    = "least loaded"
 	reasonOnly     = "only one"
 	reasonFailed   = "all failed lately"
 )
@@ -41,6 +43,12 @@
 			return s, reason
 		}
 	}
+	if n.Isolate {
+		return fewestSuspects(pool, all), reasonApart
+	}
+	if t.LeastLoaded {
+		return leastLoaded(pool, all), reasonLeast
+	}
 	return byLoad(pool, all, x.near)
 }
 
@@ -131,6 +139,30 @@
 	return first, reasonLoad
 }
 
+// fewestSuspects returns the server on which this VM runs the fewest suspects, none if it can be.
+func fewestSuspects(pool []*server, all bool) *server {
+	var best *server
+	for _, s := range pool {
+		if !s.candidate(all) {
+			continue
+		}
+		if best == nil || s.suspects < best.suspects || s.suspects == best.suspects && s.load < best.load {
+			best = s
+		}
+	}
+	return best
+}
+
+func leastLoaded(pool []*server, all bool) *server {
+	var best *server
+	for _, s := range pool {
+		if s.candidate(all) && (best == nil || s.load < best.load) {
+			best = s
+		}
+	}
+	return best
+}
+
 // mix spreads the bits of a hash.
 func mix(h uint64) uint64 {
 	h ^= h >> 33
--- a/gladeroute/server.go
+++ b/gladeroute/server.go
@@ -48,7 +48,7 @@
 
 // may reports whether the server may run a request at all, failures aside.
 func (s *server) may(n *gladeapi.Need) bool {
-	if s.backend.Leaving || n.Isolate && s.suspects > 0 {
+	if s.backend.Leaving {
 		return false
 	}
 	if len(n.Avoid) > 0 && slices.Contains(n.Avoid, s.backend.ID) {
--- a/gladeroute/table.go
+++ b/gladeroute/table.go
@@ -38,7 +38,10 @@
 	Spill float64
 	// ReportAge is the age at which a load report counts for nothing; zero means 5 s.
 	ReportAge time.Duration
-	Check     *gladecheck.Checker
+	// LeastLoaded takes the least loaded of all servers, the first by identifier, instead of the less loaded of two
+	// random ones; several VMs with the same reports would all choose alike.
+	LeastLoaded bool
+	Check       *gladecheck.Checker
 
 	mu      sync.Mutex
 	servers map[string]*server
