--- a/cmd/gladebench/experiment.go
+++ b/cmd/gladebench/experiment.go
@@ -11,7 +11,9 @@
 			resumeCommand(),
 			entryCostCommand(),
 			membershipCommand(),
+			takeoverCommand(),
 			capacityCommand(),
+			randomCommand(),
 		},
 	}
 }
--- a/gladedaemon/entry.go
+++ b/gladedaemon/entry.go
@@ -52,12 +52,13 @@
 		MaxBodyBytes: d.settings.Entry.MaxBodyBytes,
 		Deadline:     d.settings.Entry.RequestDeadline.D(),
 		Grace:        d.settings.Entry.ReconnectGrace.D(),
+		Metrics:      d.metrics,
 		Log:          d.log.Named("entry"),
 		Check:        d.check,
 		Record:       d.record,
 	})
 	d.kernel.OnDump("entry", func() any { return server.State() })
-	address, shutdown, err := d.serve(d.settings.Entry.Listen, d.closing(server))
+	address, shutdown, err := d.serve(d.settings.Entry.Listen, d.closing(d.callers(server)))
 	if err != nil {
 		return err
 	}
--- a/gladedaemon/streams.go
+++ b/gladedaemon/streams.go
@@ -48,9 +48,12 @@
 		return err
 	}
 	runner := gladestream.NewRunner(gladestream.Config{
-		Blocks:  gladeroute.GenerationBlocks,
-		Retry:   budget.Retry,
-		OnStart: standby.OnStart,
+		Blocks: gladeroute.GenerationBlocks,
+		Retry:  budget.Retry,
+		OnStart: func(run *gladestream.Run) {
+			standby.OnStart(run)
+			notes.Track(run)
+		},
 		Choose: func(_ context.Context, n gladeapi.Need) (gladeapi.Choice, error) {
 			return table.Choose(notes.State().Models[n.Target.Model].Pool, n)
 		},
@@ -64,6 +67,7 @@
 		Probe:         engines.Probe,
 		Cancel:        engines.Cancel,
 		Suspects:      suspects,
+		Servers:       func() []gladeapi.BackendServer { return enginesOf(table) },
 		Timeouts:      d.timeouts(),
 		MaxAttempts:   d.settings.Generations.MaxAttempts,
 		AttachTimeout: d.settings.Generations.JoinTimeout.D(),
