--- a/cmd/gladebench/entry_cost.go
+++ b/cmd/gladebench/entry_cost.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -167,11 +166,3 @@
 	}
 	return nil
 }
-
-func processorTime() time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
--- a/cmd/gladebench/experiment.go
+++ b/cmd/gladebench/experiment.go
@@ -10,6 +10,9 @@
 		Commands: []*cli.Command{
 			resumeCommand(),
 			entryCostCommand(),
+			membershipCommand(),
+			takeoverCommand(),
+			capacityCommand(),
 		},
 	}
 }
--- a/cmd/gladebench/main.go
+++ b/cmd/gladebench/main.go
@@ -12,7 +12,7 @@
 	app := &cli.Command{
 		Name:     "gladebench",
 		Usage:    "demonstrate, load and measure eelgrassglade",
-		Commands: []*cli.Command{demoCommand(), standinCommand(), experimentCommand()},
+		Commands: []*cli.Command{demoCommand(), standinCommand(), experimentCommand(), replayCommand(), loadCommand()},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "gladebench:", err)
--- /dev/null
+++ b/cmd/gladebench/membership.go
@@ -0,0 +1,232 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+	"github.com/eelgrassglade/eelgrassglade/gladepeer"
+)
+
+const membershipPollInterval = 20 * time.Millisecond
+
+// MembershipResult is what membership costs one of a number of VMs.
+type MembershipResult struct {
+	VMs            int     `json:"vms"`
+	FailureDomains int     `json:"failureDomains"`
+	Seconds        float64 `json:"seconds"`
+	// SentBytes and ReceivedBytes are for each VM and second.
+	SentBytes     float64 `json:"sentBytes"`
+	ReceivedBytes float64 `json:"receivedBytes"`
+	// CorePercent is the share of one core that each VM takes.
+	CorePercent float64 `json:"corePercent"`
+	// JoinSeconds is the time until every VM knew every other.
+	JoinSeconds float64 `json:"joinSeconds"`
+	// FalseDeaths counts live VMs that some VM did not show as live, over all samples.
+	FalseDeaths int `json:"falseDeaths"`
+	// DetectSeconds is the time from a VM's death until no other VM showed it as live.
+	DetectSeconds float64 `json:"detectSeconds"`
+}
+
+func membershipCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "membership",
+		Usage: "measure what membership costs each VM, with all VMs in this process on loopback",
+		Flags: []cli.Flag{
+			&cli.IntSliceFlag{Name: "vms", Usage: "numbers of VMs", Value: []int{4, 15, 50, 150, 320}},
+			&cli.IntFlag{Name: "domains", Usage: "number of failure domains", Value: 6},
+			&cli.DurationFlag{Name: "for", Usage: "time measured at each number", Value: 20 * time.Second},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			for _, n := range c.IntSlice("vms") {
+				r, err := measureMembership(ctx, n, min(n, c.Int("domains")), c.Duration("for"))
+				if err != nil {
+					return err
+				}
+				if err := json.NewEncoder(os.Stdout).Encode(r); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
+type membershipFleet struct {
+	nodes    []*gladepeer.Node
+	closers  []func()
+	sent     atomic.Int64
+	received atomic.Int64
+}
+
+func measureMembership(ctx context.Context, n, domains int, d time.Duration) (*MembershipResult, error) {
+	f := &membershipFleet{}
+	defer f.close()
+	started := time.Now()
+	for i := range n {
+		if err := f.add(i, domains); err != nil {
+			return nil, err
+		}
+	}
+	if err := f.waitUntil(ctx, func() bool { return f.missing() == 0 }); err != nil {
+		return nil, err
+	}
+	r := &MembershipResult{VMs: n, FailureDomains: domains, JoinSeconds: time.Since(started).Seconds()}
+	if err := f.measure(ctx, r, d); err != nil {
+		return nil, err
+	}
+	return r, f.measureDeath(ctx, r)
+}
+
+func (f *membershipFleet) add(i, domains int) error {
+	c := gladepeer.Config{
+		Self: gladeapi.EntryVM{
+			Name:          fmt.Sprintf("vm-%03d", i),
+			FailureDomain: fmt.Sprintf("domain-%d", i%domains),
+			PeerAddress:   "127.0.0.1:0",
+			Incarnation:   "1",
+		},
+		Dial:   f.dial,
+		Listen: f.listen,
+	}
+	for _, n := range f.nodes[:min(len(f.nodes), 3)] {
+		c.Seeds = append(c.Seeds, n.Self().PeerAddress)
+	}
+	n, closeNode, err := gladepeer.New(c)
+	if err != nil {
+		return err
+	}
+	f.nodes = append(f.nodes, n)
+	f.closers = append(f.closers, closeNode)
+	return nil
+}
+
+func (f *membershipFleet) close() {
+	for _, closeNode := range f.closers {
+		closeNode()
+	}
+}
+
+func (f *membershipFleet) missing() int {
+	missing := 0
+	for _, n := range f.nodes {
+		missing += len(f.nodes) - 1 - len(n.Members())
+	}
+	return missing
+}
+
+func (f *membershipFleet) waitUntil(ctx context.Context, ok func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Minute)
+	defer cancel()
+	for !ok() {
+		select {
+		case <-time.After(membershipPollInterval):
+		case <-ctx.Done():
+			return eris.Errorf("membership has not settled, %d entries are missing", f.missing())
+		}
+	}
+	return nil
+}
+
+func (f *membershipFleet) measure(ctx context.Context, r *MembershipResult, d time.Duration) error {
+	sent, received, cpu, started := f.sent.Load(), f.received.Load(), cpuTime(), time.Now()
+	for time.Since(started) < d {
+		select {
+		case <-time.After(time.Second):
+			r.FalseDeaths += f.missing()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	r.Seconds = time.Since(started).Seconds()
+	share := r.Seconds * float64(r.VMs)
+	r.SentBytes = float64(f.sent.Load()-sent) / share
+	r.ReceivedBytes = float64(f.received.Load()-received) / share
+	r.CorePercent = 100 * (cpuTime() - cpu).Seconds() / share
+	return nil
+}
+
+func (f *membershipFleet) measureDeath(ctx context.Context, r *MembershipResult) error {
+	last := len(f.nodes) - 1
+	name := f.nodes[last].Self().Name
+	f.closers[last]()
+	f.nodes, f.closers = f.nodes[:last], f.closers[:last]
+	started := time.Now()
+	err := f.waitUntil(ctx, func() bool { return !f.shows(name) })
+	r.DetectSeconds = time.Since(started).Seconds()
+	return err
+}
+
+func (f *membershipFleet) shows(name string) bool {
+	for _, n := range f.nodes {
+		for _, m := range n.Members() {
+			if m.Name == name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func (f *membershipFleet) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: c, fleet: f}, nil
+}
+
+func (f *membershipFleet) listen(network, address string) (net.Listener, error) {
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedListener{Listener: l, fleet: f}, nil
+}
+
+type countedListener struct {
+	net.Listener
+	fleet *membershipFleet
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: c, fleet: l.fleet}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	fleet *membershipFleet
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.fleet.received.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.fleet.sent.Add(int64(n))
+	return n, err
+}
--- a/cmd/gladectl/main.go
+++ b/cmd/gladectl/main.go
@@ -9,6 +9,8 @@
 	"os"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/eelgrassglade/eelgrassglade/gladetls"
 )
 
 func main() {
@@ -16,7 +18,12 @@
 		Name:  "gladectl",
 		Usage: "read and drive eelgrassglade",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "vm", Usage: "operators' `ADDRESS` of any entry VM", Value: "127.0.0.1:8081"},
+			&cli.StringFlag{Name: flagVM, Usage: "operators' `ADDRESS` of any entry VM", Value: "127.0.0.1:8081"},
+			&cli.StringFlag{Name: flagCA, Usage: "use TLS and trust the authorities in `FILE`"},
+			&cli.StringFlag{Name: flagCert, Usage: "show the certificate in `FILE`"},
+			&cli.StringFlag{Name: flagKey, Usage: "private key of the certificate, in `FILE`"},
+			&cli.StringFlag{Name: flagServerName, Usage: "`NAME` that the VM's certificate carries", Value: gladetls.DefaultServerName},
+			&cli.StringFlag{Name: flagToken, Usage: "bearer `TOKEN` to show", Sources: cli.EnvVars("GLADE_TOKEN")},
 		},
 		Commands: []*cli.Command{
 			{Name: "explain", Usage: "print what happened to a request and why", ArgsUsage: "REQUEST", Action: explain},
@@ -42,17 +49,13 @@
 }
 
 func get(ctx context.Context, c *cli.Command, path string) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.String("vm")+path, nil)
-	if err != nil {
-		return err
-	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := call(ctx, c, http.MethodGet, path, "", nil)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(io.LimitReader(response.Body, 1<<10))
+		text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
 		return fmt.Errorf("%s: %s", response.Status, text)
 	}
 	_, err = io.Copy(os.Stdout, response.Body)
--- a/cmd/gladectl/note.go
+++ b/cmd/gladectl/note.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -128,14 +127,7 @@
 
 // exchange makes an operators' request and decodes the answer, which is JSON also when it is a refusal of a note.
 func exchange(ctx context.Context, c *cli.Command, method, path, contentType string, body []byte, v any) error {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.String("vm")+path, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	if contentType != "" {
-		request.Header.Set("Content-Type", contentType)
-	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := call(ctx, c, method, path, contentType, body)
 	if err != nil {
 		return err
 	}
--- a/gladecaller/call.go
+++ b/gladecaller/call.go
@@ -81,6 +81,7 @@
 	}
 	t := Try{Entry: e.Name}
 	header := http.Header{}
+	header.Set(headerAuthorization, "Bearer "+c.config.APIKey)
 	if q.Key != "" {
 		header.Set(gladeentry.HeaderIdempotencyKey, q.Key)
 	}
--- a/gladecaller/caller.go
+++ b/gladecaller/caller.go
@@ -101,7 +101,6 @@
 		return nil, err
 	}
 	request.Header = header.Clone()
-	request.Header.Set(headerAuthorization, "Bearer "+c.config.APIKey)
 	request.Header.Set("Content-Type", "application/json")
 	// A nil GetBody keeps the transport from sending the request again on its own.
 	request.GetBody = nil
--- a/gladecaller/generate.go
+++ b/gladecaller/generate.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -30,6 +31,8 @@
 	Entry string `json:"entry,omitempty"`
 	// DropAfter makes the caller drop its first connection after so many tokens and go on at another VM.
 	DropAfter int `json:"dropAfter,omitempty"`
+	// APIKey replaces the caller's own, if set.
+	APIKey string `json:"-"`
 	// EOS lets the engine end the text before MaxTokens.
 	EOS bool `json:"eos,omitempty"`
 }
@@ -172,6 +175,7 @@
 	}
 	t := Try{Entry: e.Name, From: len(a.Events)}
 	header := http.Header{}
+	header.Set(headerAuthorization, "Bearer "+cmp.Or(q.APIKey, c.config.APIKey))
 	if q.Key != "" {
 		header.Set(gladeentry.HeaderIdempotencyKey, q.Key)
 	}
--- a/gladecluster/cluster.go
+++ b/gladecluster/cluster.go
@@ -1,6 +1,7 @@
 package gladecluster
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -24,10 +25,12 @@
 
 // ModelName, PoolName, OrganisationName and APIKey are what the default note brings into force.
 const (
-	ModelName        = "glade-llm"
-	PoolName         = "glade-llm"
-	OrganisationName = "nile-fixer"
-	APIKey           = "demo-key"
+	ModelName = "glade-llm"
+	PoolName  = "glade-llm"
+	// DefaultServicePool is the pool of the plain services.
+	DefaultServicePool = "returns-app"
+	OrganisationName   = "nile-fixer"
+	APIKey             = "demo-key"
 )
 
 // PlatformHost and CallerHost are the names of the platform and of all callers on a Network.
@@ -47,6 +50,9 @@
 	VMs     int
 	// Services is the number of plain services in each failure domain.
 	Services int
+	// EnginePool and ServicePool are the pools' names; empty means PoolName and DefaultServicePool.
+	EnginePool  string
+	ServicePool string
 	// Network runs the cluster in memory; nil means loopback TCP.
 	Network *gladewire.Network
 	// Engine configures all engines.
@@ -54,14 +60,17 @@
 	// Settings changes the settings of each VM, if set.
 	Settings func(*gladeconfig.Settings)
 	// Note is the first release note; nil means DefaultNote.
-	Note  *gladenote.Note
-	Log   hclog.Logger
-	Check *gladecheck.Checker
+	Note *gladenote.Note
+	// OnArrival is called with all work that reaches a backend server, if set.
+	OnArrival func(Arrival)
+	Log       hclog.Logger
+	Check     *gladecheck.Checker
 }
 
 // Server is one stand-in with its listener.
 type Server struct {
 	Backend gladeapi.BackendServer
+	// Engine or Service is set, by the kind of backend server.
 	Engine  *gladestandin.Engine
 	Service *gladestandin.Service
 	// Dead is set once the server was killed.
@@ -91,14 +100,14 @@
 	return "http://" + v.Daemon.EntryAddress()
 }
 
-// Cluster is a platform, engines and entry VMs.
+// Cluster is a platform, backend servers and entry VMs.
 type Cluster struct {
 	Platform *gladestandin.Platform
 	Engines  []*Server
 	Services []*Server
-	// Ledger counts the runs of all services.
-	Ledger gladestandin.Ledger
-	VMs    []*VM
+	VMs      []*VM
+	// Ledger counts the runs of all plain services.
+	Ledger *gladestandin.Ledger
 
 	config   Config
 	platform string
@@ -142,7 +151,9 @@
 	if c.Log == nil {
 		c.Log = hclog.NewNullLogger()
 	}
-	k := &Cluster{Platform: &gladestandin.Platform{}, config: c}
+	c.EnginePool = cmp.Or(c.EnginePool, PoolName)
+	c.ServicePool = cmp.Or(c.ServicePool, DefaultServicePool)
+	k := &Cluster{Platform: &gladestandin.Platform{}, Ledger: &gladestandin.Ledger{}, config: c}
 	if err := k.start(); err != nil {
 		k.close()
 		return nil, nil, err
@@ -168,7 +179,7 @@
 			}
 		}
 		for i := range k.config.Services {
-			if err := k.addService(domain, i); err != nil {
+			if err := k.startService(domain, fmt.Sprintf("%s-service-%d", domain, i+1)); err != nil {
 				return err
 			}
 		}
--- a/gladecluster/fault.go
+++ b/gladecluster/fault.go
@@ -16,9 +16,9 @@
 			v.Kill()
 		}
 	}
-	for _, e := range k.LiveEngines() {
-		if e.Backend.FailureDomain == domain {
-			e.Kill()
+	for _, s := range append(k.LiveEngines(), k.LiveServices()...) {
+		if s.Backend.FailureDomain == domain {
+			s.Kill()
 		}
 	}
 }
@@ -114,9 +114,9 @@
 			names = append(names, v.Name)
 		}
 	}
-	for _, e := range k.LiveEngines() {
-		if e.Backend.FailureDomain == domain {
-			names = append(names, e.Backend.ID)
+	for _, s := range append(k.LiveEngines(), k.LiveServices()...) {
+		if s.Backend.FailureDomain == domain {
+			names = append(names, s.Backend.ID)
 		}
 	}
 	return names
--- a/gladecluster/process.go
+++ b/gladecluster/process.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -23,36 +25,59 @@
 	entryPort     = 8080
 	operatorsPort = 8081
 	peersPort     = 8082
+
+	serviceRunTime = 5 * time.Millisecond
 )
 
 func (k *Cluster) startEngine(domain, id string) error {
 	c := k.config.Engine
 	c.ID = id
 	c.Incarnation = k.incarnation()
-	s := &Server{}
+	s := &Server{Backend: gladeapi.BackendServer{
+		ID: id, Kind: gladeapi.KindEngine, FailureDomain: domain, Incarnation: c.Incarnation, Pool: k.config.EnginePool,
+	}}
 	c.Crash = func() { s.Kill() }
-	engine := gladestandin.NewEngine(c)
-	k.onClose(engine.Close)
-	address, kill, err := k.serve(id, engine)
-	if err != nil {
+	s.Engine = gladestandin.NewEngine(c)
+	k.onClose(s.Engine.Close)
+	if err := k.startServer(s, s.Engine); err != nil {
 		return err
 	}
-	s.Engine = engine
-	s.Backend = gladeapi.BackendServer{
-		ID: id, Kind: gladeapi.KindEngine, Address: address, FailureDomain: domain, Incarnation: c.Incarnation, Pool: PoolName,
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.Engines = append(k.Engines, s)
+	return nil
+}
+
+func (k *Cluster) startService(domain, id string) error {
+	service := gladestandin.NewService(gladestandin.ServiceConfig{ID: id, RunTime: serviceRunTime, Ledger: k.Ledger})
+	s := &Server{Service: service, Backend: gladeapi.BackendServer{
+		ID: id, Kind: gladeapi.KindService, FailureDomain: domain, Incarnation: k.incarnation(), Pool: k.config.ServicePool,
+	}}
+	if err := k.startServer(s, service); err != nil {
+		return err
 	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.Services = append(k.Services, s)
+	return nil
+}
+
+func (k *Cluster) startServer(s *Server, h http.Handler) error {
+	id := s.Backend.ID
+	address, kill, err := k.serve(id, k.observe(id, h))
+	if err != nil {
+		return err
+	}
+	s.Backend.Address = address
 	s.Kill = func() {
 		k.mu.Lock()
 		s.Dead = true
 		k.mu.Unlock()
-		engine.Close()
 		kill()
-		engine.Close()
+		if s.Engine != nil {
+			s.Engine.Close()
+		}
 	}
-	k.onClose(engine.Close)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.Engines = append(k.Engines, s)
 	return nil
 }
 
@@ -109,6 +134,8 @@
 	s.Entry.Listen = k.address(name, entryPort)
 	s.Operators.Listen = k.address(name, operatorsPort)
 	s.Peers.Listen = k.address(name, peersPort)
+	s.Operators.Insecure = true
+	s.Peers.Insecure = true
 	if k.config.Settings != nil {
 		k.config.Settings(&s)
 	}
@@ -163,14 +190,33 @@
 	return nil, eris.Wrap(ErrUnknown, id)
 }
 
+// Service returns a live plain service by its identifier.
+func (k *Cluster) Service(id string) (*Server, error) {
+	for _, s := range k.LiveServices() {
+		if s.Backend.ID == id {
+			return s, nil
+		}
+	}
+	return nil, eris.Wrap(ErrUnknown, id)
+}
+
 // LiveEngines returns the engines that were not killed.
 func (k *Cluster) LiveEngines() []*Server {
+	return k.alive(&k.Engines)
+}
+
+// LiveServices returns the plain services that were not killed.
+func (k *Cluster) LiveServices() []*Server {
+	return k.alive(&k.Services)
+}
+
+func (k *Cluster) alive(servers *[]*Server) []*Server {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var live []*Server
-	for _, e := range k.Engines {
-		if !e.Dead {
-			live = append(live, e)
+	for _, s := range *servers {
+		if !s.Dead {
+			live = append(live, s)
 		}
 	}
 	return live
@@ -209,8 +255,8 @@
 	for _, e := range k.LiveEngines() {
 		list.Backends = append(list.Backends, e.Backend)
 	}
-	for _, v := range k.Services {
-		list.Backends = append(list.Backends, v.Backend)
+	for _, s := range k.LiveServices() {
+		list.Backends = append(list.Backends, s.Backend)
 	}
 	for _, v := range k.LiveVMs() {
 		list.Entries = append(list.Entries, v.Entry)
--- a/gladecluster/services_test.go
+++ b/gladecluster/services_test.go
@@ -163,7 +163,10 @@
 			path string
 			key  string
 		}{{k.VMs[0], CreditsRoute, "caller-1"}, {k.VMs[1], CreditsRoute, key}, {k.VMs[0], LookupsRoute, ""}} {
-			g.Go(func() { c.Check(post(c, x.vm, x.path, x.key, "x").status, qt.Equals, 200) })
+			g.Go(func() {
+				a := post(c, x.vm, x.path, x.key, "x")
+				c.Check(a.status, qt.Equals, 200, qt.Commentf("%s %s", x.key, a.body))
+			})
 		}
 		time.Sleep(300 * time.Millisecond)
 		k.VMs[0].Stop()
--- a/gladeconfig/settings.go
+++ b/gladeconfig/settings.go
@@ -51,8 +51,8 @@
 	return Settings{
 		Profile:     "nile-fixer",
 		Entry:       defaultEntry(),
-		Operators:   Operators{Listen: "127.0.0.1:8081"},
-		Peers:       Peers{Listen: "127.0.0.1:8082"},
+		Operators:   defaultOperators(),
+		Peers:       defaultPeers(),
 		Platform:    defaultPlatform(),
 		Generations: defaultGenerations(),
 		Standby:     defaultStandby(),
--- a/gladeconfig/vm.go
+++ b/gladeconfig/vm.go
@@ -55,15 +55,6 @@
 	}
 }
 
-// Operators is the listener for metrics, dumps and release notes.
-type Operators struct {
-	Listen string `toml:"listen"`
-}
-
-func (o *Operators) check(complain complainer) {
-	complain.address("operators.listen", o.Listen)
-}
-
 // Log sets what is logged.
 type Log struct {
 	// Level is one of trace, debug, info, warn, error.
--- a/gladedaemon/daemon.go
+++ b/gladedaemon/daemon.go
@@ -21,9 +21,12 @@
 	ServiceStore   = "store"
 	ServicePeers   = "peers"
 	ServiceNotes   = "notes"
+	ServiceRoster  = "roster"
 	ServiceRoutes  = "routes"
 	ServiceEngines = "engines"
 	ServiceStreams = "streams"
+	ServiceStandby = "standby"
+	ServiceOrders  = "orders"
 	ServiceEntry   = "entry"
 	ServiceMetrics = "metrics"
 	ServiceRecord  = "record"
@@ -82,13 +85,17 @@
 		d.addBasics,
 		d.addStore,
 		d.addPeers,
+		d.addRoster,
 		d.addNotes,
 		d.addRoutes,
 		d.addLimits,
 		d.addCalls,
 		d.addEngines,
+		d.addStandby,
 		d.addStreams,
+		d.addOrders,
 		d.addEntry,
+		d.handOverAgain,
 		d.addOperators,
 	} {
 		if err := add(); err != nil {
--- a/gladedaemon/entry.go
+++ b/gladedaemon/entry.go
@@ -9,8 +9,10 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladeentry"
 	"github.com/eelgrassglade/eelgrassglade/gladekernel"
+	"github.com/eelgrassglade/eelgrassglade/gladestandby"
 	"github.com/eelgrassglade/eelgrassglade/gladestream"
 )
 
@@ -35,8 +37,13 @@
 	if err != nil {
 		return err
 	}
+	standby, err := gladekernel.Lookup[*gladestandby.Service](&d.kernel, ServiceStandby)
+	if err != nil {
+		return err
+	}
 	server := gladeentry.New(gladeentry.Config{
 		Services:     calls.Serve,
+		Recover:      standby.Recover,
 		VM:           d.settings.VM.Name,
 		State:        notes.State,
 		Start:        runner.Start,
@@ -80,7 +87,11 @@
 
 // serve adds a listener with a handler and returns its address and graceful shutdown.
 func (d *Daemon) serve(address string, h http.Handler) (string, func(context.Context), error) {
-	l, err := d.listen("tcp", address)
+	return d.serveOn(d.listen, address, h)
+}
+
+func (d *Daemon) serveOn(listen gladeapi.Listen, address string, h http.Handler) (string, func(context.Context), error) {
+	l, err := listen("tcp", address)
 	if err != nil {
 		return "", nil, eris.Wrap(err, "listen")
 	}
--- /dev/null
+++ b/gladedaemon/explain.go
@@ -0,0 +1,97 @@
+package gladedaemon
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/eelgrassglade/eelgrassglade/gladekernel"
+	"github.com/eelgrassglade/eelgrassglade/gladepeer"
+	"github.com/eelgrassglade/eelgrassglade/gladerecord"
+)
+
+const (
+	methodExplain  = "explain"
+	explainTimeout = time.Second
+	// explainAtOnce bounds the VMs that are asked at the same time.
+	explainAtOnce = 32
+)
+
+// Explanation is what the VMs know of a request, by time.
+type Explanation struct {
+	gladerecord.Record
+	// Asked is the number of VMs that answered, this one included.
+	Asked int `json:"asked"`
+	// NotAsked are the VMs that did not answer, whose part of the story may be missing.
+	NotAsked []NotAsked `json:"notAsked,omitempty"`
+}
+
+// NotAsked is a VM that did not answer, and why.
+type NotAsked struct {
+	VM     string `json:"vm"`
+	Reason string `json:"reason"`
+}
+
+// handleExplain answers operators from the records of all VMs, and other VMs from this one's.
+func (d *Daemon) handleExplain(mux *http.ServeMux) error {
+	peers, err := gladekernel.Lookup[*gladepeer.Node](&d.kernel, ServicePeers)
+	if err != nil {
+		return err
+	}
+	gladepeer.Handle(peers, methodExplain, func(_ context.Context, _, request string) (gladerecord.Record, error) {
+		record, _ := d.record.Get(request)
+		return record, nil
+	})
+	mux.HandleFunc("GET /explain/{request}", func(w http.ResponseWriter, r *http.Request) {
+		e := d.explain(r.Context(), peers, r.PathValue("request"))
+		if len(e.Entries) == 0 {
+			w.Header().Set("Content-Type", "application/json")
+			w.WriteHeader(http.StatusNotFound)
+		}
+		writeJSON(w, e)
+	})
+	return nil
+}
+
+// explain gathers the entries of all live VMs.
+func (d *Daemon) explain(ctx context.Context, peers *gladepeer.Node, request string) *Explanation {
+	own, _ := d.record.Get(request)
+	e := &Explanation{Record: own, Asked: 1}
+	e.Request = request
+	var mu sync.Mutex
+	var asks sync.WaitGroup
+	slots := make(chan struct{}, explainAtOnce)
+	for _, m := range peers.Members() {
+		asks.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			ctx, cancel := context.WithTimeout(ctx, explainTimeout)
+			defer cancel()
+			record, err := gladepeer.Call[string, gladerecord.Record](ctx, peers, m.Name, methodExplain, request)
+			mu.Lock()
+			defer mu.Unlock()
+			e.add(m.Name, &record, err)
+		})
+	}
+	asks.Wait()
+	for _, m := range peers.Silent() {
+		reason := "not heard of for " + time.Since(m.Heard).Round(time.Second).String()
+		e.NotAsked = append(e.NotAsked, NotAsked{VM: m.Name, Reason: reason})
+	}
+	slices.SortStableFunc(e.Entries, func(a, b gladerecord.Entry) int { return a.At.Compare(b.At) })
+	slices.SortFunc(e.NotAsked, func(a, b NotAsked) int { return strings.Compare(a.VM, b.VM) })
+	return e
+}
+
+func (e *Explanation) add(name string, r *gladerecord.Record, err error) {
+	if err != nil {
+		e.NotAsked = append(e.NotAsked, NotAsked{VM: name, Reason: err.Error()})
+		return
+	}
+	e.Asked++
+	e.Entries = append(e.Entries, r.Entries...)
+	e.Dropped += r.Dropped
+}
--- a/gladedaemon/notes.go
+++ b/gladedaemon/notes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -29,15 +30,18 @@
 	node    *gladepeer.Node
 	domain  string
 	log     hclog.Logger
-	// engines returns this VM's report as order-giver, or nil.
-	engines func() *gladenote.EngineReport
+	// reports is where this VM's report as order-giver is, if it is one.
+	reports atomic.Pointer[atomic.Pointer[gladenote.EngineReport]]
 	heard   heardDomains
+	use     usage
 }
 
 // noteFact is what a VM publishes about the note that it holds.
 type noteFact struct {
 	Number int64     `json:"number"`
 	Since  time.Time `json:"since"`
+	// InUse are targets that Number has withdrawn and that generations of this VM still run on.
+	InUse []string `json:"inUse,omitempty"`
 }
 
 // State returns the state in force.
@@ -60,11 +64,10 @@
 		return err
 	}
 	n := &Notes{
-		store:   store,
-		node:    node,
-		domain:  d.settings.VM.FailureDomain,
-		log:     d.log.Named("notes"),
-		engines: func() *gladenote.EngineReport { return nil },
+		store:  store,
+		node:   node,
+		domain: d.settings.VM.FailureDomain,
+		log:    d.log.Named("notes"),
 	}
 	replica, closeReplica := gladenote.NewReplica(d.replicaConfig(n))
 	n.replica = replica
@@ -100,9 +103,21 @@
 }
 
 func (n *Notes) publish(s *gladenote.State) {
-	if err := n.node.Publish(factNote, noteFact{Number: s.Number, Since: time.Now().UTC()}); err != nil {
-		n.log.Error("Note not published.", "error", err)
+	n.publishFact(factNote, noteFact{Number: s.Number, Since: time.Now().UTC(), InUse: n.use.withdrawn(s)})
+}
+
+func (n *Notes) publishFact(name string, value any) {
+	if err := n.node.Publish(name, value); err != nil {
+		n.log.Error("Fact not published.", "fact", name, "error", err)
+	}
+}
+
+// engines returns this VM's report as order-giver, or nil.
+func (n *Notes) engines() *gladenote.EngineReport {
+	if r := n.reports.Load(); r != nil {
+		return r.Load()
 	}
+	return nil
 }
 
 func (n *Notes) members() []gladenote.Holder {
--- a/gladedaemon/operators.go
+++ b/gladedaemon/operators.go
@@ -1,10 +1,23 @@
 package gladedaemon
 
 import (
+	"crypto/subtle"
 	"encoding/json"
 	"net/http"
+	"os"
+	"strings"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+	"github.com/eelgrassglade/eelgrassglade/gladeconfig"
+	"github.com/eelgrassglade/eelgrassglade/gladetls"
+)
+
+var (
+	errOpenOperators = eris.New("operators' listener has no credentials and is neither on loopback nor insecure")
+	errNoToken       = eris.New("token file is empty")
 )
 
 func (d *Daemon) addOperators() error {
@@ -14,22 +27,89 @@
 		w.Header().Set("Content-Type", "application/json")
 		metrics.WriteJSONOnce(d.metrics, w)
 	})
-	mux.HandleFunc("GET /explain/{request}", d.serveExplain)
+	handleProfiles(mux)
+	if err := d.handleExplain(mux); err != nil {
+		return err
+	}
 	if err := d.handleNotes(mux); err != nil {
 		return err
 	}
-	address, _, err := d.serve(d.settings.Operators.Listen, mux)
+	h, err := d.onlyOperators(mux)
+	if err != nil {
+		return err
+	}
+	listen, err := d.operatorsListen()
+	if err != nil {
+		return err
+	}
+	address, _, err := d.serveOn(listen, d.settings.Operators.Listen, h)
 	d.operatorsAddress = address
 	return err
 }
 
-func (d *Daemon) serveExplain(w http.ResponseWriter, r *http.Request) {
-	record, ok := d.record.Get(r.PathValue("request"))
-	if !ok {
-		http.Error(w, "no record of this request on this VM", http.StatusNotFound)
-		return
+// operatorsListen returns the network of the operators' listener, with TLS if the settings name keys.
+func (d *Daemon) operatorsListen() (gladeapi.Listen, error) {
+	o := &d.settings.Operators
+	if !o.TLS.Set() {
+		return d.listen, nil
+	}
+	keys, closeKeys, err := gladetls.New(gladetls.Config{
+		Cert: o.TLS.Cert, Key: o.TLS.Key, CA: o.TLS.CA, CertificateOptional: o.TokenFile != "" || o.Insecure || o.TLS.CA == "",
+		Interval: o.TLS.Reload.D(), Log: d.log.Named("operators"),
+	})
+	if err != nil {
+		return nil, err
+	}
+	d.kernel.OnClose(closeKeys)
+	return keys.Listen(d.listen), nil
+}
+
+// onlyOperators lets in who shows a certificate of the authority or the token, and all if the settings ask for neither.
+func (d *Daemon) onlyOperators(h http.Handler) (http.Handler, error) {
+	o := &d.settings.Operators
+	if o.TLS.CA == "" && o.TokenFile == "" {
+		if o.Insecure || gladeconfig.Loopback(o.Listen) {
+			return h, nil
+		}
+		return nil, errOpenOperators
+	}
+	if o.TokenFile != "" {
+		if _, err := readToken(o.TokenFile); err != nil {
+			return nil, err
+		}
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !isOperator(r, o.TokenFile) {
+			http.Error(w, "operators show a certificate or a bearer token", http.StatusUnauthorized)
+			return
+		}
+		h.ServeHTTP(w, r)
+	}), nil
+}
+
+func isOperator(r *http.Request, tokenFile string) bool {
+	if r.TLS != nil && len(r.TLS.VerifiedChains) > 0 {
+		return true
+	}
+	if tokenFile == "" {
+		return false
+	}
+	want, err := readToken(tokenFile)
+	got, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return err == nil && ok && subtle.ConstantTimeCompare([]byte(got), []byte(want)) == 1
+}
+
+// readToken reads the token at each use, so that it can be replaced.
+func readToken(path string) (string, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", eris.Wrap(err, "operators' token")
+	}
+	token := strings.TrimSpace(string(data))
+	if token == "" {
+		return "", errNoToken
 	}
-	writeJSON(w, record)
+	return token, nil
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
--- /dev/null
+++ b/gladedaemon/orders.go
@@ -0,0 +1,139 @@
+package gladedaemon
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+	"github.com/eelgrassglade/eelgrassglade/gladeengine"
+	"github.com/eelgrassglade/eelgrassglade/gladekernel"
+	"github.com/eelgrassglade/eelgrassglade/gladelease"
+	"github.com/eelgrassglade/eelgrassglade/gladenote"
+	"github.com/eelgrassglade/eelgrassglade/gladeorder"
+	"github.com/eelgrassglade/eelgrassglade/gladeroute"
+)
+
+const minLoadBurst = 4
+
+// Orders is this VM's share in giving orders to the engines of its failure domain.
+type Orders struct {
+	daemon  *Daemon
+	notes   *Notes
+	table   *gladeroute.Table
+	engines *gladeengine.Client
+	client  *gladeorder.Client
+	lease   atomic.Pointer[gladelease.Lease]
+	report  atomic.Pointer[gladenote.EngineReport]
+	loads   *rate.Limiter
+	log     hclog.Logger
+}
+
+func (d *Daemon) addOrders() error {
+	notes, err := gladekernel.Lookup[*Notes](&d.kernel, ServiceNotes)
+	if err != nil {
+		return err
+	}
+	table, err := gladekernel.Lookup[*gladeroute.Table](&d.kernel, ServiceRoutes)
+	if err != nil {
+		return err
+	}
+	engines, err := gladekernel.Lookup[*gladeengine.Client](&d.kernel, ServiceEngines)
+	if err != nil {
+		return err
+	}
+	client, closeClient := gladeorder.NewClient(d.dial)
+	d.kernel.OnClose(closeClient)
+	s := &d.settings.Orders
+	o := &Orders{
+		daemon: d, notes: notes, table: table, engines: engines, client: client, log: d.log.Named("orders"),
+		loads: rate.NewLimiter(rate.Limit(s.LoadsPerSecond), max(minLoadBurst, int(s.LoadsPerSecond))),
+	}
+	notes.reports.Store(&o.report)
+	lease, release := gladelease.New(gladelease.Config{
+		Store:     notes.store,
+		Name:      "orders-" + notes.domain,
+		Holder:    d.settings.VM.Name,
+		Duration:  s.LeaseDuration.D(),
+		Candidate: notes.replica.Watcher,
+		Lead:      o.lead,
+		Log:       o.log,
+	})
+	o.lease.Store(lease)
+	d.kernel.OnClose(release)
+	d.kernel.OnDump("orders", func() any { return o.report.Load() })
+	return d.kernel.Provide(ServiceOrders, o)
+}
+
+// lead gives orders for the time of one grant.
+func (o *Orders) lead(ctx context.Context, g gladelease.Grant) {
+	metrics.GetOrRegisterGauge("orders.fencingNumber", o.daemon.metrics).Update(g.FencingNumber)
+	s := &o.daemon.settings.Orders
+	err := gladeorder.Run(ctx, gladeorder.Config{
+		FailureDomain: o.notes.domain,
+		Grant:         g,
+		Held:          func() bool { return o.held(g) },
+		LeaseDuration: s.LeaseDuration.D(),
+		State:         o.notes.State,
+		Engines:       o.live,
+		Load:          o.engines.Load,
+		Send:          o.send,
+		Unused:        o.notes.Unused,
+		Report:        o.publish,
+		Loads:         o.loads,
+		Interval:      s.Interval.D(),
+		OrderLife:     s.OrderLife.D(),
+		Grace:         s.UnloadGrace.D(),
+		Log:           o.log,
+	})
+	if err != nil {
+		o.log.Warn("Orders stopped.", "error", err)
+	}
+	o.report.Store(nil)
+	o.notes.publishFact(factEngines, (*gladenote.EngineReport)(nil))
+}
+
+func (o *Orders) held(g gladelease.Grant) bool {
+	l := o.lease.Load()
+	if l == nil {
+		return false
+	}
+	now, ok := l.Held()
+	return ok && now.FencingNumber == g.FencingNumber
+}
+
+// live returns the engines of the failure domain that are not leaving.
+func (o *Orders) live() []gladeapi.BackendServer {
+	all := slices.DeleteFunc(o.table.Backends(), func(b gladeapi.BackendServer) bool {
+		return b.Kind != gladeapi.KindEngine || b.FailureDomain != o.notes.domain || b.Leaving
+	})
+	slices.SortFunc(all, func(a, b gladeapi.BackendServer) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+func (o *Orders) send(ctx context.Context, b gladeapi.BackendServer, order gladeorder.Order, number int64) error {
+	err := o.client.Send(ctx, b, order, number)
+	metrics.GetOrRegisterCounter("orders."+string(order.Kind), o.daemon.metrics).Inc(1)
+	if err != nil {
+		metrics.GetOrRegisterCounter("orders.failed", o.daemon.metrics).Inc(1)
+	}
+	return err
+}
+
+// publish tells others of a round, without what only this VM needs unless it changed.
+func (o *Orders) publish(r gladenote.EngineReport) {
+	old := o.report.Swap(&r)
+	if old != nil && old.Number == r.Number && old.Ready == r.Ready && old.Wanted == r.Wanted && slices.Equal(old.Missing, r.Missing) {
+		return
+	}
+	o.notes.publishFact(factEngines, &r)
+}
--- a/gladedaemon/routes.go
+++ b/gladedaemon/routes.go
@@ -4,19 +4,19 @@
 	"context"
 
 	"github.com/eelgrassglade/eelgrassglade/gladekernel"
+	"github.com/eelgrassglade/eelgrassglade/gladeroster"
 	"github.com/eelgrassglade/eelgrassglade/gladeroute"
-	"github.com/eelgrassglade/eelgrassglade/gladestore"
 )
 
 func (d *Daemon) addRoutes() error {
-	store, err := gladekernel.Lookup[*gladestore.Client](&d.kernel, ServiceStore)
+	roster, err := gladekernel.Lookup[*gladeroster.Roster](&d.kernel, ServiceRoster)
 	if err != nil {
 		return err
 	}
 	log := d.log.Named("routes")
 	table := &gladeroute.Table{FailureDomain: d.settings.VM.FailureDomain}
 	d.loop(d.settings.Platform.VMInterval, func(ctx context.Context) {
-		list, err := store.VMs(ctx)
+		list, err := roster.VMs(ctx)
 		if err != nil {
 			log.Warn("VM list not read.", "error", err)
 			return
--- a/gladedaemon/streams.go
+++ b/gladedaemon/streams.go
@@ -9,6 +9,7 @@
 	"github.com/eelgrassglade/eelgrassglade/gladeengine"
 	"github.com/eelgrassglade/eelgrassglade/gladekernel"
 	"github.com/eelgrassglade/eelgrassglade/gladeroute"
+	"github.com/eelgrassglade/eelgrassglade/gladestandby"
 	"github.com/eelgrassglade/eelgrassglade/gladestream"
 )
 
@@ -37,7 +38,15 @@
 	if err != nil {
 		return err
 	}
+	standby, err := gladekernel.Lookup[*gladestandby.Service](&d.kernel, ServiceStandby)
+	if err != nil {
+		return err
+	}
 	runner := gladestream.NewRunner(gladestream.Config{
+		OnStart: func(run *gladestream.Run) {
+			standby.OnStart(run)
+			notes.Track(run)
+		},
 		Choose: func(_ context.Context, n gladeapi.Need) (gladeapi.Choice, error) {
 			return table.Choose(notes.State().Models[n.Target.Model].Pool, n)
 		},
--- /dev/null
+++ b/gladedaemon/streams_test.go
@@ -0,0 +1,122 @@
+package gladedaemon_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+	"github.com/eelgrassglade/eelgrassglade/gladecaller"
+	"github.com/eelgrassglade/eelgrassglade/gladecheck"
+	"github.com/eelgrassglade/eelgrassglade/gladecluster"
+	"github.com/eelgrassglade/eelgrassglade/gladeconfig"
+	"github.com/eelgrassglade/eelgrassglade/gladestandin"
+	"github.com/eelgrassglade/eelgrassglade/gladewire"
+)
+
+// outputGoesOn is the stated bound after a loss.
+const outputGoesOn = 3 * time.Second
+
+func withCluster(t *testing.T, c gladecluster.Config, f func(*qt.C, *gladecluster.Cluster, *gladecaller.Caller)) {
+	synctest.Test(t, func(t *testing.T) {
+		q := qt.New(t)
+		c.Network = &gladewire.Network{}
+		c.Check = &gladecheck.Checker{OnBroken: func(i gladecheck.Invariant, m string) { t.Errorf("%s: %s", i, m) }}
+		k, closeCluster, err := gladecluster.New(c)
+		q.Assert(err, qt.IsNil)
+		caller, closeCaller := k.Caller()
+		f(q, k, caller)
+		closeCaller()
+		closeCluster()
+	})
+}
+
+func ask(i, tokens int) gladecaller.Request {
+	return gladecaller.Request{
+		Model: gladecluster.ModelName, Prompt: fmt.Sprint("write assay summary ", i), MaxTokens: tokens, Seed: int64(i), Stream: true,
+	}
+}
+
+func checkWhole(q *qt.C, r gladecaller.Request, a *gladecaller.Answer) {
+	q.Check(a.Whole(), qt.IsTrue, qt.Commentf("%v %v", a.Err, a.Refusal))
+	q.Check(gladecaller.NewWant(gladecluster.ModelName+"@1", &r).Verify(a), qt.IsNil)
+	q.Check(a.LongestGap() <= outputGoesOn, qt.IsTrue, qt.Commentf("gap %s", a.LongestGap()))
+	q.Check(a.Tries, qt.HasLen, 1)
+}
+
+// duringStreams runs streams over what f does half a second after their start.
+func duringStreams(q *qt.C, caller *gladecaller.Caller, n, tokens int, f func()) {
+	type answered struct {
+		request gladecaller.Request
+		answer  *gladecaller.Answer
+	}
+	done := make(chan answered)
+	for i := range n {
+		go func() {
+			r := ask(i, tokens)
+			done <- answered{r, caller.Generate(context.Background(), r)}
+		}()
+	}
+	time.Sleep(500 * time.Millisecond)
+	f()
+	for range n {
+		a := <-done
+		checkWhole(q, a.request, a.answer)
+	}
+}
+
+func TestLeavingEngineIsEmptyAtItsLeaveTime(t *testing.T) {
+	withCluster(t, gladecluster.Config{Engines: 3, VMs: 1}, func(q *qt.C, k *gladecluster.Cluster, caller *gladecaller.Caller) {
+		duringStreams(q, caller, 9, 800, func() {
+			id := k.Engines[0].Backend.ID
+			q.Check(k.Engines[0].Engine.Running() > 0, qt.IsTrue)
+			q.Assert(k.Leave(id, 5*time.Second), qt.IsNil)
+			time.Sleep(5 * time.Second)
+			q.Check(k.Engines[0].Engine.Running(), qt.Equals, 0)
+			k.Engines[0].Kill()
+		})
+	})
+}
+
+func TestFailureDomainOfEnginesLostUnderCallers(t *testing.T) {
+	c := gladecluster.Config{FailureDomains: []string{"shubra", "helwan", "giza"}, Engines: 4, VMs: 1}
+	withCluster(t, c, func(q *qt.C, k *gladecluster.Cluster, caller *gladecaller.Caller) {
+		duringStreams(q, caller, 24, 300, func() {
+			for _, e := range k.LiveEngines() {
+				if e.Backend.FailureDomain == "shubra" {
+					e.Kill()
+				}
+			}
+		})
+	})
+}
+
+func TestPoisonRefusedAtOneVMIsRefusedAtAll(t *testing.T) {
+	c := gladecluster.Config{FailureDomains: []string{"shubra", "helwan"}, Engines: 3, VMs: 2}
+	c.Settings = func(s *gladeconfig.Settings) { s.Peers.Seeds = []string{"shubra-vm-1:8082"} }
+	withCluster(t, c, func(q *qt.C, k *gladecluster.Cluster, caller *gladecaller.Caller) {
+		for _, e := range k.Engines {
+			e.Engine.SetFaults(gladestandin.Faults{Poison: "crash here"})
+		}
+		r := ask(0, 50)
+		r.Prompt = "please crash here now"
+		r.Entry = k.VMs[0].Name
+		a := caller.Generate(context.Background(), r)
+		q.Assert(a.Refusal, qt.IsNotNil)
+		q.Check(a.Refusal.Code, qt.Equals, gladeapi.CodePoison)
+		q.Check(k.LiveEngines(), qt.HasLen, 4)
+		time.Sleep(10 * time.Second)
+		for _, v := range k.VMs {
+			r.Entry = v.Name
+			a := caller.Generate(context.Background(), r)
+			q.Assert(a.Refusal, qt.IsNotNil)
+			q.Check(a.Refusal.Code, qt.Equals, gladeapi.CodePoison)
+			q.Check(a.Refusal.Ran, qt.Equals, gladeapi.NotRun)
+		}
+		q.Check(k.LiveEngines(), qt.HasLen, 4)
+	})
+}
--- a/gladeentry/write.go
+++ b/gladeentry/write.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -53,9 +52,11 @@
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Cache-Control", "no-store")
 	out := newEventWriter(w)
+	frames := newFramer(q)
 	for {
 		for i := range pieces {
-			out.event(pieces[i].token.EventID(), q.chunk(&pieces[i]))
+			data, err := frames.chunk(&pieces[i])
+			out.raw(pieces[i].token.EventID(), data, err)
 		}
 		if out.err != nil {
 			return
@@ -76,19 +77,19 @@
 	if end.Err != nil {
 		f := asRefusal(end.Err)
 		s.config.Record.Add(q.generation.ID, "entry", "ended", "%s: %s", f.Code, f.Message)
-		out.event("", errorBody(q.generation.ID, f))
+		out.event(errorBody(q.generation.ID, f))
 		return
 	}
 	last := q.chunk(&piece{text: in.filter.Flush()})
 	last.Choices[0].FinishReason = &end.Finish
-	out.event("", last)
+	out.event(last)
 	if q.includeUsage {
 		a := q.answer(last.Object)
 		usage := in.journal.Usage()
 		a.Usage = &usage
-		out.event("", a)
+		out.event(a)
 	}
-	out.data("[DONE]")
+	out.raw("", []byte("[DONE]"), nil)
 	s.config.Record.Add(q.generation.ID, "entry", "delivered", "%d tokens, %s", in.next, end.Finish)
 }
 
@@ -96,6 +97,7 @@
 type eventWriter struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
+	line    []byte
 	err     error
 }
 
@@ -103,23 +105,30 @@
 	return &eventWriter{w: w, control: http.NewResponseController(w)}
 }
 
-func (o *eventWriter) event(id string, v any) {
+// event writes a value as one event.
+func (o *eventWriter) event(v any) {
 	data, err := json.Marshal(v)
-	if err != nil {
-		o.err = err
-		return
-	}
-	if id != "" && o.err == nil {
-		_, o.err = fmt.Fprintf(o.w, "id: %s\n", id)
-	}
-	o.data(string(data))
+	o.raw("", data, err)
 }
 
-func (o *eventWriter) data(text string) {
+// raw writes marshalled data as one event, with an identifier unless it is empty.
+func (o *eventWriter) raw(id string, data []byte, err error) {
+	if o.err == nil {
+		o.err = err
+	}
 	if o.err != nil {
 		return
 	}
-	_, o.err = fmt.Fprintf(o.w, "data: %s\n\n", text)
+	o.line = o.line[:0]
+	if id != "" {
+		o.line = append(o.line, "id: "...)
+		o.line = append(o.line, id...)
+		o.line = append(o.line, '\n')
+	}
+	o.line = append(o.line, "data: "...)
+	o.line = append(o.line, data...)
+	o.line = append(o.line, "\n\n"...)
+	_, o.err = o.w.Write(o.line)
 }
 
 // send flushes the events written so far.
--- /dev/null
+++ b/gladeload/load.go
@@ -0,0 +1,250 @@
+package gladeload
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/eelgrassglade/eelgrassglade/gladecaller"
+	"github.com/eelgrassglade/eelgrassglade/gladecluster"
+	"github.com/eelgrassglade/eelgrassglade/gladenote"
+)
+
+const (
+	lowest       = 1
+	highest      = 10 * 60 * 1_000_000
+	digits       = 3
+	zipfSkew     = 1.1
+	drainTimeout = 5 * time.Minute
+)
+
+// Shape is the load to send; a zero field takes the brief's value.
+type Shape struct {
+	// Rate is the mean number of requests per second.
+	Rate     float64       `json:"rate"`
+	Duration time.Duration `json:"duration"`
+	Seed     uint64        `json:"seed"`
+	// Organisations is their number, of which a few are large.
+	Organisations int `json:"organisations"`
+	// LongShare is the share of generations with LongTokens; the others have ShortTokens on average.
+	LongShare   float64 `json:"longShare"`
+	LongTokens  int     `json:"longTokens"`
+	ShortTokens int     `json:"shortTokens"`
+	// PrefixWords are shared by the prompts of an organisation, TailWords are each prompt's own.
+	PrefixWords int `json:"prefixWords"`
+	TailWords   int `json:"tailWords"`
+}
+
+func (s *Shape) setDefaults() {
+	s.Rate = cmp.Or(s.Rate, 50)
+	s.Duration = cmp.Or(s.Duration, 20*time.Second)
+	s.Organisations = cmp.Or(s.Organisations, 10)
+	s.LongShare = cmp.Or(s.LongShare, 0.04)
+	s.LongTokens = cmp.Or(s.LongTokens, 2000)
+	s.ShortTokens = cmp.Or(s.ShortTokens, 100)
+	s.PrefixWords = cmp.Or(s.PrefixWords, 200)
+	s.TailWords = cmp.Or(s.TailWords, 30)
+}
+
+// Result is what callers saw.
+type Result struct {
+	Name     string         `json:"name,omitempty"`
+	Shape    Shape          `json:"shape"`
+	Requests int            `json:"requests"`
+	Whole    int            `json:"whole"`
+	Cut      int            `json:"cut"`
+	Refused  map[string]int `json:"refused,omitempty"`
+	// Wrong counts answers with missing, repeated or mixed tokens.
+	Wrong     int      `json:"wrong"`
+	WrongText []string `json:"wrongText,omitempty"`
+	Tokens    int      `json:"tokens"`
+	// PeakStreams is the largest number of open requests.
+	PeakStreams       int       `json:"peakStreams"`
+	RequestsPerSecond float64   `json:"requestsPerSecond"`
+	TokensPerSecond   float64   `json:"tokensPerSecond"`
+	FirstToken        Quantiles `json:"firstToken"`
+	TokenGap          Quantiles `json:"tokenGap"`
+	// Longest is the longest gap of each generation.
+	Longest Quantiles    `json:"longestGap"`
+	Process *ProcessCost `json:"process,omitempty"`
+
+	firstToken, tokenGap, longest *hdrhistogram.Histogram
+}
+
+// Quantiles summarise a histogram of times, in milliseconds.
+type Quantiles struct {
+	P50 float64 `json:"p50Millis"`
+	P95 float64 `json:"p95Millis"`
+	P99 float64 `json:"p99Millis"`
+	Max float64 `json:"maxMillis"`
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Quantiles{P50: at(50), P95: at(95), P99: at(99), Max: float64(h.Max()) / 1000}
+}
+
+// Config configures Run.
+type Config struct {
+	Shape  Shape
+	Caller *gladecaller.Caller
+	// Model is the model to ask for.
+	Model string
+	// Entries are the names of the VMs, which requests are spread over.
+	Entries []string
+	// Key returns the API key of an organisation; nil leaves the caller's own.
+	Key func(organisation int) string
+	// PID is the process whose cost to measure; zero measures none.
+	PID int
+}
+
+// Run sends the load and waits for all answers.
+func Run(ctx context.Context, c Config) *Result {
+	c.Shape.setDefaults()
+	r := &Result{
+		Shape: c.Shape, Refused: map[string]int{},
+		firstToken: hdrhistogram.New(lowest, highest, digits),
+		tokenGap:   hdrhistogram.New(lowest, highest, digits),
+		longest:    hdrhistogram.New(lowest, highest, digits),
+	}
+	watch := watchProcess(c.PID)
+	start := time.Now()
+	l := &sender{config: &c, result: r, random: rand.New(rand.NewPCG(c.Shape.Seed, 1))}
+	l.zipf = rand.NewZipf(l.random, zipfSkew, 1, uint64(c.Shape.Organisations-1))
+	ctx, cancel := context.WithTimeout(ctx, c.Shape.Duration+drainTimeout)
+	defer cancel()
+	l.send(ctx)
+	l.tasks.Wait()
+	took := time.Since(start).Seconds()
+	r.RequestsPerSecond = float64(r.Requests) / took
+	r.TokensPerSecond = float64(r.Tokens) / took
+	r.FirstToken, r.TokenGap, r.Longest = quantiles(r.firstToken), quantiles(r.tokenGap), quantiles(r.longest)
+	r.Process = watch.stop(r.Requests, r.Tokens)
+	return r
+}
+
+type sender struct {
+	config *Config
+	result *Result
+	random *rand.Rand
+	zipf   *rand.Zipf
+	tasks  sync.WaitGroup
+
+	mu   sync.Mutex
+	open int
+}
+
+func (l *sender) send(ctx context.Context) {
+	next := time.Now()
+	end := next.Add(l.config.Shape.Duration)
+	for n := 0; next.Before(end) && ctx.Err() == nil; n++ {
+		time.Sleep(time.Until(next))
+		q := l.request(n)
+		l.tasks.Go(func() { l.one(ctx, q) })
+		next = next.Add(time.Duration(l.random.ExpFloat64() / l.config.Shape.Rate * float64(time.Second)))
+	}
+}
+
+func (l *sender) request(n int) gladecaller.Request {
+	s := &l.config.Shape
+	organisation := int(l.zipf.Uint64())
+	q := gladecaller.Request{
+		Model:     l.config.Model,
+		Prompt:    prompt(organisation, n, s),
+		MaxTokens: int(math.Ceil(l.random.ExpFloat64() * float64(s.ShortTokens))),
+		Seed:      int64(n),
+		Key:       fmt.Sprintf("load-%d-%d", s.Seed, n),
+		Stream:    true,
+		Entry:     l.config.Entries[n%len(l.config.Entries)],
+	}
+	q.MaxTokens = min(max(q.MaxTokens, 1), s.LongTokens)
+	if l.random.Float64() < s.LongShare {
+		q.MaxTokens = s.LongTokens
+	}
+	if l.config.Key != nil {
+		q.APIKey = l.config.Key(organisation)
+	}
+	return q
+}
+
+func prompt(organisation, n int, s *Shape) string {
+	var b strings.Builder
+	for i := range s.PrefixWords {
+		_, _ = fmt.Fprintf(&b, "o%dw%d ", organisation, i)
+	}
+	for i := range s.TailWords {
+		_, _ = fmt.Fprintf(&b, "r%dw%d ", n, i)
+	}
+	return b.String()
+}
+
+func (l *sender) one(ctx context.Context, q gladecaller.Request) {
+	l.mu.Lock()
+	l.open++
+	l.result.PeakStreams = max(l.result.PeakStreams, l.open)
+	l.mu.Unlock()
+	a := l.config.Caller.Generate(ctx, q)
+	err := gladecaller.NewWant(q.Model+"@1", &q).Verify(a)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open--
+	l.result.add(a, err)
+}
+
+func (r *Result) add(a *gladecaller.Answer, err error) {
+	r.Requests++
+	r.Tokens += len(a.Events)
+	switch {
+	case err != nil:
+		r.Wrong++
+		r.WrongText = append(r.WrongText, err.Error())
+	case a.Refusal != nil:
+		r.Refused[string(a.Refusal.Code)]++
+	case a.Err != nil:
+		r.Cut++
+	default:
+		r.Whole++
+	}
+	if len(a.Events) == 0 {
+		return
+	}
+	record(r.firstToken, a.FirstToken())
+	record(r.longest, a.LongestGap())
+	for i := 1; i < len(a.Events); i++ {
+		record(r.tokenGap, a.Events[i].At.Sub(a.Events[i-1].At))
+	}
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(max(d.Microseconds(), lowest))
+}
+
+// Organisations returns so many organisations with the keys that OrganisationKey returns.
+func Organisations(n int) []gladenote.Organisation {
+	all := make([]gladenote.Organisation, n)
+	for i := range all {
+		all[i] = gladenote.Organisation{
+			Name: fmt.Sprintf("organisation-%d", i), KeyHashes: []string{gladenote.HashKey(OrganisationKey(i))},
+		}
+	}
+	return all
+}
+
+// OrganisationKey returns the API key of an organisation.
+func OrganisationKey(organisation int) string {
+	return fmt.Sprintf("load-key-%d", organisation)
+}
+
+// Note returns the default first note with so many organisations.
+func Note(organisations int) *gladenote.Note {
+	n := gladecluster.DefaultNote()
+	n.Added.Organisations = append(n.Added.Organisations, Organisations(organisations)...)
+	return n
+}
--- a/gladenote/replica.go
+++ b/gladenote/replica.go
@@ -258,8 +258,8 @@
 	return nil
 }
 
-// watcher tells whether this VM is one of those that watch the platform for its failure domain.
-func (r *Replica) watcher() bool {
+// Watcher tells whether this VM is one of those that watch the platform for its failure domain.
+func (r *Replica) Watcher() bool {
 	return slices.Contains(r.watchers(r.config.FailureDomain), r.config.Name)
 }
 
@@ -291,7 +291,7 @@
 	ticker := time.NewTicker(r.config.Interval)
 	defer ticker.Stop()
 	for {
-		switch wanted := r.watcher(); {
+		switch wanted := r.Watcher(); {
 		case wanted && stop == nil:
 			var watch context.Context
 			watch, stop = context.WithCancel(ctx)
--- a/gladenote/spread.go
+++ b/gladenote/spread.go
@@ -37,7 +37,7 @@
 
 // pushAll tells the failure domain and, of what the platform told, the watchers of the other domains.
 func (r *Replica) pushAll(ctx context.Context, s spreading) {
-	if s.source == fromNeighbour || !r.watcher() {
+	if s.source == fromNeighbour || !r.Watcher() {
 		return
 	}
 	var tasks sync.WaitGroup
--- a/gladenote/state.go
+++ b/gladenote/state.go
@@ -99,6 +99,19 @@
 	return Summary{}, false
 }
 
+// InForce tells whether the state has the weights of a target.
+func (s *State) InForce(t gladeapi.Target) bool {
+	if _, ok := s.Versions[VersionRef{Model: t.Model, Name: t.Version}]; !ok {
+		return false
+	}
+	if t.Adapter == "" {
+		return true
+	}
+	name, version, _ := strings.Cut(t.Adapter, ":")
+	a, ok := s.Adapters[name]
+	return ok && a.Model == t.Model && a.Version == version
+}
+
 // Resolve returns the target that a request's model field names: a model, an adapter or MODEL@VERSION.
 func (s *State) Resolve(name string) (gladeapi.Target, Model, error) {
 	name, version, pinned := strings.Cut(name, "@")
--- /dev/null
+++ b/gladeorder/client.go
@@ -0,0 +1,109 @@
+package gladeorder
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+)
+
+// The errors of Client.
+var (
+	// ErrFenced means that the engine has seen a higher fencing number.
+	ErrFenced = eris.New("order refused: old fencing number")
+	// ErrRefused means that the engine refused the order for another reason.
+	ErrRefused = eris.New("order refused")
+	// ErrNoAnswer leaves open whether the engine took the order.
+	ErrNoAnswer = eris.New("no answer to order")
+)
+
+// Kind says what an order asks.
+type Kind string
+
+// The kinds of order, which are the paths that engines take them at.
+const (
+	LoadModel     Kind = "load_model"
+	UnloadModel   Kind = "unload_model"
+	LoadAdapter   Kind = "load_lora_adapter"
+	UnloadAdapter Kind = "unload_lora_adapter"
+)
+
+// Order asks an engine to load or unload weights; an order that is already met changes nothing.
+type Order struct {
+	Kind    Kind
+	Model   string
+	Version string
+	// Adapter is the adapter's name and version as in a gladeapi.Target.
+	Adapter string
+	Weights string
+}
+
+// String returns the order in words.
+func (o Order) String() string {
+	if o.Adapter != "" {
+		return string(o.Kind) + " " + o.Model + "+" + o.Adapter
+	}
+	return string(o.Kind) + " " + o.Model + "@" + o.Version
+}
+
+// ModelOrder is the body of /v1/load_model and /v1/unload_model.
+type ModelOrder struct {
+	Model         string `json:"model"`
+	Version       string `json:"version"`
+	Weights       string `json:"weights,omitempty"`
+	FencingNumber int64  `json:"fencingNumber"`
+}
+
+// AdapterOrder is the body of /v1/load_lora_adapter and /v1/unload_lora_adapter.
+type AdapterOrder struct {
+	Name          string `json:"lora_name"`
+	Path          string `json:"lora_path,omitempty"`
+	Base          string `json:"base_model_name"`
+	FencingNumber int64  `json:"fencingNumber"`
+}
+
+// Client sends orders to engines.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient returns a client and its clean-up function; dial replaces the network, if set.
+func NewClient(dial gladeapi.Dial) (*Client, func()) {
+	transport := &http.Transport{DialContext: dial}
+	return &Client{http: &http.Client{Transport: transport}}, transport.CloseIdleConnections
+}
+
+// Send gives an order under a fencing number.
+func (c *Client) Send(ctx context.Context, b gladeapi.BackendServer, o Order, fencingNumber int64) error {
+	var body any = ModelOrder{Model: o.Model, Version: o.Version, Weights: o.Weights, FencingNumber: fencingNumber}
+	if o.Adapter != "" {
+		body = AdapterOrder{Name: o.Adapter, Path: o.Weights, Base: o.Model, FencingNumber: fencingNumber}
+	}
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return eris.Wrap(err, "order")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.Address+"/v1/"+string(o.Kind), bytes.NewReader(raw))
+	if err != nil {
+		return eris.Wrap(err, "order")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.http.Do(request)
+	if err != nil {
+		return eris.Wrapf(ErrNoAnswer, "%s at %s: %v", o, b.ID, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, _ := io.ReadAll(io.LimitReader(response.Body, 1<<10))
+	switch response.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusPreconditionFailed:
+		return eris.Wrapf(ErrFenced, "%s at %s: %s", o, b.ID, text)
+	}
+	return eris.Wrapf(ErrRefused, "%s at %s: status %d: %s", o, b.ID, response.StatusCode, text)
+}
--- /dev/null
+++ b/gladeorder/plan.go
@@ -0,0 +1,163 @@
+package gladeorder
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+	"github.com/eelgrassglade/eelgrassglade/gladenote"
+)
+
+// engine is a live engine and the targets that it holds ready.
+type engine struct {
+	backend gladeapi.BackendServer
+	held    map[string]bool
+	// wanted are the targets that it should hold, each with the order that brings it.
+	wanted map[string]Order
+}
+
+// want sets what each engine should hold under a state.
+func want(s *gladenote.State, engines []*engine) {
+	for _, e := range engines {
+		e.wanted = map[string]Order{}
+	}
+	for _, v := range s.Versions {
+		pool := s.Models[v.Model].Pool
+		members := slices.DeleteFunc(slices.Clone(engines), func(e *engine) bool { return e.backend.Pool != pool })
+		for _, e := range holders(&v, members) {
+			target := gladeapi.Target{Model: v.Model, Version: v.Name}
+			e.wanted[target.String()] = Order{Kind: LoadModel, Model: v.Model, Version: v.Name, Weights: v.Weights}
+			for _, a := range s.Adapters {
+				if a.Model == v.Model {
+					target.Adapter = a.Name + ":" + a.Version
+					e.wanted[target.String()] = Order{
+						Kind: LoadAdapter, Model: v.Model, Version: v.Name, Adapter: target.Adapter, Weights: a.Weights,
+					}
+				}
+			}
+		}
+	}
+}
+
+// holders returns the engines that should hold a version, by rendezvous hash.
+func holders(v *gladenote.Version, members []*engine) []*engine {
+	if v.Replicas == 0 || v.Replicas >= len(members) {
+		return members
+	}
+	rank := func(e *engine) uint64 { return xxhash.Sum64String(v.Model + "@" + v.Name + "/" + e.backend.ID) }
+	slices.SortFunc(members, func(a, b *engine) int { return cmp.Compare(rank(b), rank(a)) })
+	return members[:v.Replicas]
+}
+
+// loads returns the orders that bring what an engine lacks and can take now, versions before their adapters.
+func (e *engine) loads() []Order {
+	var orders []Order
+	for _, target := range slices.Sorted(maps.Keys(e.wanted)) {
+		o := e.wanted[target]
+		base := gladeapi.Target{Model: o.Model, Version: o.Version}
+		if e.held[target] || o.Kind == LoadAdapter && !e.held[base.String()] {
+			continue
+		}
+		orders = append(orders, o)
+	}
+	return orders
+}
+
+// unloads returns the orders that take away what an engine need not hold.
+func (e *engine) unloads(g *guard) []Order {
+	seen := map[Order]bool{}
+	var orders []Order
+	for _, held := range slices.Sorted(maps.Keys(e.held)) {
+		if _, ok := e.wanted[held]; ok {
+			continue
+		}
+		target, err := gladeapi.ParseTarget(held)
+		if err != nil || !g.mayUnload(e, target) {
+			continue
+		}
+		o := Order{Kind: UnloadModel, Model: target.Model, Version: target.Version}
+		if target.Adapter != "" {
+			if e.wantsAdapter(target) || g.keepsAdapter(e, target) {
+				continue
+			}
+			o = Order{Kind: UnloadAdapter, Model: target.Model, Adapter: target.Adapter}
+		}
+		if !seen[o] {
+			seen[o] = true
+			orders = append(orders, o)
+		}
+	}
+	return orders
+}
+
+// wantsAdapter tells whether the adapter goes with any version that the engine should hold.
+func (e *engine) wantsAdapter(t gladeapi.Target) bool {
+	for _, o := range e.wanted {
+		if o.Adapter == t.Adapter && o.Model == t.Model {
+			return true
+		}
+	}
+	return false
+}
+
+// guard keeps what may not be unloaded.
+type guard struct {
+	state   *gladenote.State
+	engines []*engine
+	// unused tells whether no generation can run on a target that is no longer in force.
+	unused func(target string) bool
+}
+
+// mayUnload tells whether an engine can do without a target.
+func (g *guard) mayUnload(e *engine, t gladeapi.Target) bool {
+	if t.Adapter == "" && !g.adaptersUnused(e, t) {
+		return false
+	}
+	if !g.state.InForce(t) {
+		return g.unused(t.String())
+	}
+	return g.readyElsewhere(e, t.String())
+}
+
+// readyElsewhere tells whether all other engines that should hold a target do, and at least one.
+func (g *guard) readyElsewhere(e *engine, target string) bool {
+	ready := 0
+	for _, other := range g.engines {
+		if _, wanted := other.wanted[target]; !wanted || other == e {
+			continue
+		}
+		if !other.held[target] {
+			return false
+		}
+		ready++
+	}
+	return ready > 0
+}
+
+// adaptersUnused tells whether no adapter that needs a held version is in use on it.
+func (g *guard) adaptersUnused(e *engine, t gladeapi.Target) bool {
+	for held := range e.held {
+		other, err := gladeapi.ParseTarget(held)
+		if err != nil || other.Adapter == "" || other.Model != t.Model || other.Version != t.Version {
+			continue
+		}
+		if !g.state.InForce(other) && !g.unused(held) {
+			return false
+		}
+	}
+	return true
+}
+
+// keepsAdapter tells whether another version on the engine still needs the adapter.
+func (g *guard) keepsAdapter(e *engine, t gladeapi.Target) bool {
+	for held := range e.held {
+		other, err := gladeapi.ParseTarget(held)
+		if err == nil && other.Model == t.Model && other.Adapter == t.Adapter && !g.state.InForce(other) && !g.unused(held) {
+			return true
+		}
+	}
+	return false
+}
--- a/gladepeer/call.go
+++ b/gladepeer/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
@@ -25,15 +24,26 @@
 // Call calls a method of the named member and waits for its answer.
 func Call[Q, A any](ctx context.Context, n *Node, to, method string, q Q) (A, error) {
 	n.mu.Lock()
-	m, ok := n.members[to]
+	m := n.member(to)
 	n.mu.Unlock()
-	if !ok {
+	if m == nil {
 		var zero A
 		return zero, eris.Wrapf(ErrUnknownPeer, "%q", to)
 	}
 	return callAddress[Q, A](ctx, n, m.PeerAddress, method, q)
 }
 
+// member returns the newest known incarnation of a name; n.mu is held.
+func (n *Node) member(name string) *Member {
+	var newest *Member
+	for _, m := range n.rows {
+		if m.Name == name && (newest == nil || m.Incarnation > newest.Incarnation) {
+			newest = m
+		}
+	}
+	return newest
+}
+
 // envelope adds the sender's name to the body of a call.
 type envelope[T any] struct {
 	From string `json:"from"`
@@ -42,94 +52,28 @@
 
 func callAddress[Q, A any](ctx context.Context, n *Node, address, method string, q Q) (A, error) {
 	var answer A
-	link, err := n.link(ctx, address)
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, n.config.CallTimeout)
+		defer cancel()
+	}
+	n.counters.calls.Inc(1)
+	conn, err := n.connection(ctx, address)
 	if err != nil {
+		n.counters.failures.Inc(1)
 		return answer, err
 	}
-	err = link.Call(ctx, method, envelope[Q]{From: n.self.Name, Body: q}, &answer)
+	err = conn.Call(ctx, method, envelope[Q]{From: n.self.Name, Body: q}, &answer)
 	if err == nil {
 		return answer, nil
 	}
+	n.counters.failures.Inc(1)
 	var remote *jsonrpc2.Error
-	if eris.As(err, &remote) {
+	switch {
+	case eris.As(err, &remote):
 		return answer, eris.Errorf("%s at %s: %s", method, address, remote.Message)
+	case eris.Is(err, ErrTooLarge):
+		return answer, eris.Wrapf(err, "%s at %s", method, address)
 	}
-	n.drop(address, link)
 	return answer, eris.Wrapf(ErrNoAnswer, "%s at %s: %v", method, address, err)
 }
-
-func (n *Node) link(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
-	n.mu.Lock()
-	link := n.links[address]
-	n.mu.Unlock()
-	if link != nil {
-		return link, nil
-	}
-	c, err := n.config.Dial(ctx, "tcp", address)
-	if err != nil {
-		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", address, err)
-	}
-	link = n.serve(context.WithoutCancel(ctx), c)
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if old := n.links[address]; old != nil {
-		go func() { _ = link.Close() }()
-		return old, nil
-	}
-	n.links[address] = link
-	return link, nil
-}
-
-func (n *Node) drop(address string, link *jsonrpc2.Conn) {
-	n.mu.Lock()
-	if n.links[address] == link {
-		delete(n.links, address)
-	}
-	n.mu.Unlock()
-	_ = link.Close()
-}
-
-func (n *Node) accept(ctx context.Context, l net.Listener) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		n.serve(ctx, c)
-	}
-}
-
-func (n *Node) serve(ctx context.Context, c net.Conn) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
-	link := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(n.dispatch)))
-	n.mu.Lock()
-	n.conns[link] = struct{}{}
-	n.mu.Unlock()
-	go func() {
-		<-link.DisconnectNotify()
-		n.mu.Lock()
-		delete(n.conns, link)
-		n.mu.Unlock()
-	}()
-	return link
-}
-
-func (n *Node) dispatch(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
-	n.mu.Lock()
-	h := n.handlers[r.Method]
-	n.mu.Unlock()
-	if h == nil || r.Params == nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method: " + r.Method}
-	}
-	return h(ctx, *r.Params)
-}
-
-func (n *Node) closeLinks() {
-	n.mu.Lock()
-	conns := n.conns
-	n.conns = map[*jsonrpc2.Conn]struct{}{}
-	n.mu.Unlock()
-	for c := range conns {
-		_ = c.Close()
-	}
-}
--- /dev/null
+++ b/gladepeer/link.go
@@ -0,0 +1,196 @@
+package gladepeer
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+const (
+	dialTimeout  = 2 * time.Second
+	writeTimeout = 5 * time.Second
+	minBackoff   = 50 * time.Millisecond
+	maxBackoff   = 2 * time.Second
+)
+
+// link is the way to one address; holding turn makes concurrent callers share one connection.
+type link struct {
+	turn    chan struct{}
+	conn    *jsonrpc2.Conn
+	backoff time.Duration
+	next    time.Time
+}
+
+// connection returns the open connection to an address, dialled anew if there is none.
+func (n *Node) connection(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	n.mu.Lock()
+	l := n.links[address]
+	if l == nil {
+		l = &link{turn: make(chan struct{}, 1)}
+		n.links[address] = l
+	}
+	n.mu.Unlock()
+	select {
+	case l.turn <- struct{}{}:
+		defer func() { <-l.turn }()
+	case <-ctx.Done():
+		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", address, ctx.Err())
+	}
+	if l.conn != nil && !closed(l.conn) {
+		return l.conn, nil
+	}
+	if time.Now().Before(l.next) {
+		return nil, eris.Wrapf(ErrUnreachable, "%s: waiting after a failed connection", address)
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	c, err := n.config.Dial(ctx, "tcp", address)
+	if err != nil {
+		l.backoff = min(max(2*l.backoff, minBackoff), maxBackoff)
+		l.next = time.Now().Add(l.backoff)
+		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", address, err)
+	}
+	l.backoff = 0
+	l.conn = n.serve(context.WithoutCancel(ctx), c)
+	return l.conn, nil
+}
+
+// adopt makes an accepted connection the link to its sender if there is none.
+func (n *Node) adopt(from string, c *jsonrpc2.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, ok := n.conns[c]; !ok {
+		return
+	}
+	m := n.member(from)
+	if m == nil || n.links[m.PeerAddress] != nil {
+		return
+	}
+	n.links[m.PeerAddress] = &link{turn: make(chan struct{}, 1), conn: c}
+}
+
+func closed(c *jsonrpc2.Conn) bool {
+	select {
+	case <-c.DisconnectNotify():
+		return true
+	default:
+		return false
+	}
+}
+
+func (n *Node) accept(ctx context.Context, l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		n.serve(ctx, c)
+	}
+}
+
+func (n *Node) serve(ctx context.Context, c net.Conn) *jsonrpc2.Conn {
+	stream := jsonrpc2.NewBufferedStream(newQueuedConn(c, 2*n.config.MessageBytes, n.counters), codec{limit: uint64(n.config.MessageBytes)})
+	logger := n.log.Named("link").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
+	conn := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(n.dispatch)), jsonrpc2.SetLogger(logger))
+	n.mu.Lock()
+	n.conns[conn] = struct{}{}
+	n.mu.Unlock()
+	go func() {
+		<-conn.DisconnectNotify()
+		n.mu.Lock()
+		delete(n.conns, conn)
+		n.mu.Unlock()
+	}()
+	return conn
+}
+
+func (n *Node) dispatch(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	n.mu.Lock()
+	h := n.handlers[r.Method]
+	n.mu.Unlock()
+	if h == nil || r.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method: " + r.Method}
+	}
+	var sender envelope[json.RawMessage]
+	if err := json.Unmarshal(*r.Params, &sender); err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	n.adopt(sender.From, c)
+	return h(ctx, *r.Params)
+}
+
+func (n *Node) closeLinks() {
+	n.mu.Lock()
+	conns := n.conns
+	n.conns = map[*jsonrpc2.Conn]struct{}{}
+	n.mu.Unlock()
+	for c := range conns {
+		_ = c.Close()
+	}
+}
+
+// codec frames messages with their length and bounds it.
+type codec struct {
+	limit uint64
+}
+
+func (c codec) WriteObject(w io.Writer, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	if uint64(len(data)) > c.limit {
+		return eris.Wrapf(ErrTooLarge, "%d bytes", len(data))
+	}
+	if _, err := w.Write(binary.AppendUvarint(nil, uint64(len(data)))); err != nil {
+		return err
+	}
+	_, err = w.Write(data)
+	return err
+}
+
+func (c codec) ReadObject(r *bufio.Reader, v any) error {
+	size, err := binary.ReadUvarint(r)
+	if err != nil {
+		return err
+	}
+	if size > c.limit {
+		return eris.Wrapf(ErrTooLarge, "%d bytes", size)
+	}
+	body := io.LimitReader(r, int64(size))
+	if err := json.NewDecoder(body).Decode(v); err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, body)
+	return err
+}
+
+// counters counts what membership and calls cost.
+type counters struct {
+	sentBytes     metrics.Counter
+	receivedBytes metrics.Counter
+	calls         metrics.Counter
+	failures      metrics.Counter
+	pauses        metrics.Counter
+	members       metrics.Gauge
+}
+
+func newCounters(r metrics.Registry) *counters {
+	return &counters{
+		sentBytes:     metrics.GetOrRegisterCounter("peer.sentBytes", r),
+		receivedBytes: metrics.GetOrRegisterCounter("peer.receivedBytes", r),
+		calls:         metrics.GetOrRegisterCounter("peer.calls", r),
+		failures:      metrics.GetOrRegisterCounter("peer.failures", r),
+		pauses:        metrics.GetOrRegisterCounter("peer.pauses", r),
+		members:       metrics.GetOrRegisterGauge("peer.members", r),
+	}
+}
--- a/gladepeer/node.go
+++ b/gladepeer/node.go
@@ -5,17 +5,19 @@
 	"context"
 	"encoding/json"
 	"maps"
-	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+	"github.com/eelgrassglade/eelgrassglade/gladecheck"
 )
 
 // The errors of calls to peers.
@@ -26,13 +28,21 @@
 	ErrUnreachable = eris.New("peer unreachable")
 	// ErrNoAnswer means that the call was sent and may have been carried out.
 	ErrNoAnswer = eris.New("no answer from peer")
+	// ErrTooLarge means that a message or a fact is larger than the bound.
+	ErrTooLarge = eris.New("message too large")
 )
 
 const (
-	defaultInterval  = time.Second
-	defaultSuspicion = 5 * time.Second
-	defaultFanout    = 2
-	methodExchange   = "exchange"
+	defaultInterval     = time.Second
+	defaultSuspicion    = 5 * time.Second
+	defaultForgetAfter  = 2 * time.Minute
+	defaultFanout       = 2
+	defaultCallTimeout  = 10 * time.Second
+	defaultMessageBytes = 8 << 20
+	maxFactBytes        = 16 << 10
+	maxTombstones       = 8192
+	// remoteSuspicion multiplies Suspicion for members of other failure domains.
+	remoteSuspicion = 4
 )
 
 // Config configures a Node.
@@ -43,17 +53,34 @@
 	Seeds []string
 	// Interval is the time between exchanges; zero means 1 s.
 	Interval time.Duration
-	// Suspicion is the silence after which a member counts as dead; zero means 5 s.
+	// Suspicion is the silence after which a member of the same failure domain counts as dead; zero means 5 s.
+	// Members of other failure domains are given four times as long.
 	Suspicion time.Duration
+	// ForgetAfter is the silence after which a member is removed; zero means 2 minutes.
+	ForgetAfter time.Duration
+	// Fanout is the number of members of the failure domain asked at each interval; zero means 2.
+	Fanout int
+	// CallTimeout bounds calls whose context has no deadline; zero means 10 s.
+	CallTimeout time.Duration
+	// MessageBytes bounds each message; zero means 8 MiB.
+	MessageBytes int64
+	// Paused is called after this VM itself stood still, with how long it did.
+	Paused func(time.Duration)
 	// Dial and Listen replace the network, if set.
 	Dial   gladeapi.Dial
 	Listen gladeapi.Listen
-	Log    hclog.Logger
+	// Now replaces the clock, if set.
+	Now     func() time.Time
+	Log     hclog.Logger
+	Check   *gladecheck.Checker
+	Metrics metrics.Registry
 }
 
 // Member is a VM as this one knows it.
 type Member struct {
 	gladeapi.EntryVM
+	// Version rises with each change of what the member says of itself.
+	Version uint64 `json:"version"`
 	// Beat rises while the incarnation lives.
 	Beat uint64 `json:"beat"`
 	// Facts are small values that the member publishes about itself.
@@ -66,13 +93,23 @@
 type Node struct {
 	config   Config
 	log      hclog.Logger
-	handlers map[string]handler
+	counters *counters
 
-	mu      sync.Mutex
-	self    Member
-	members map[string]Member
-	links   map[string]*jsonrpc2.Conn
-	conns   map[*jsonrpc2.Conn]struct{}
+	mu       sync.Mutex
+	handlers map[string]handler
+	self     Member
+	rows     map[identity]*Member
+	// forgotten holds the last beats of removed members, so that a late rumour does not bring them back.
+	forgotten *lru.Cache[identity, uint64]
+	// listed are the VMs that another source, such as the platform's list, has named.
+	listed map[string]gladeapi.EntryVM
+	links  map[string]*link
+	conns  map[*jsonrpc2.Conn]struct{}
+	busy   map[string]bool
+	turn   int
+	// notices are the functions by name, seen the identifiers of those that have arrived.
+	notices map[string]func(origin string, body json.RawMessage) error
+	seen    *lru.Cache[string, struct{}]
 }
 
 type handler func(ctx context.Context, params json.RawMessage) (any, error)
@@ -85,16 +122,10 @@
 		return nil, nil, eris.Wrap(err, "peer listener")
 	}
 	c.Self.PeerAddress = l.Addr().String()
-	n := &Node{
-		config:   c,
-		log:      c.Log,
-		handlers: map[string]handler{},
-		self:     Member{EntryVM: c.Self, Facts: map[string]json.RawMessage{}},
-		members:  map[string]Member{},
-		links:    map[string]*jsonrpc2.Conn{},
-		conns:    map[*jsonrpc2.Conn]struct{}{},
-	}
-	Handle(n, methodExchange, n.exchange)
+	n, err := newNode(c)
+	if err != nil {
+		return nil, nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	tasks.Go(func() { n.accept(ctx, l) })
@@ -107,18 +138,57 @@
 	}, nil
 }
 
+func newNode(c Config) (*Node, error) {
+	forgotten, err := lru.New[identity, uint64](maxTombstones)
+	if err != nil {
+		return nil, eris.Wrap(err, "forgotten members")
+	}
+	seen, err := lru.New[string, struct{}](maxTombstones)
+	if err != nil {
+		return nil, eris.Wrap(err, "seen notices")
+	}
+	n := &Node{
+		config:    c,
+		log:       c.Log,
+		counters:  newCounters(c.Metrics),
+		handlers:  map[string]handler{},
+		self:      Member{EntryVM: c.Self, Version: 1, Facts: map[string]json.RawMessage{}},
+		rows:      map[identity]*Member{},
+		forgotten: forgotten,
+		listed:    map[string]gladeapi.EntryVM{},
+		links:     map[string]*link{},
+		conns:     map[*jsonrpc2.Conn]struct{}{},
+		busy:      map[string]bool{},
+		notices:   map[string]func(string, json.RawMessage) error{},
+		seen:      seen,
+	}
+	Handle(n, methodExchange, n.serveExchange)
+	Handle(n, methodNotice, n.serveNotice)
+	return n, nil
+}
+
 func setDefaults(c *Config) {
 	c.Interval = cmp.Or(c.Interval, defaultInterval)
 	c.Suspicion = cmp.Or(c.Suspicion, defaultSuspicion)
+	c.ForgetAfter = cmp.Or(c.ForgetAfter, defaultForgetAfter)
+	c.Fanout = cmp.Or(c.Fanout, defaultFanout)
+	c.CallTimeout = cmp.Or(c.CallTimeout, defaultCallTimeout)
+	c.MessageBytes = cmp.Or(c.MessageBytes, defaultMessageBytes)
 	if c.Dial == nil {
 		c.Dial = (&net.Dialer{}).DialContext
 	}
 	if c.Listen == nil {
 		c.Listen = net.Listen
 	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
 	if c.Log == nil {
 		c.Log = hclog.NewNullLogger()
 	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewRegistry()
+	}
 }
 
 // Self returns this VM as it tells others.
@@ -134,26 +204,61 @@
 func (n *Node) Members() []Member {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var live []Member
-	for _, m := range n.members {
-		if time.Since(m.Heard) < n.config.Suspicion {
-			live = append(live, m)
+	byName := map[string]*Member{}
+	for _, m := range n.rows {
+		if !n.live(m) || m.Name == n.self.Name {
+			continue
 		}
+		if old := byName[m.Name]; old == nil || old.Incarnation < m.Incarnation {
+			byName[m.Name] = m
+		}
+	}
+	live := make([]Member, 0, len(byName))
+	for _, m := range byName {
+		live = append(live, *m)
 	}
 	slices.SortFunc(live, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	return live
 }
 
+// Silent returns the other VMs that are known but no longer heard of, by name.
+func (n *Node) Silent() []Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	heard := map[string]bool{n.self.Name: true}
+	for _, m := range n.rows {
+		if n.live(m) {
+			heard[m.Name] = true
+		}
+	}
+	var silent []Member
+	for _, m := range n.rows {
+		if !heard[m.Name] {
+			heard[m.Name] = true
+			silent = append(silent, *m)
+		}
+	}
+	slices.SortFunc(silent, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return silent
+}
+
 // Publish sets a fact about this VM that reaches all others with the membership.
 func (n *Node) Publish(fact string, value any) error {
 	raw, err := json.Marshal(value)
 	if err != nil {
 		return eris.Wrapf(err, "fact %q", fact)
 	}
+	if len(raw) > maxFactBytes {
+		return eris.Wrapf(ErrTooLarge, "fact %q has %d bytes", fact, len(raw))
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if string(n.self.Facts[fact]) == string(raw) {
+		return nil
+	}
 	n.self.Facts = maps.Clone(n.self.Facts)
 	n.self.Facts[fact] = raw
+	n.self.Version++
 	return nil
 }
 
@@ -161,94 +266,39 @@
 func (n *Node) SetLeaving() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.self.Leaving = true
+	if !n.self.Leaving {
+		n.self.Leaving = true
+		n.self.Version++
+	}
 }
 
-// Learn adds VMs that another source knows, such as the platform's list.
+// Learn takes in the VMs that another source names, such as the platform's list.
+//
+// An empty list changes nothing, and a list never revives an incarnation that has left.
 func (n *Node) Learn(vms []gladeapi.EntryVM) {
+	if len(vms) == 0 {
+		return
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	clear(n.listed)
 	for _, v := range vms {
-		if _, known := n.members[v.Name]; !known && v.Name != n.self.Name {
-			n.members[v.Name] = Member{EntryVM: v}
-		}
-	}
-}
-
-// table is the body of an exchange in both directions.
-type table struct {
-	Members []Member `json:"members"`
-}
-
-func (n *Node) run(ctx context.Context) {
-	ticker := time.NewTicker(n.config.Interval)
-	defer ticker.Stop()
-	for {
-		n.beat()
-		for _, address := range n.targets() {
-			n.exchangeWith(ctx, address)
+		if v.Name == n.self.Name || v.PeerAddress == "" {
+			continue
 		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
+		n.listed[v.Name] = v
+		m := n.rows[identityOf(v.Name, v.Incarnation)]
+		if m != nil && v.Leaving {
+			m.Leaving = true
 		}
 	}
 }
 
-func (n *Node) beat() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.self.Beat++
-}
-
-func (n *Node) targets() []string {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	addresses := map[string]bool{}
-	for _, m := range n.members {
-		addresses[m.PeerAddress] = true
-	}
-	for _, seed := range n.config.Seeds {
-		addresses[seed] = true
-	}
-	delete(addresses, n.self.PeerAddress)
-	all := slices.Sorted(maps.Keys(addresses))
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return all[:min(defaultFanout, len(all))]
-}
-
-func (n *Node) exchangeWith(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, n.config.Interval)
-	defer cancel()
-	answer, err := callAddress[table, table](ctx, n, address, methodExchange, n.table())
-	if err != nil {
-		n.log.Debug("Exchange failed.", "address", address, "error", err)
-		return
-	}
-	n.merge(answer.Members)
-}
-
-func (n *Node) exchange(_ context.Context, _ string, t table) (table, error) {
-	n.merge(t.Members)
-	return n.table(), nil
-}
-
-func (n *Node) table() table {
-	t := table{Members: n.Members()}
-	t.Members = append(t.Members, n.Self())
-	return t
-}
-
-func (n *Node) merge(members []Member) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, m := range members {
-		old, known := n.members[m.Name]
-		if m.Name == n.self.Name || known && old.Incarnation == m.Incarnation && old.Beat >= m.Beat {
-			continue
-		}
-		m.Heard = time.Now()
-		n.members[m.Name] = m
+// live reports whether a member has been heard of lately; n.mu is held.
+func (n *Node) live(m *Member) bool {
+	limit := n.config.Suspicion
+	if m.FailureDomain != n.self.FailureDomain {
+		limit *= remoteSuspicion
 	}
+	return n.config.Now().Sub(m.Heard) < limit
 }
--- /dev/null
+++ b/gladepeer/queue.go
@@ -0,0 +1,77 @@
+package gladepeer
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// queuedConn writes in the background, so that a stuck peer holds back nobody who sends to it.
+type queuedConn struct {
+	net.Conn
+	counters *counters
+	limit    int64
+	wake     chan struct{}
+	done     chan struct{}
+	once     sync.Once
+
+	mu      sync.Mutex
+	pending []byte
+}
+
+func newQueuedConn(c net.Conn, limit int64, counters *counters) *queuedConn {
+	q := &queuedConn{Conn: c, counters: counters, limit: limit, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	go func() {
+		for q.flush() {
+		}
+	}()
+	return q
+}
+
+func (q *queuedConn) flush() bool {
+	select {
+	case <-q.wake:
+	case <-q.done:
+		return false
+	}
+	q.mu.Lock()
+	b := q.pending
+	q.pending = nil
+	q.mu.Unlock()
+	stuck := time.AfterFunc(writeTimeout, func() { _ = q.Close() })
+	defer stuck.Stop()
+	n, err := q.Conn.Write(b)
+	q.counters.sentBytes.Inc(int64(n))
+	if err != nil {
+		_ = q.Close()
+	}
+	return err == nil
+}
+
+func (q *queuedConn) Write(b []byte) (int, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if int64(len(q.pending)+len(b)) > q.limit {
+		_ = q.Close()
+		return 0, eris.Wrap(ErrTooLarge, "link's queue")
+	}
+	q.pending = append(q.pending, b...)
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+	return len(b), nil
+}
+
+func (q *queuedConn) Read(b []byte) (int, error) {
+	n, err := q.Conn.Read(b)
+	q.counters.receivedBytes.Inc(int64(n))
+	return n, err
+}
+
+func (q *queuedConn) Close() error {
+	q.once.Do(func() { close(q.done) })
+	return q.Conn.Close()
+}
--- /dev/null
+++ b/gladereplay/judge.go
@@ -0,0 +1,158 @@
+package gladereplay
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+	"github.com/eelgrassglade/eelgrassglade/gladecaller"
+	"github.com/eelgrassglade/eelgrassglade/gladecheck"
+	"github.com/eelgrassglade/eelgrassglade/gladecluster"
+)
+
+// leavingGrace is the time after which a leaving backend server gets no new work.
+const leavingGrace = 5 * time.Second
+
+// judge checks all that must always hold, then the stated outcomes.
+func (r *run) judge() {
+	for _, e := range r.cluster.Engines {
+		c := e.Engine.Counts()
+		r.report.Work.Requests += c.Requests
+		r.report.Work.PrefillTokens += c.PrefillTokens
+		r.report.Work.Tokens += c.Tokens
+	}
+	for _, g := range r.report.Generations {
+		r.report.Work.Delivered += g.Tokens
+		r.judgeTokens(g)
+		r.judgeNotRun(g.request.ID, g.answer.Tries)
+		r.judgeStops(g.request.ID, g.request.DropAfter, g.answer.Tries)
+	}
+	for _, c := range r.report.Calls {
+		r.judgeCall(c)
+		r.judgeNotRun(c.request.ID, c.answer.Tries)
+		r.judgeStops(c.request.ID, 0, c.answer.Tries)
+	}
+	r.judgeLeaving()
+	for i := range r.trace.Events {
+		if x := r.trace.Events[i].Expect; x != nil {
+			r.expect(x)
+		}
+	}
+}
+
+// target returns what a request's model stands for: the version that it pins, else the first one.
+func (r *run) target(model string) string {
+	if model == "" {
+		model = r.model()
+	}
+	if _, err := gladeapi.ParseTarget(model); err == nil {
+		return model
+	}
+	return model + "@1"
+}
+
+func (r *run) judgeTokens(g *Generation) {
+	err := gladecaller.NewWant(r.target(g.request.Model), &g.request.Request).Verify(g.answer)
+	switch {
+	case err == nil:
+	case errors.Is(err, gladecaller.ErrMissing), errors.Is(err, gladecaller.ErrRepeated), errors.Is(err, gladecaller.ErrUsage):
+		r.fail(gladecheck.TokensOnce, g.request.ID, "%v", err)
+	default:
+		r.fail(gladecheck.OneGeneration, g.request.ID, "%v", err)
+	}
+}
+
+// judgeNotRun checks that no backend server saw a request that was refused as not run.
+func (r *run) judgeNotRun(id string, tries []gladecaller.Try) {
+	for i := range tries {
+		t := &tries[i]
+		if t.Refusal == nil || t.Refusal.Ran != gladeapi.NotRun || t.From > 0 {
+			continue
+		}
+		if slices.ContainsFunc(r.arrivals, func(a gladecluster.Arrival) bool { return a.RequestID == t.RequestID }) {
+			r.fail(gladecheck.NotRunTrue, id, "%s was refused as not run (%v) and reached a backend server", t.RequestID, t.Refusal)
+		}
+	}
+}
+
+// judgeCall checks that an answer is the call's own and that a call that may not be repeated ran at most once.
+func (r *run) judgeCall(c *CallResult) {
+	if c.Outcome == Whole && c.answer.Body != c.request.Body {
+		r.fail(gladecheck.OwnAnswer, c.request.ID, "answer %q, want %q", c.answer.Body, c.request.Body)
+	}
+	if c.request.Key == "" || idempotentRoutes[c.request.Route] {
+		return
+	}
+	runs := r.cluster.Ledger.Runs()[c.request.Key]
+	if runs > 1 {
+		r.fail(gladecheck.AtMostOnce, c.request.ID, "key %s ran %d times", c.request.Key, runs)
+	}
+	if c.Outcome == Whole && runs != 1 {
+		r.fail(gladecheck.OwnAnswer, c.request.ID, "answered after %d runs of key %s", runs, c.request.Key)
+	}
+	if c.Ran == string(gladeapi.NotRun) && runs > 0 && len(c.answer.Tries) == 1 {
+		r.fail(gladecheck.NotRunTrue, c.request.ID, "refused as not run after %d runs of key %s", runs, c.request.Key)
+	}
+}
+
+// judgeStops checks that a VM that was only stopped as planned cut nothing.
+func (r *run) judgeStops(id string, dropAfter int, tries []gladecaller.Try) {
+	for i := range tries {
+		t := &tries[i]
+		cut := errors.Is(t.Err, gladecaller.ErrCut) && (dropAfter == 0 || i > 0)
+		if cut && r.stopped[t.Entry] && !r.disturbed[t.Entry] {
+			r.fail(gladecheck.StopCutsNothing, id, "%s cut it while it stopped: %v", t.Entry, t.Err)
+		}
+	}
+}
+
+// judgeLeaving checks that a leaving backend server got no new request after the grace.
+func (r *run) judgeLeaving() {
+	for _, a := range r.arrivals {
+		from, leaving := r.leavingFrom[a.Backend]
+		if leaving && a.At.After(from.Add(leavingGrace)) {
+			r.fail(gladecheck.LeavingGetsNoWork, a.RequestID, "%s got it %s after it was leaving", a.Backend, a.At.Sub(from))
+		}
+	}
+}
+
+func (r *run) expect(x *Expect) {
+	if x.Note != 0 {
+		r.expectNote(x)
+		return
+	}
+	if g := r.report.Generations[x.ID]; g != nil {
+		r.expectOutcome(x, g.Outcome, g.answer.Refusal, g.Took.D())
+		if x.Gap > 0 && g.LongestGap > x.Gap {
+			r.fail("", x.ID, "longest gap between tokens %s, want %s", g.LongestGap.D(), x.Gap.D())
+		}
+		return
+	}
+	if c := r.report.Calls[x.ID]; c != nil {
+		r.expectOutcome(x, c.Outcome, c.answer.Refusal, c.Took.D())
+		if runs := r.cluster.Ledger.Runs()[c.request.Key]; x.Runs != nil && runs != *x.Runs {
+			r.fail("", x.ID, "ran %d times, want %d", runs, *x.Runs)
+		}
+		return
+	}
+	r.fail("", x.ID, "never ended")
+}
+
+func (r *run) expectOutcome(x *Expect, got Outcome, refusal *gladeapi.Refusal, took time.Duration) {
+	if !slices.Contains(x.Outcome, got) {
+		r.fail("", x.ID, "outcome %s (%v), want %v", got, refusal, x.Outcome)
+	}
+	if x.Within > 0 && took > x.Within.D() {
+		r.fail("", x.ID, "took %s, want %s", took, x.Within.D())
+	}
+	if refusal == nil || got != Refused {
+		return
+	}
+	if len(x.Codes) > 0 && !slices.Contains(x.Codes, refusal.Code) {
+		r.fail("", x.ID, "refused with %v, want %v", refusal, x.Codes)
+	}
+	if x.Ran != "" && x.Ran != refusal.Ran {
+		r.fail("", x.ID, "refused as %s, want %s", refusal.Ran, x.Ran)
+	}
+}
--- /dev/null
+++ b/gladeroster/roster_test.go
@@ -0,0 +1,133 @@
+package gladeroster
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+	"github.com/eelgrassglade/eelgrassglade/gladepeer"
+	"github.com/eelgrassglade/eelgrassglade/gladewire"
+)
+
+var errDown = eris.New("platform down")
+
+// platform is what all VMs read; reads counts the calls since the last change.
+type platform struct {
+	list  gladeapi.VMList
+	down  map[string]bool
+	reads int
+}
+
+func (p *platform) set(backends ...gladeapi.BackendServer) {
+	p.list.Version++
+	p.list.Backends = backends
+}
+
+func engine(id string, leaving bool) gladeapi.BackendServer {
+	return gladeapi.BackendServer{ID: id, Incarnation: "1", Leaving: leaving}
+}
+
+type vm struct {
+	node   *gladepeer.Node
+	roster *Roster
+}
+
+func startVMs(c *qt.C, p *platform, count, domains int) ([]vm, func()) {
+	w := &gladewire.Network{}
+	var vms []vm
+	var closers []func()
+	for i := range count {
+		name, domain := fmt.Sprintf("vm-%d", i), fmt.Sprintf("domain-%d", i%domains)
+		h := w.Host(name)
+		e := gladeapi.EntryVM{Name: name, FailureDomain: domain, PeerAddress: name + ":1", Incarnation: "1"}
+		p.list.Entries = append(p.list.Entries, e)
+		n, closeNode, err := gladepeer.New(gladepeer.Config{Self: e, Dial: h.Dial, Listen: h.Listen})
+		c.Assert(err, qt.IsNil)
+		closers = append(closers, closeNode)
+		vms = append(vms, vm{n, New(Config{Peers: n, Read: func(context.Context) (gladeapi.VMList, error) {
+			p.reads++
+			if p.down[domain] {
+				return gladeapi.VMList{}, errDown
+			}
+			return p.list, nil
+		}})})
+	}
+	return vms, func() {
+		for _, f := range closers {
+			f()
+		}
+	}
+}
+
+func refresh(vms []vm) {
+	for _, v := range vms {
+		_, _ = v.roster.VMs(context.Background())
+	}
+	time.Sleep(time.Second)
+}
+
+func TestFewReadAndAllLearn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := &platform{down: map[string]bool{}}
+		p.set(engine("a", false), engine("b", false))
+		vms, closeAll := startVMs(c, p, 20, 2)
+		defer closeAll()
+		for range 10 {
+			refresh(vms)
+		}
+		p.reads = 0
+		p.set(engine("a", true), engine("c", false))
+		refresh(vms)
+		refresh(vms)
+		c.Assert(p.reads <= 2*2*defaultReaders, qt.IsTrue, qt.Commentf("%d reads", p.reads))
+		for _, v := range vms {
+			list, err := v.roster.VMs(t.Context())
+			c.Assert(err, qt.IsNil)
+			c.Assert(list.Backends, qt.DeepEquals, []gladeapi.BackendServer{engine("a", true), engine("c", false)})
+		}
+		p.down["domain-1"] = true
+		p.set(engine("d", false))
+		// The change goes to a reader elsewhere, from there to a reader here, and on to the rest.
+		for range 3 {
+			refresh(vms)
+		}
+		for _, v := range vms {
+			c.Assert(v.roster.list().Backends, qt.DeepEquals, []gladeapi.BackendServer{engine("d", false)})
+		}
+	})
+}
+
+func TestListNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := &platform{down: map[string]bool{}}
+		vms, closeAll := startVMs(c, p, 1, 1)
+		defer closeAll()
+		r := vms[0].roster
+		_, err := r.VMs(t.Context())
+		c.Assert(err, qt.IsNotNil)
+		p.set(engine("a", false))
+		refresh(vms)
+		lagging := p.list
+		p.set(engine("a", true))
+		refresh(vms)
+		current := p.list
+		p.list = lagging
+		refresh(vms)
+		c.Assert(r.list().Backends, qt.DeepEquals, []gladeapi.BackendServer{engine("a", true)})
+		p.list = current
+		p.set(engine("a", false))
+		refresh(vms)
+		c.Assert(r.list().Backends, qt.DeepEquals, []gladeapi.BackendServer{engine("a", true)})
+		p.set()
+		refresh(vms)
+		c.Assert(r.list().Backends, qt.DeepEquals, []gladeapi.BackendServer{engine("a", true)})
+	})
+}
--- /dev/null
+++ b/gladestandby/directory.go
@@ -0,0 +1,170 @@
+package gladestandby
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+)
+
+const (
+	methodClaim = "standby.claim"
+	methodFind  = "standby.find"
+
+	pendingTime = 10 * time.Second
+)
+
+// Claim says which VM runs the generation of a key.
+type Claim struct {
+	Owner         string `json:"owner"`
+	Incarnation   string `json:"incarnation"`
+	FailureDomain string `json:"failureDomain"`
+	Request       string `json:"request"`
+	// Epoch rises with each takeover.
+	Epoch   int       `json:"epoch"`
+	Expires time.Time `json:"expires"`
+}
+
+// ClaimRequest asks a home VM to note a claim unless another one stands.
+type ClaimRequest struct {
+	Organisation string `json:"organisation"`
+	Key          string `json:"key"`
+	Claim        Claim  `json:"claim"`
+	// Instead is the request whose claim may be replaced, because its run is lost.
+	Instead string `json:"instead,omitempty"`
+}
+
+// FindRequest asks a VM what it knows of a key without any claim.
+type FindRequest struct {
+	Organisation string `json:"organisation"`
+	Key          string `json:"key"`
+}
+
+// FindAnswer is a claim that a VM knows as an owner, a standby or a home.
+type FindAnswer struct {
+	Found bool  `json:"found"`
+	Claim Claim `json:"claim"`
+}
+
+// homes returns the VMs that remember the owner of a key.
+func (s *Service) homes(k runKey) []string {
+	all := s.ranked(k.organisation+"\x00"+k.key, "")
+	return all[:min(len(all), homesPerKey)]
+}
+
+func (s *Service) serveClaim(_ context.Context, _ string, q ClaimRequest) (Claim, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := runKey{organisation: q.Organisation, key: q.Key}
+	old, known := s.keys.Get(k)
+	c := q.Claim
+	switch {
+	case !known, time.Now().After(old.Expires), q.Instead != "" && q.Instead == old.Request:
+	case old.Request == c.Request && c.Epoch >= old.Epoch:
+	case old.Owner == c.Owner && old.Incarnation == c.Incarnation && s.unstarted(old, c):
+	default:
+		return old, nil
+	}
+	s.keys.Add(k, c)
+	return c, nil
+}
+
+// unstarted reports whether an owner replaces its own claim for a run that it never began.
+func (s *Service) unstarted(old, c Claim) bool {
+	return old.Epoch == 0 && c.Epoch == 0
+}
+
+func (s *Service) serveFind(_ context.Context, _ string, q FindRequest) (FindAnswer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := runKey{organisation: q.Organisation, key: q.Key}
+	if o := s.owned[k]; o != nil {
+		return FindAnswer{Found: true, Claim: s.claimOf(o)}, nil
+	}
+	for _, h := range s.held {
+		if g := h.batch.Generation; keyOf(g) == k {
+			c := Claim{
+				Owner: h.batch.Owner, Request: h.batch.Request, Epoch: h.batch.Epoch, Expires: h.expires,
+				FailureDomain: s.config.Peers.Self().FailureDomain,
+			}
+			return FindAnswer{Found: true, Claim: c}, nil
+		}
+	}
+	c, ok := s.keys.Get(k)
+	return FindAnswer{Found: ok && time.Now().Before(c.Expires), Claim: c}, nil
+}
+
+func (s *Service) claimOf(o *owned) Claim {
+	c := s.newClaim(o.generation)
+	c.Epoch = o.epoch
+	return c
+}
+
+func (s *Service) newClaim(g *gladeapi.Generation) Claim {
+	self := s.config.Peers.Self()
+	return Claim{
+		Owner: self.Name, Incarnation: self.Incarnation, FailureDomain: self.FailureDomain,
+		Request: g.ID, Expires: g.Deadline.Add(s.config.Retention),
+	}
+}
+
+// claim notes this VM as the owner of a key, or returns the claim that stands already.
+func (s *Service) claim(ctx context.Context, k runKey, c Claim, instead string) (Claim, error) {
+	q := ClaimRequest{Organisation: k.organisation, Key: k.key, Claim: c, Instead: instead}
+	homes := s.homes(k)
+	var failure error
+	for i, home := range homes {
+		standing, err := call(ctx, s, home, methodClaim, s.serveClaim, q)
+		if err != nil {
+			failure = err
+			s.config.Log.Debug("Home failed.", "home", home, "error", err)
+			continue
+		}
+		if standing.Request == c.Request && standing.Owner == c.Owner {
+			others := slices.Delete(slices.Clone(homes), i, i+1)
+			s.tasks.Go(func() { s.copyClaim(s.ctx, k, c, others) })
+		}
+		return standing, nil
+	}
+	return c, eris.Wrap(failure, "no home of the key answers")
+}
+
+func (s *Service) copyClaim(ctx context.Context, k runKey, c Claim, homes []string) {
+	q := ClaimRequest{Organisation: k.organisation, Key: k.key, Claim: c}
+	for _, home := range homes {
+		if _, err := call(ctx, s, home, methodClaim, s.serveClaim, q); err != nil {
+			s.config.Log.Debug("Claim not copied.", "home", home, "error", err)
+		}
+	}
+}
+
+// search asks all live VMs for a key, because its homes know it only by the given request.
+func (s *Service) search(ctx context.Context, k runKey, without string) (Claim, bool) {
+	names := s.ranked(k.key, "")
+	answers := make(chan FindAnswer, len(names))
+	slots := make(chan struct{}, maxSearches)
+	for _, name := range names {
+		s.tasks.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			answer, err := call(ctx, s, name, methodFind, s.serveFind, FindRequest{Organisation: k.organisation, Key: k.key})
+			if err != nil {
+				answer = FindAnswer{}
+			}
+			answers <- answer
+		})
+	}
+	var best FindAnswer
+	for range names {
+		if a := <-answers; a.Found && a.Claim.Request != without && (!best.Found || a.Claim.Epoch > best.Claim.Epoch) {
+			best = a
+		}
+	}
+	return best.Claim, best.Found
+}
+
+// maxSearches bounds the VMs asked at once for a key.
+const maxSearches = 32
--- a/gladestandin/engine.go
+++ b/gladestandin/engine.go
@@ -64,6 +64,7 @@
 	running []*engineStream
 	cache   *prefixCache
 	targets map[string]bool
+	orders  engineOrders
 	counts  EngineCounts
 	faults  Faults
 	// gate is closed at the end of a pause.
@@ -115,6 +116,7 @@
 	e.mux.HandleFunc("POST /tokenize", e.serveTokenize)
 	e.mux.HandleFunc("POST /v1/completions", e.serveCompletion)
 	e.mux.HandleFunc("GET /v1/models", e.serveModels)
+	e.routeOrders()
 	if e.config.Plain {
 		return
 	}
--- a/gladestream/follow.go
+++ b/gladestream/follow.go
@@ -196,7 +196,7 @@
 func (x *execution) leave(ctx context.Context, p *place, err error) {
 	end := x.journal.End()
 	p.visit.Leave(err == nil && end.Finish != "")
-	if x.config.Cancel == nil || p.dead || errors.Is(err, ErrNotOpened) || (err == nil && !x.journal.cut()) {
+	if x.config.Cancel == nil || p.dead || x.journal.Abandoned() || errors.Is(err, ErrNotOpened) || (err == nil && !x.journal.cut()) {
 		return
 	}
 	ctx = context.WithoutCancel(ctx)
--- a/gladestream/journal.go
+++ b/gladestream/journal.go
@@ -33,6 +33,8 @@
 	// gated readers see only the first released tokens.
 	gated    bool
 	released int
+	// abandoned is set once another VM owns the generation.
+	abandoned bool
 }
 
 // NewJournal returns an empty journal.
@@ -226,6 +228,32 @@
 	j.wake()
 }
 
+// Abandon ends the generation with an error because another VM owns it, without the tokens that were not released.
+//
+// It leaves an end alone that readers may have seen, and the engine's attempt to the other VM.
+func (j *Journal) Abandon(err error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	held := j.gated && j.released < len(j.tokens)
+	if j.ended() && !held {
+		return
+	}
+	if held {
+		j.tokens = j.tokens[:j.released]
+	}
+	j.finish = ""
+	j.err = err
+	j.abandoned = true
+	j.wake()
+}
+
+// Abandoned reports whether another VM owns the generation.
+func (j *Journal) Abandoned() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.abandoned
+}
+
 // Finish ends the generation unless it has ended.
 func (j *Journal) Finish(reason gladeapi.FinishReason) {
 	j.mu.Lock()
