Send a batch at once when the last one is a batch interval ago

Cause: each batch waited the whole interval, so with slow tokens every token came late by it. Change: the interval is the shortest time between two batches; the default is 20 ms. Conclusion: tokens slower than the interval are no longer held back by it.

--- a/gladeconfig/standby.go
+++ b/gladeconfig/standby.go
@@ -9,7 +9,7 @@
 	// ProtectTokens and ProtectAfter delay replication until a generation has so many tokens or is so old.
 	ProtectTokens int      `toml:"protectTokens"`
 	ProtectAfter  Duration `toml:"protectAfter"`
-	// BatchInterval is the time over which tokens are gathered for a standby.
+	// BatchInterval is the shortest time between two batches to a standby.
 	BatchInterval Duration `toml:"batchInterval"`
 	// ReleaseAtOnce lets callers see tokens before a standby holds them.
 	ReleaseAtOnce bool `toml:"releaseAtOnce"`
@@ -26,7 +26,7 @@
 func defaultStandby() Standby {
 	return Standby{
 		Copies:        1,
-		BatchInterval: Duration(50 * time.Millisecond),
+		BatchInterval: Duration(20 * time.Millisecond),
 		CallTimeout:   Duration(500 * time.Millisecond),
 		CatchUp:       Duration(2500 * time.Millisecond),
 		Retention:     Duration(2 * time.Minute),
--- a/gladestandby/owner.go
+++ b/gladestandby/owner.go
@@ -101,6 +101,8 @@
 		j.Gate()
 	}
 	sent := 0
+	// last is when the last batch was sent.
+	var last time.Time
 	for {
 		ctx, cancel := context.WithTimeout(s.ctx, idleInterval)
 		tokens, end, err := j.ReadAll(ctx, sent)
@@ -109,7 +111,7 @@
 			return
 		}
 		if err == nil && !end.Ended() && s.hasStandby(o) {
-			s.gather()
+			s.gather(time.Until(last.Add(s.config.BatchInterval)))
 			tokens, end, _ = j.ReadAll(s.ctx, sent)
 		}
 		s.refreshClaim(o)
@@ -119,6 +121,7 @@
 			return
 		}
 		sent += len(tokens)
+		last = time.Now()
 		if !s.send(o, sent, end.Finish) {
 			s.takenOver(o)
 			return
@@ -150,9 +153,10 @@
 	}
 }
 
-func (s *Service) gather() {
+// gather waits for further tokens of a batch.
+func (s *Service) gather(d time.Duration) {
 	select {
-	case <-time.After(s.config.BatchInterval):
+	case <-time.After(d):
 	case <-s.ctx.Done():
 	}
 }
--- a/gladestandby/service.go
+++ b/gladestandby/service.go
@@ -29,7 +29,7 @@
 
 const (
 	defaultCopies        = 1
-	defaultBatchInterval = 50 * time.Millisecond
+	defaultBatchInterval = 20 * time.Millisecond
 	defaultCallTimeout   = 500 * time.Millisecond
 	defaultRetention     = 2 * time.Minute
 	defaultCatchUp       = 2500 * time.Millisecond
@@ -48,7 +48,7 @@
 	// ProtectTokens and ProtectAfter delay replication until a run has so many tokens or is so old, whichever is first.
 	ProtectTokens int
 	ProtectAfter  time.Duration
-	// BatchInterval is the time over which tokens are gathered for a standby; zero means 50 ms.
+	// BatchInterval is the shortest time between two batches to a standby; zero means 20 ms.
 	BatchInterval time.Duration
 	// ReleaseAtOnce lets callers see tokens before a standby holds them.
 	ReleaseAtOnce bool
