--- a/cmd/gladebench/takeover.go
+++ b/cmd/gladebench/takeover.go
@@ -69,7 +69,7 @@
 		Usage: "kill the entry VM of running generations and measure how they go on, by way of replication",
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "streams", Usage: "generations on the VM", Value: 16},
-			&cli.IntFlag{Name: "rounds", Usage: "VMs killed for each way", Value: 3},
+			&cli.IntFlag{Name: "kills", Usage: "VMs killed for each way", Value: 3},
 			&cli.IntFlag{Name: "tokens", Usage: "tokens of each generation", Value: 300},
 			&cli.BoolFlag{Name: "engines", Usage: "kill one engine with the VM"},
 		},
@@ -84,7 +84,7 @@
 	}
 	for _, t := range takeoverCases() {
 		r := newTakeoverResult()
-		for range c.Int("rounds") {
+		for range c.Int("kills") {
 			if err := takeoverRound(ctx, c, &t, r); err != nil {
 				return err
 			}
