--- a/gladecluster/standby_test.go
+++ b/gladecluster/standby_test.go
@@ -161,6 +161,21 @@
 	})
 }
 
+func TestVMCutOffFromTheOthers(t *testing.T) {
+	withStandby(t, nil, func(c *standbyCase) {
+		owner := c.cluster.VMs[0].Name
+		after(time.Second, func() {
+			for _, v := range c.cluster.VMs[1:] {
+				c.network.Cut(owner, v.Name)
+			}
+		})
+		var callers sync.WaitGroup
+		callers.Go(func() { c.whole(c.generate(nil)) })
+		callers.Go(func() { c.whole(c.generate(func(q *gladecaller.Request) { q.Entry = c.cluster.VMs[1].Name })) })
+		callers.Wait()
+	})
+}
+
 func TestRepeatsAtOnce(t *testing.T) {
 	for _, test := range []struct {
 		name  string
