Cut callers off when their generation may go on at another VM

Cause: a caller whose VM was taken over, or was cut off from the owner, got a final generationLost though the generation lived on elsewhere. Conclusion: only a caller whose tokens nobody can match is told generationLost.

--- a/gladeentry/write.go
+++ b/gladeentry/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"time"
 
@@ -25,6 +26,7 @@
 			continue
 		}
 		if end.Err != nil {
+			cutIfElsewhere(end.Err)
 			s.refuse(w, r, end.Err)
 			return
 		}
@@ -46,6 +48,7 @@
 		return
 	}
 	if end.Err != nil && in.next == 0 {
+		cutIfElsewhere(end.Err)
 		s.refuse(w, r, end.Err)
 		return
 	}
@@ -74,9 +77,17 @@
 	}
 }
 
+// cutIfElsewhere aborts the connection without an end, so that the caller repeats its key and position at another VM.
+func cutIfElsewhere(err error) {
+	if errors.Is(err, gladestream.ErrElsewhere) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 func (s *Server) endStream(out *eventWriter, q *request, in *reader, end gladestream.End) {
 	defer out.send()
 	if end.Err != nil {
+		cutIfElsewhere(end.Err)
 		f := asRefusal(end.Err)
 		s.meters.refused(f.Code)
 		s.config.Record.Add(q.generation.ID, "entry", "ended", "%s: %s", f.Code, f.Message)
--- a/gladestandby/mirror.go
+++ b/gladestandby/mirror.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladestream"
 )
@@ -190,7 +192,10 @@
 	defer s.unexpect(k)
 	taken, err := s.take(ctx, m.claim, m.position())
 	if err != nil {
-		m.journal.Fail(lost("the owner was lost: " + err.Error()))
+		if eris.Is(err, errGone) {
+			err = eris.Wrapf(gladestream.ErrElsewhere, "owner %s was lost: %v", m.claim.Owner, err)
+		}
+		m.journal.Fail(err)
 		return
 	}
 	if taken.Batch == nil {
--- a/gladestandby/owner.go
+++ b/gladestandby/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"slices"
 	"time"
 
@@ -297,10 +296,7 @@
 	s.counters.refused.Inc(1)
 	s.config.Log.Warn("Generation taken over by another VM.", "request", o.generation.ID)
 	s.config.Record.Add(o.generation.ID, "standby", "takenOver", "epoch %d was refused", o.epoch)
-	o.run.Journal.Abandon(&gladeapi.Refusal{
-		Status: http.StatusGone, Code: gladeapi.CodeGenerationLost, Ran: gladeapi.Unknown,
-		Message: ErrTakenOver.Error() + "; repeat the request with its key and last event",
-	})
+	o.run.Journal.Abandon(ErrTakenOver)
 	s.config.Check.That(o.run.Journal.End().Ended(), gladecheck.OneGeneration, "%s goes on after it was taken over", o.generation.ID)
 	o.stop()
 }
--- a/gladestandby/service.go
+++ b/gladestandby/service.go
@@ -22,9 +22,9 @@
 // The errors that end the runs of an owner.
 var (
 	// ErrTakenOver means that another VM has taken the generation over.
-	ErrTakenOver = eris.New("generation taken over by another VM")
+	ErrTakenOver = eris.Wrap(gladestream.ErrElsewhere, "generation taken over by another VM")
 	// ErrStopped means that the service was closed.
-	ErrStopped = eris.New("standby service stopped")
+	ErrStopped = eris.Wrap(gladestream.ErrElsewhere, "standby service stopped")
 )
 
 const (
--- a/gladestream/errors.go
+++ b/gladestream/errors.go
@@ -10,6 +10,8 @@
 	ErrExcess       = eris.New("more tokens than asked for")
 	ErrEnded        = eris.New("generation has ended")
 	ErrPosition     = eris.New("position does not match the journal")
+	// ErrElsewhere ends a journal whose generation may go on at another VM; callers are cut off, so that they ask there.
+	ErrElsewhere = eris.New("generation goes on at another VM, if it does")
 )
 
 // The errors by which whoever opens attempts tells a Runner what to do next.
