--- a/gladestream/pool_test.go
+++ b/gladestream/pool_test.go
@@ -46,7 +46,7 @@
 // virtual runs a test over engines in as many failure domains as there are counts.
 func virtual(t *testing.T, c gladestandin.EngineConfig, counts []int, f func(*pool)) {
 	synctest.Test(t, func(t *testing.T) {
-		p := &pool{C: qt.New(t), network: &gladewire.Network{}, table: &gladeroute.Table{FailureDomain: "d1"}}
+		p := &pool{C: qt.New(t), network: &gladewire.Network{}, table: &gladeroute.Table{FailureDomain: "d1", LeastLoaded: true}}
 		for d, n := range counts {
 			for range n {
 				p.addEngine(c, fmt.Sprint("d", d+1))
