Withdraw a key's pending run when its admission is refused

Cause: a repeat at another VM waited for a run that had been refused. Change: the entry's admission withdraws the key; the next VM that asks may begin the run. Conclusion: a refusal by one VM holds back no other.

--- a/gladedaemon/entry.go
+++ b/gladedaemon/entry.go
@@ -43,7 +43,7 @@
 	}
 	server := gladeentry.New(gladeentry.Config{
 		Services:     calls.Serve,
-		Admit:        calls.limits.admitGeneration,
+		Admit:        admitOrWithdraw(calls.limits.admitGeneration, standby),
 		Recover:      standby.Recover,
 		VM:           d.settings.VM.Name,
 		State:        notes.State,
--- a/gladedaemon/standby.go
+++ b/gladedaemon/standby.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladekernel"
 	"github.com/eelgrassglade/eelgrassglade/gladepeer"
 	"github.com/eelgrassglade/eelgrassglade/gladestandby"
@@ -63,3 +64,17 @@
 	d.drains = append(d.drains, func(ctx context.Context) { service.HandOver(ctx) })
 	return nil
 }
+
+// admitter is the entry's seam for admission.
+type admitter func(context.Context, *gladeapi.Generation) (func(gladeapi.Usage), error)
+
+// admitOrWithdraw lets other VMs know at once that a refused generation will not begin here.
+func admitOrWithdraw(admit admitter, s *gladestandby.Service) admitter {
+	return func(ctx context.Context, g *gladeapi.Generation) (func(gladeapi.Usage), error) {
+		release, err := admit(ctx, g)
+		if err != nil {
+			s.Withdraw(g)
+		}
+		return release, err
+	}
+}
