Drain a VM that the platform lists as leaving; measure VM and engine lost together

Cause: only SIGTERM drained a VM; the loss of VM and engine together was not measured. Change: the roster tells each new list, and the daemon drains when its own start is listed as leaving. The test "VM and engine" kills the VM first: in the other order the dying VM may begin an attempt elsewhere, which the bound of two prompts rightly refused; the bound stays.

--- a/gladedaemon/daemon.go
+++ b/gladedaemon/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"github.com/hashicorp/go-hclog"
@@ -59,6 +60,9 @@
 	record   *gladerecord.Recorder
 	metrics  metrics.Registry
 	stopping atomic.Bool
+	// leaving is closed by leave, once the platform lists this VM as leaving.
+	leaving chan struct{}
+	leave   func()
 	// drains run in order before the actors are interrupted.
 	drains []func(context.Context)
 
@@ -77,6 +81,8 @@
 		check:    c.Check,
 		metrics:  metrics.NewRegistry(),
 	}
+	d.leaving = make(chan struct{})
+	d.leave = sync.OnceFunc(func() { close(d.leaving) })
 	if d.listen == nil {
 		d.listen = net.Listen
 	}
@@ -122,6 +128,8 @@
 			select {
 			case <-ctx.Done():
 				d.drain()
+			case <-d.leaving:
+				d.drain()
 			case <-stop:
 			}
 			return nil
--- a/gladeroster/roster.go
+++ b/gladeroster/roster.go
@@ -36,6 +36,8 @@
 	Read func(context.Context) (gladeapi.VMList, error)
 	// Readers is the number of VMs of a failure domain that read from the platform; zero means 2.
 	Readers int
+	// OnChange is called with each new version of the list, if set.
+	OnChange func(gladeapi.VMList)
 	// CallTimeout bounds each call to another VM; zero means 500 ms.
 	CallTimeout time.Duration
 	Log         hclog.Logger
@@ -99,6 +101,9 @@
 	list := r.list()
 	if list.Version != before {
 		r.config.Peers.Learn(list.Entries)
+		if r.config.OnChange != nil {
+			r.config.OnChange(list)
+		}
 	}
 	return list, nil
 }
