--- a/gladedaemon/services.go
+++ b/gladedaemon/services.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 
@@ -70,13 +68,9 @@
 func (c *Calls) request(
 	w http.ResponseWriter, r *http.Request, id string, o *gladenote.Organisation, route *gladenote.Route,
 ) (*callRequest, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.daemon.settings.Entry.MaxBodyBytes))
+	body, err := gladeentry.ReadBody(w, r, c.daemon.settings.Entry.MaxBodyBytes)
 	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return nil, refuse(http.StatusRequestEntityTooLarge, gladeapi.CodeTooLarge, err.Error())
-		}
-		return nil, refuse(http.StatusBadRequest, gladeapi.CodeBadRequest, "body: "+err.Error())
+		return nil, err
 	}
 	q := &callRequest{
 		ID: id, Organisation: o.Name, Route: *route, Key: r.Header.Get(gladeentry.HeaderIdempotencyKey),
--- a/gladeentry/parse.go
+++ b/gladeentry/parse.go
@@ -71,7 +71,7 @@
 }
 
 func (s *Server) parse(w http.ResponseWriter, r *http.Request, o *gladenote.Organisation, chat bool) (*request, error) {
-	raw, err := s.readBody(w, r)
+	raw, err := ReadBody(w, r, s.config.MaxBodyBytes)
 	if err != nil {
 		return nil, err
 	}
@@ -95,12 +95,12 @@
 	return q, q.headers(r)
 }
 
-// readBody reads a body that must be whole before the body timeout.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// ReadBody reads a body of at most limit bytes within 20 s, or returns a refusal.
+func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	control := http.NewResponseController(w)
 	// A connection without deadlines is one of a test, which cannot block for long.
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.config.MaxBodyBytes))
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err != nil {
 		return nil, bodyError(err)
 	}
