Weigh own requests above reports, and measure routing and storms

Cause: with reports at full weight all VMs ran to the server that looked idle a second ago: the spread was worse than that of random choice.

Change: a request that another VM runs counts a quarter of one of this VM (setting routing.reportWeight). gladebench experiment routing and storm, in virtual time over the real Table, Limiter and Budget.

--- a/cmd/gladebench/experiment.go
+++ b/cmd/gladebench/experiment.go
@@ -9,6 +9,8 @@
 		Usage: "measure one part and print its table",
 		Commands: []*cli.Command{
 			resumeCommand(),
+			routingCommand(),
+			stormCommand(),
 			entryCostCommand(),
 			membershipCommand(),
 			takeoverCommand(),
--- /dev/null
+++ b/cmd/gladebench/routing.go
@@ -0,0 +1,238 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/urfave/cli/v3"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+	"github.com/eelgrassglade/eelgrassglade/gladeroute"
+)
+
+const (
+	routingPool     = "engines"
+	routingDomains  = 3
+	threadBlocks    = 16
+	sharedBlocks    = 2
+	cacheBlocks     = 800
+	blockPrefill    = 10 * time.Millisecond
+	decodeTime      = time.Second
+	decodePerStream = 30 * time.Millisecond
+	reportLag       = time.Second
+)
+
+func routingCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "routing",
+		Usage: "compare choices of engines by cached prompt tokens, time to the first token and spread of load",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "engines", Value: 36},
+			&cli.IntFlag{Name: "vms", Value: 14},
+			&cli.IntFlag{Name: "requests", Value: 20_000},
+			&cli.FloatFlag{Name: "load", Usage: "mean streams on an engine", Value: 6},
+			&cli.Uint64Flag{Name: "seed", Value: 1},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			return inVirtualTime(func(context.Context) error {
+				compareRouting(c)
+				return nil
+			})
+		},
+	}
+}
+
+// routingPolicy is one way to choose an engine.
+type routingPolicy struct {
+	name string
+	// random chooses without a table, blocks and reports say what the table is told.
+	random, least, blocks, reports bool
+}
+
+func compareRouting(c *cli.Command) {
+	fmt.Printf("%d engines, %d VMs, %d requests, %g streams on an engine\n",
+		c.Int("engines"), c.Int("vms"), c.Int("requests"), c.Float("load"))
+	fmt.Println("policy                          cached  ttft p50  ttft p99  streams p99/mean")
+	for _, p := range []routingPolicy{
+		{name: "random", random: true},
+		{name: "least in flight, own counts", least: true},
+		{name: "least loaded, with reports", least: true, reports: true},
+		{name: "two random, with reports", reports: true},
+		{name: "prefix, bounded load", blocks: true, reports: true},
+	} {
+		newRoutingRun(c, p).run()
+	}
+}
+
+// modelEngine is an engine with a bounded prefix cache whose token time grows with its batch.
+type modelEngine struct {
+	backend gladeapi.BackendServer
+	mu      sync.Mutex
+	running int
+	cache   *lru.Cache[uint64, struct{}]
+}
+
+type routingRun struct {
+	policy   routingPolicy
+	requests int
+	rate     float64
+	random   *rand.Rand
+	engines  []*modelEngine
+	byID     map[string]*modelEngine
+	tables   []*gladeroute.Table
+
+	mu             sync.Mutex
+	blocks, cached int
+	first          []time.Duration
+	streams        []int
+}
+
+func newRoutingRun(c *cli.Command, p routingPolicy) *routingRun {
+	r := &routingRun{
+		policy: p, requests: c.Int("requests"), random: rand.New(rand.NewPCG(c.Uint64("seed"), 1)), byID: map[string]*modelEngine{},
+	}
+	list := make([]gladeapi.BackendServer, c.Int("engines"))
+	for i := range list {
+		list[i] = gladeapi.BackendServer{ID: fmt.Sprintf("e%03d", i), Pool: routingPool, FailureDomain: domainOf(i), Incarnation: "1"}
+		cache, _ := lru.New[uint64, struct{}](cacheBlocks)
+		e := &modelEngine{backend: list[i], cache: cache}
+		r.engines = append(r.engines, e)
+		r.byID[list[i].ID] = e
+	}
+	for i := range c.Int("vms") {
+		t := &gladeroute.Table{FailureDomain: domainOf(i), LeastLoaded: p.least}
+		t.Set(list)
+		r.tables = append(r.tables, t)
+	}
+	perStream := decodeTime + time.Duration(c.Float("load")*float64(decodePerStream)) + threadBlocks*blockPrefill/2
+	r.rate = float64(len(list)) * c.Float("load") / perStream.Seconds()
+	return r
+}
+
+func domainOf(i int) string {
+	return fmt.Sprint("domain-", i%routingDomains)
+}
+
+func (r *routingRun) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	if r.policy.reports {
+		tasks.Go(func() { r.report(ctx) })
+	}
+	var requests sync.WaitGroup
+	for range r.requests {
+		time.Sleep(time.Duration(r.random.ExpFloat64() / r.rate * float64(time.Second)))
+		vm, blocks := r.random.IntN(len(r.tables)), r.prompt()
+		requests.Go(func() { r.serve(vm, blocks) })
+	}
+	requests.Wait()
+	cancel()
+	tasks.Wait()
+	r.print()
+}
+
+// prompt returns the blocks of a prompt of a thread, of which a few large organisations have most.
+func (r *routingRun) prompt() []uint64 {
+	organisation := uint64(min(r.random.IntN(10), r.random.IntN(10), r.random.IntN(10)))
+	thread := uint64(r.random.IntN(60 * len(r.engines) / 10))
+	blocks := make([]uint64, threadBlocks)
+	for i := range blocks {
+		blocks[i] = organisation<<48 | uint64(i)
+		if i >= sharedBlocks {
+			blocks[i] |= thread<<16 | 1<<40
+		}
+	}
+	return blocks
+}
+
+// report tells all tables each second what the engines held a while ago.
+func (r *routingRun) report(ctx context.Context) {
+	for {
+		reports := make([]gladeapi.LoadReport, len(r.engines))
+		for i, e := range r.engines {
+			e.mu.Lock()
+			reports[i] = gladeapi.LoadReport{Backend: e.backend.ID, Running: e.running}
+			e.mu.Unlock()
+		}
+		select {
+		case <-time.After(reportLag):
+		case <-ctx.Done():
+			return
+		}
+		for _, t := range r.tables {
+			for _, x := range reports {
+				t.Learn(x, reportLag)
+			}
+		}
+	}
+}
+
+func (r *routingRun) choose(vm int, blocks []uint64) (*modelEngine, func(gladeapi.Outcome)) {
+	if r.policy.random {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		near := r.random.IntN(len(r.engines)/routingDomains)*routingDomains + vm%routingDomains
+		return r.engines[near], func(gladeapi.Outcome) {}
+	}
+	need := gladeapi.Need{}
+	if r.policy.blocks {
+		need.Blocks = blocks
+	}
+	choice, err := r.tables[vm].Choose(routingPool, need)
+	if err != nil {
+		panic(err)
+	}
+	return r.byID[choice.Backend.ID], choice.Release
+}
+
+func (r *routingRun) serve(vm int, blocks []uint64) {
+	e, release := r.choose(vm, blocks)
+	missing, running := e.begin(blocks)
+	prefill := time.Duration(missing)*blockPrefill + time.Duration(running)*decodePerStream
+	time.Sleep(prefill)
+	r.mu.Lock()
+	r.blocks += len(blocks)
+	r.cached += len(blocks) - missing
+	r.first = append(r.first, prefill)
+	r.streams = append(r.streams, running)
+	r.mu.Unlock()
+	time.Sleep(decodeTime + time.Duration(running)*decodePerStream)
+	e.mu.Lock()
+	e.running--
+	e.mu.Unlock()
+	release(gladeapi.OutcomeDone)
+}
+
+// begin takes a prompt in and returns how many of its blocks were not cached, and the streams that ran.
+func (e *modelEngine) begin(blocks []uint64) (missing, running int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	hit := true
+	for _, b := range blocks {
+		if _, ok := e.cache.Get(b); !ok || !hit {
+			hit = false
+			missing++
+		}
+		e.cache.Add(b, struct{}{})
+	}
+	e.running++
+	return missing, e.running
+}
+
+func (r *routingRun) print() {
+	slices.Sort(r.first)
+	slices.Sort(r.streams)
+	var sum int
+	for _, n := range r.streams {
+		sum += n
+	}
+	n := len(r.first)
+	mean := float64(sum) / float64(n)
+	fmt.Printf("%-30s %6.1f%%  %8s  %8s  %5.2f\n", r.policy.name, 100*float64(r.cached)/float64(r.blocks),
+		r.first[n/2].Round(time.Millisecond), r.first[n*99/100].Round(time.Millisecond), float64(r.streams[n*99/100])/mean)
+}
--- /dev/null
+++ b/cmd/gladebench/storm.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/eelgrassglade/eelgrassglade/gladelimit"
+)
+
+const (
+	stormServers   = 36
+	stormLost      = 12
+	stormWork      = 100 * time.Millisecond
+	stormTimeout   = time.Second
+	stormAttempts  = 4
+	stormLoad      = 0.85
+	stormPhase     = 30 * time.Second
+	stormPhases    = 5
+	stormOrderSeed = 1
+)
+
+func stormCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "storm",
+		Usage: "lose a failure domain's servers for a while, with and without retry budget and admission",
+		Action: func(context.Context, *cli.Command) error {
+			return inVirtualTime(func(context.Context) error {
+				fmt.Printf("%d servers of %s a call, %d lost in the second %s, load %g of all; answers in time a second\n",
+					stormServers, stormWork, stormLost, stormPhase, stormLoad)
+				fmt.Println("policy                      before    lost   +30 s   +60 s   +90 s  sendings for each call")
+				(&storm{name: "retries without bound"}).run()
+				(&storm{name: "retry budget", budget: true}).run()
+				(&storm{name: "admission", admit: true}).run()
+				(&storm{name: "retry budget and admission", budget: true, admit: true}).run()
+				return nil
+			})
+		},
+	}
+}
+
+// storm is one run of calls against servers that work on what callers have given up.
+type storm struct {
+	name          string
+	budget, admit bool
+
+	servers  chan struct{}
+	retries  *gladelimit.Budget
+	limiter  *gladelimit.Limiter
+	goodput  [stormPhases]atomic.Int64
+	calls    atomic.Int64
+	sendings atomic.Int64
+}
+
+func (s *storm) run() {
+	s.servers = make(chan struct{}, stormServers)
+	s.retries = gladelimit.NewBudget(gladelimit.BudgetConfig{})
+	s.limiter = gladelimit.NewLimiter(gladelimit.Config{MaxRunning: stormServers, QueueShare: 1})
+	random := rand.New(rand.NewPCG(stormOrderSeed, 1))
+	rate := stormLoad * stormServers / stormWork.Seconds()
+	start := time.Now()
+	var tasks sync.WaitGroup
+	tasks.Go(s.loseServers)
+	for time.Since(start) < stormPhases*stormPhase {
+		time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		phase := min(stormPhases-1, int(time.Since(start)/stormPhase))
+		tasks.Go(func() { s.call(phase) })
+	}
+	tasks.Wait()
+	per := func(phase int) float64 { return float64(s.goodput[phase].Load()) / stormPhase.Seconds() }
+	fmt.Printf("%-26s  %6.0f  %6.0f  %6.0f  %6.0f  %6.0f  %.2f\n", s.name, per(0), per(1), per(2), per(3), per(4),
+		float64(s.sendings.Load())/float64(s.calls.Load()))
+}
+
+func (s *storm) loseServers() {
+	time.Sleep(stormPhase)
+	for range stormLost {
+		s.servers <- struct{}{}
+	}
+	time.Sleep(stormPhase)
+	for range stormLost {
+		<-s.servers
+	}
+}
+
+func (s *storm) call(phase int) {
+	s.calls.Add(1)
+	s.retries.Request()
+	for attempt := range stormAttempts {
+		if attempt > 0 && s.budget && !s.retries.Retry() {
+			return
+		}
+		if s.send() {
+			s.goodput[phase].Add(1)
+			return
+		}
+	}
+}
+
+// send reports whether an answer came in time; a server does all the work that reached it.
+func (s *storm) send() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), stormTimeout)
+	defer cancel()
+	release := func(int) {}
+	if s.admit {
+		var err error
+		if release, err = s.limiter.Admit(ctx, "all", gladelimit.Limits{}); err != nil {
+			return false
+		}
+	}
+	s.sendings.Add(1)
+	done := make(chan struct{})
+	go func() {
+		s.servers <- struct{}{}
+		time.Sleep(stormWork)
+		<-s.servers
+		release(0)
+		close(done)
+	}()
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/gladeconfig/routing.go
+++ b/gladeconfig/routing.go
@@ -8,6 +8,8 @@
 	LoadInterval Duration `toml:"loadInterval"`
 	// ReportAge is the age at which a load report counts for nothing.
 	ReportAge Duration `toml:"reportAge"`
+	// ReportWeight is what a request that another VM runs counts, against one of this VM.
+	ReportWeight float64 `toml:"reportWeight"`
 	// AffinityBlocks is the number of leading prompt blocks that pick a backend server.
 	AffinityBlocks int `toml:"affinityBlocks"`
 	// AffinityFloor is the number of requests up to which a backend server takes its prefixes whatever the others hold.
@@ -20,6 +22,7 @@
 	return Routing{
 		LoadInterval:   Duration(time.Second),
 		ReportAge:      Duration(5 * time.Second),
+		ReportWeight:   0.25,
 		AffinityBlocks: 4,
 		AffinityFloor:  8,
 		Spill:          4,
@@ -29,6 +32,9 @@
 func (r *Routing) check(complain complainer) {
 	complain.positive("routing.loadInterval", r.LoadInterval)
 	complain.positive("routing.reportAge", r.ReportAge)
+	if r.ReportWeight <= 0 || r.ReportWeight > 1 {
+		complain("routing.reportWeight", "want more than 0 and at most 1")
+	}
 	if r.AffinityBlocks < 1 {
 		complain("routing.affinityBlocks", "must be at least 1")
 	}
--- a/gladedaemon/routes.go
+++ b/gladedaemon/routes.go
@@ -65,6 +65,7 @@
 		AffinityFloor:  s.AffinityFloor,
 		Spill:          s.Spill,
 		ReportAge:      s.ReportAge.D(),
+		ReportWeight:   s.ReportWeight,
 		Check:          d.check,
 	}
 	d.addBackendList(roster, table)
--- a/gladeroute/choose.go
+++ b/gladeroute/choose.go
@@ -55,7 +55,7 @@
 // look marks the servers that may run the request with their loads, the others with a negative load.
 func (t *Table) look(pool []*server, n *gladeapi.Need, now time.Time) tally {
 	var x tally
-	age := t.reportAge()
+	age, weight := t.reportAge(), t.reportWeight()
 	for _, s := range pool {
 		s.load = -1
 		if !s.may(n) {
@@ -67,7 +67,7 @@
 			}
 			continue
 		}
-		s.load = s.loadAt(now, age)
+		s.load = s.loadAt(now, age, weight)
 		if s.near {
 			x.near++
 			x.nearLoad += s.load
--- a/gladeroute/server.go
+++ b/gladeroute/server.go
@@ -35,12 +35,12 @@
 	load float64
 }
 
-// loadAt returns the number of requests that the server is thought to hold.
-func (s *server) loadAt(now time.Time, reportAge time.Duration) float64 {
+// loadAt returns the number of requests that this VM runs on the server and, by weight, what others are thought to.
+func (s *server) loadAt(now time.Time, reportAge time.Duration, weight float64) float64 {
 	load := float64(s.inFlight)
 	if s.others > 0 {
 		if fresh := 1 - float64(now.Sub(s.heard))/float64(reportAge); fresh > 0 {
-			load += s.others * min(1, fresh)
+			load += weight * s.others * min(1, fresh)
 		}
 	}
 	return load
--- a/gladeroute/table.go
+++ b/gladeroute/table.go
@@ -23,6 +23,7 @@
 	defaultAffinityFloor  = 8
 	defaultSpill          = 4
 	defaultReportAge      = 5 * time.Second
+	defaultReportWeight   = 0.25
 	maxIncarnations       = 4096
 )
 
@@ -38,6 +39,8 @@
 	Spill float64
 	// ReportAge is the age at which a load report counts for nothing; zero means 5 s.
 	ReportAge time.Duration
+	// ReportWeight is what a request that another VM runs counts, against one of this VM; zero means a quarter.
+	ReportWeight float64
 	// LeastLoaded takes the least loaded of all servers, the first by identifier, instead of the less loaded of two
 	// random ones; several VMs with the same reports would all choose alike.
 	LeastLoaded bool
@@ -57,6 +60,7 @@
 func (t *Table) affinityBlocks() int      { return cmp.Or(t.AffinityBlocks, defaultAffinityBlocks) }
 func (t *Table) floor() float64           { return cmp.Or(t.AffinityFloor, defaultAffinityFloor) }
 func (t *Table) spill() float64           { return cmp.Or(t.Spill, defaultSpill) }
+func (t *Table) reportWeight() float64    { return cmp.Or(t.ReportWeight, defaultReportWeight) }
 func (t *Table) reportAge() time.Duration { return cmp.Or(t.ReportAge, defaultReportAge) }
 
 // Set replaces the known backend servers; leaving is sticky for an incarnation, and a replaced one never comes back.
