Measure at-most-once calls; serve the plain service's stand-in

Cause: the platform's cost of a call and the time it adds were not measured; gladebench had no plain service.

Change: gladebench experiment once, over loopback with whole daemons, and gladebench stand-in service. Calls.Issue is exported for it.

--- a/cmd/gladebench/experiment.go
+++ b/cmd/gladebench/experiment.go
@@ -11,6 +11,7 @@
 			resumeCommand(),
 			routingCommand(),
 			stormCommand(),
+			onceCommand(),
 			entryCostCommand(),
 			membershipCommand(),
 			takeoverCommand(),
--- a/cmd/gladebench/routing.go
+++ b/cmd/gladebench/routing.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	routingPool     = "engines"
+	routingPool     = "pool"
 	routingDomains  = 3
 	threadBlocks    = 16
 	sharedBlocks    = 2
@@ -25,6 +25,7 @@
 	decodeTime      = time.Second
 	decodePerStream = 30 * time.Millisecond
 	reportLag       = time.Second
+	routingSeed     = 1
 )
 
 func routingCommand() *cli.Command {
@@ -32,11 +33,10 @@
 		Name:  "routing",
 		Usage: "compare choices of engines by cached prompt tokens, time to the first token and spread of load",
 		Flags: []cli.Flag{
-			&cli.IntFlag{Name: "engines", Value: 36},
+			&cli.IntFlag{Name: "workers", Value: 36},
 			&cli.IntFlag{Name: "vms", Value: 14},
 			&cli.IntFlag{Name: "requests", Value: 20_000},
 			&cli.FloatFlag{Name: "load", Usage: "mean streams on an engine", Value: 6},
-			&cli.Uint64Flag{Name: "seed", Value: 1},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			return inVirtualTime(func(context.Context) error {
@@ -56,7 +56,7 @@
 
 func compareRouting(c *cli.Command) {
 	fmt.Printf("%d engines, %d VMs, %d requests, %g streams on an engine\n",
-		c.Int("engines"), c.Int("vms"), c.Int("requests"), c.Float("load"))
+		c.Int("workers"), c.Int("vms"), c.Int("requests"), c.Float("load"))
 	fmt.Println("policy                          cached  ttft p50  ttft p99  streams p99/mean")
 	for _, p := range []routingPolicy{
 		{name: "random", random: true},
@@ -94,9 +94,9 @@
 
 func newRoutingRun(c *cli.Command, p routingPolicy) *routingRun {
 	r := &routingRun{
-		policy: p, requests: c.Int("requests"), random: rand.New(rand.NewPCG(c.Uint64("seed"), 1)), byID: map[string]*modelEngine{},
+		policy: p, requests: c.Int("requests"), random: rand.New(rand.NewPCG(routingSeed, 1)), byID: map[string]*modelEngine{},
 	}
-	list := make([]gladeapi.BackendServer, c.Int("engines"))
+	list := make([]gladeapi.BackendServer, c.Int("workers"))
 	for i := range list {
 		list[i] = gladeapi.BackendServer{ID: fmt.Sprintf("e%03d", i), Pool: routingPool, FailureDomain: domainOf(i), Incarnation: "1"}
 		cache, _ := lru.New[uint64, struct{}](cacheBlocks)
--- a/cmd/gladebench/standin.go
+++ b/cmd/gladebench/standin.go
@@ -33,6 +33,16 @@
 				},
 				Action: runEngine,
 			},
+			{
+				Name:  "service",
+				Usage: "a plain service that answers what it is sent",
+				Flags: []cli.Flag{
+					listen,
+					&cli.StringFlag{Name: "id", Value: "service-1"},
+					&cli.DurationFlag{Name: "run-time", Value: 5 * time.Millisecond},
+				},
+				Action: runService,
+			},
 			{
 				Name:  "platform",
 				Usage: "the platform's object API",
@@ -51,6 +61,11 @@
 	return listenAndServe(c, engine)
 }
 
+func runService(_ context.Context, c *cli.Command) error {
+	s := gladestandin.NewService(gladestandin.ServiceConfig{ID: c.String("id"), RunTime: c.Duration("run-time")})
+	return listenAndServe(c, s)
+}
+
 func runPlatform(_ context.Context, c *cli.Command) error {
 	p := &gladestandin.Platform{}
 	if path := c.String("vms"); path != "" {
--- a/gladedaemon/services.go
+++ b/gladedaemon/services.go
@@ -63,10 +63,15 @@
 		f.RetryAfter = witnessRefresh
 		return f
 	}
-	writeJSON(w, IssuedKey{Key: c.issuer.Issue(o.Name, route.Name)})
+	writeJSON(w, IssuedKey{Key: c.Issue(o.Name, route.Name)})
 	return nil
 }
 
+// Issue returns a new key of this VM for one call of an organisation to a route.
+func (c *Calls) Issue(organisation, route string) string {
+	return c.issuer.Issue(organisation, route)
+}
+
 func (c *Calls) request(
 	w http.ResponseWriter, r *http.Request, id string, o *gladenote.Organisation, route *gladenote.Route,
 ) (*callRequest, error) {
