Join within an event of several tokens; never spin on a closed engine

Change: the stand-in re-sends an event that straddles the position, as the test now asks for; after 16 attempts that no engine took, each further one pauses.

--- a/gladestandin/engine_stream.go
+++ b/gladestandin/engine_stream.go
@@ -234,7 +234,7 @@
 
 func writeEvents(w http.ResponseWriter, events []gladeengine.CompletionChunk, after int) {
 	for _, c := range events {
-		if c.SequenceNumber != nil && *c.SequenceNumber < after {
+		if c.SequenceNumber != nil && *c.SequenceNumber+len(c.Choices[0].TokenIDs) <= after {
 			continue
 		}
 		data, _ := json.Marshal(c)
--- a/gladestream/choose.go
+++ b/gladestream/choose.go
@@ -24,7 +24,7 @@
 
 // choose waits for an engine; the first retry is at once and later ones pause for longer each time.
 func (x *execution) choose(ctx context.Context) (gladeapi.Choice, *gladesuspect.Visit, error) {
-	wait := x.barren > 1
+	wait := x.barren > 1 || x.closed > maxClosed
 	allowed := false
 	for {
 		if wait {
--- a/gladestream/execution.go
+++ b/gladestream/execution.go
@@ -30,6 +30,8 @@
 	// barren counts the last attempts that brought no token, inVain those whose first token was waited for too long.
 	barren int
 	inVain int
+	// closed counts the last attempts that no engine took.
+	closed int
 	// pauses counts the waits since the last token.
 	pauses int
 	// lost is when the last engine was lost and lastToken when its last token came; zero while none is lost.
@@ -119,12 +121,14 @@
 	}
 	x.avoid = append(slices.DeleteFunc(x.avoid, func(id string) bool { return id == p.backend.ID }), p.backend.ID)
 	switch {
+	case errors.Is(err, ErrNotOpened) && !p.dead:
+		x.closed++
 	case x.journal.Len() > p.from:
-		x.barren, x.inVain, x.pauses = 0, 0, 0
+		x.barren, x.inVain, x.pauses, x.closed = 0, 0, 0, 0
 	case errors.Is(err, ErrStalled):
 		x.inVain++
 		x.barren++
-	case !errors.Is(err, ErrNotOpened):
+	default:
 		x.barren++
 	}
 	if x.lost.IsZero() {
--- a/gladestream/runner.go
+++ b/gladestream/runner.go
@@ -20,6 +20,7 @@
 	maxPauseDoublings    = 8
 	defaultMaxAttempts   = 32
 	defaultAttachTimeout = 250 * time.Millisecond
+	maxClosed            = 16
 	maxApartTries        = 8
 	probePause           = 10 * time.Millisecond
 	cancelTimeout        = 10 * time.Second
--- a/gladestream/runner_test.go
+++ b/gladestream/runner_test.go
@@ -14,21 +14,23 @@
 )
 
 func TestContinueJoinsTheLiveAttempt(t *testing.T) {
-	virtual(t, gladestandin.EngineConfig{}, []int{2}, func(p *pool) {
-		c := p.config
-		c.Cancel = nil
-		first := gladestream.NewRunner(c).Start(generation("a", prompt, 200))
-		time.Sleep(500 * time.Millisecond)
-		placement := first.Journal.Placement()
-		tokens, _, err := first.Journal.ReadAll(context.Background(), 0)
-		p.Assert(err, qt.IsNil)
-		first.Stop()
-		time.Sleep(100 * time.Millisecond)
-		j := gladestream.RestoreJournal(generation("a", prompt, 200), first.Journal.PromptTokens(), tokens[:len(tokens)-7])
-		p.exact(wait(p.runner.Continue(j, placement)), prompt, 200)
-		p.Check(p.engines[0].Counts().Requests+p.engines[1].Counts().Requests, qt.Equals, 1)
-		p.Check(p.engines[0].Counts().Attached, qt.Equals, 1)
-	})
+	for _, eventTokens := range []int{1, 4} {
+		virtual(t, gladestandin.EngineConfig{EventTokens: eventTokens}, []int{2}, func(p *pool) {
+			c := p.config
+			c.Cancel = nil
+			first := gladestream.NewRunner(c).Start(generation("a", prompt, 800))
+			time.Sleep(500 * time.Millisecond)
+			placement := first.Journal.Placement()
+			tokens, _, err := first.Journal.ReadAll(context.Background(), 0)
+			p.Assert(err, qt.IsNil)
+			first.Stop()
+			time.Sleep(100 * time.Millisecond)
+			j := gladestream.RestoreJournal(generation("a", prompt, 800), first.Journal.PromptTokens(), tokens[:len(tokens)-7])
+			p.exact(wait(p.runner.Continue(j, placement)), prompt, 800)
+			p.Check(p.engines[0].Counts().Requests+p.engines[1].Counts().Requests, qt.Equals, 1)
+			p.Check(p.engines[0].Counts().Attached, qt.Equals, 1)
+		})
+	}
 }
 
 func TestContinueWithoutTheEngine(t *testing.T) {
@@ -167,3 +169,18 @@
 		p.exact(wait(p.runner.Start(g)), prompt, 20)
 	})
 }
+
+func TestChoiceThatIgnoresAvoidDoesNotSpin(t *testing.T) {
+	virtual(t, gladestandin.EngineConfig{}, []int{1}, func(p *pool) {
+		choices := 0
+		c := p.config
+		c.Choose = func(context.Context, gladeapi.Need) (gladeapi.Choice, error) {
+			choices++
+			return gladeapi.Choice{Backend: p.servers[0], Release: func(gladeapi.Outcome) {}}, nil
+		}
+		p.kills[0]()
+		none := refusal(p, wait(gladestream.NewRunner(c).Start(generation("a", prompt, 20))))
+		p.Check(none.Code, qt.Equals, gladeapi.CodeNoBackend)
+		p.Check(choices < 1000, qt.IsTrue, qt.Commentf("%d choices in 2 minutes", choices))
+	})
+}
