--- a/cmd/gladebench/resume.go
+++ b/cmd/gladebench/resume.go
@@ -39,6 +39,7 @@
 	tokenTime   time.Duration
 	prefillTime time.Duration
 	pause       time.Duration
+	stallFloor  time.Duration
 }
 
 func resumeCommand() *cli.Command {
@@ -56,6 +57,7 @@
 			&cli.DurationFlag{Name: tokenTimeFlag, Value: 20 * time.Millisecond, Destination: &c.tokenTime},
 			&cli.DurationFlag{Name: "prefill-time", Value: 50 * time.Microsecond, Destination: &c.prefillTime},
 			&cli.DurationFlag{Name: "pause", Value: 3 * time.Second, Destination: &c.pause},
+			&cli.DurationFlag{Name: "stall-floor", Value: 400 * time.Millisecond, Destination: &c.stallFloor},
 			&cli.BoolFlag{Name: "json", Usage: "print JSON instead of a table"},
 		},
 		Action: func(_ context.Context, command *cli.Command) error {
--- a/cmd/gladebench/resume_pool.go
+++ b/cmd/gladebench/resume_pool.go
@@ -47,7 +47,7 @@
 		}
 	}
 	for _, domain := range resumeDomains {
-		p.addRunner(domain, fromZero)
+		p.addRunner(c, domain, fromZero)
 	}
 	return p, nil
 }
@@ -75,7 +75,7 @@
 	return nil
 }
 
-func (p *resumePool) addRunner(domain string, fromZero bool) {
+func (p *resumePool) addRunner(c *resumeConfig, domain string, fromZero bool) {
 	client, closeClient := gladeengine.New(gladeengine.Config{})
 	p.closers = append(p.closers, closeClient)
 	table := &gladeroute.Table{FailureDomain: domain}
@@ -84,11 +84,12 @@
 		Choose: func(_ context.Context, n gladeapi.Need) (gladeapi.Choice, error) {
 			return table.Choose(resumePoolName, n)
 		},
-		Open:    client.Open,
-		Attach:  client.Attach,
-		Probe:   client.Probe,
-		Cancel:  client.Cancel,
-		Servers: table.Backends,
+		Open:     client.Open,
+		Attach:   client.Attach,
+		Probe:    client.Probe,
+		Cancel:   client.Cancel,
+		Servers:  table.Backends,
+		Timeouts: gladestream.Timeouts{Floor: c.stallFloor},
 		Suspects: gladesuspect.New(gladesuspect.Config{
 			Servers: table.Backends,
 			Down:    func(ctx context.Context, b gladeapi.BackendServer) bool { return client.Probe(ctx, b) != nil },
@@ -96,7 +97,8 @@
 	}
 	if fromZero {
 		config.Open = openFromZero(client.Open)
-		config.Timeouts = gladestream.Timeouts{FirstResumed: baselineWait, FirstCeiling: baselineWait}
+		config.Timeouts.FirstResumed = baselineWait
+		config.Timeouts.FirstCeiling = baselineWait
 	}
 	p.runners = append(p.runners, gladestream.NewRunner(config))
 }
