--- a/gladeconfig/load.go
+++ b/gladeconfig/load.go
@@ -37,7 +37,7 @@
 
 // Is reports whether the target is ErrInvalid.
 func (c *Complaint) Is(target error) bool {
-	return target == ErrInvalid //nolint:errorlint // the sentinel itself is asked for
+	return target == ErrInvalid
 }
 
 // Load reads a file of settings and returns all complaints at once.
@@ -86,7 +86,7 @@
 func (l *loader) profile(tree map[string]any) Settings {
 	name, ok := tree["profile"].(string)
 	if !ok {
-		return Default()
+		name = ProfileNileFixer
 	}
 	s, err := Profile(name)
 	if err != nil {
--- a/gladedaemon/calls.go
+++ b/gladedaemon/calls.go
@@ -22,11 +22,8 @@
 	"github.com/eelgrassglade/eelgrassglade/gladestore"
 )
 
-// ServiceCalls and ServiceBudget are the names of the calls to plain services and of the retry budget.
-const (
-	ServiceCalls  = "calls"
-	ServiceBudget = "budget"
-)
+// ServiceCalls is the name of the calls to plain services.
+const ServiceCalls = "calls"
 
 const (
 	methodAskKey   = "calls.ask"
@@ -42,7 +39,7 @@
 	daemon *Daemon
 	notes  *Notes
 	node   *gladepeer.Node
-	budget *gladelimit.Budget
+	limits *Limits
 	client *gladeservice.Client
 	once   *gladeonce.Once
 	issuer *gladeonce.Issuer
@@ -62,7 +59,7 @@
 	for _, err := range []error{
 		lookup(d, ServiceNotes, &c.notes),
 		lookup(d, ServicePeers, &c.node),
-		lookup(d, ServiceBudget, &c.budget),
+		lookup(d, ServiceLimits, &c.limits),
 		lookup(d, ServiceRoutes, &table),
 		lookup(d, ServiceStore, &store),
 	} {
@@ -70,7 +67,7 @@
 			return err
 		}
 	}
-	c.client = d.newServiceClient(table, c.budget)
+	c.client = d.newServiceClient(table, c.limits.budget)
 	if err := c.addOnce(store); err != nil {
 		return err
 	}
--- a/gladedaemon/services.go
+++ b/gladedaemon/services.go
@@ -49,8 +49,7 @@
 	if r.URL.RawQuery != "" {
 		q.Path += "?" + r.URL.RawQuery
 	}
-	c.budget.Request()
-	outcome, err := c.run(r.Context(), q)
+	outcome, err := c.admitAndRun(r.Context(), q, o)
 	if err != nil {
 		return err
 	}
@@ -92,9 +91,18 @@
 	return q, nil
 }
 
-func (c *Calls) run(ctx context.Context, q *callRequest) (*gladeonce.Outcome, error) {
+func (c *Calls) admitAndRun(ctx context.Context, q *callRequest, o *gladenote.Organisation) (*gladeonce.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, gladeservice.Timeout(&q.Route))
 	defer cancel()
+	release, err := c.limits.admitCall(ctx, o)
+	if err != nil {
+		return nil, err
+	}
+	defer release(0)
+	return c.run(ctx, q)
+}
+
+func (c *Calls) run(ctx context.Context, q *callRequest) (*gladeonce.Outcome, error) {
 	if q.Route.Idempotent {
 		return c.send(ctx, q)
 	}
