Read a peer's address under the lock

Cause: the race detector saw Call read a row that an exchange was merging (TestBreakagesAreCaught). Change: the address is copied under the lock. Conclusion: rows are read and written under one lock.

--- a/gladepeer/call.go
+++ b/gladepeer/call.go
@@ -23,14 +23,22 @@
 
 // Call calls a method of the named member and waits for its answer.
 func Call[Q, A any](ctx context.Context, n *Node, to, method string, q Q) (A, error) {
-	n.mu.Lock()
-	m := n.member(to)
-	n.mu.Unlock()
-	if m == nil {
+	address, ok := n.addressOf(to)
+	if !ok {
 		var zero A
 		return zero, eris.Wrapf(ErrUnknownPeer, "%q", to)
 	}
-	return callAddress[Q, A](ctx, n, m.PeerAddress, method, q)
+	return callAddress[Q, A](ctx, n, address, method, q)
+}
+
+func (n *Node) addressOf(name string) (string, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m := n.member(name)
+	if m == nil {
+		return "", false
+	}
+	return m.PeerAddress, true
 }
 
 // member returns the newest known incarnation of a name; n.mu is held.
