--- a/gladedaemon/routes.go
+++ b/gladedaemon/routes.go
@@ -25,6 +25,7 @@
 	maxLoadBytes    = 64 << 10
 	maxLoadsAtOnce  = 16
 	loadsRepeatedIn = 3
+	maxLoadPeers    = 4
 )
 
 // Loads is what VMs tell each other of backend servers.
@@ -124,6 +125,7 @@
 	if len(message.Reports) == 0 && (len(message.Leaving) == 0 || l.round%loadsRepeatedIn != 0) {
 		return
 	}
+	near = some(near)
 	far := slices.DeleteFunc(members, func(m gladepeer.Member) bool { return m.FailureDomain == domain })
 	if len(far) > 0 && len(message.Leaving) > 0 {
 		near = append(near, far[rand.IntN(len(far))])
@@ -131,6 +133,12 @@
 	l.share(ctx, near, message)
 }
 
+// some returns a few of the members, each time others.
+func some(members []gladepeer.Member) []gladepeer.Member {
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	return members[:min(maxLoadPeers, len(members))]
+}
+
 func (l *loads) share(ctx context.Context, to []gladepeer.Member, m Loads) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
