Assert notRun and at most one sending on whole calls

Cause: the invariant looked at single attempts, and none looked at what callers are told.

Change: a request counts the connections that it was written to and the refusals before running; after each call atMostOnce and notRunTrue are asserted on them. The table's random histories have a pinned seed.

--- a/gladeroute/table_test.go
+++ b/gladeroute/table_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +18,14 @@
 
 const pool = "glade-llm"
 
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
 func backends(n int, domains ...string) []gladeapi.BackendServer {
 	all := make([]gladeapi.BackendServer, n)
 	for i := range all {
--- a/gladeservice/attempt.go
+++ b/gladeservice/attempt.go
@@ -102,6 +102,7 @@
 		return nil, eris.Wrapf(ErrForeignAnswer, "%s: %q echoed for %q", a.choice.Backend.ID, echoed, a.id)
 	}
 	if response.Header.Get(HeaderRan) == string(gladeapi.NotRun) && response.StatusCode >= http.StatusBadRequest {
+		a.request.refused.Add(1)
 		return nil, eris.Wrapf(ErrRefusedBeforeRunning, "%s: status %d", a.choice.Backend.ID, response.StatusCode)
 	}
 	return a.read(response)
@@ -110,6 +111,7 @@
 func (a *attempt) build(ctx context.Context) (*http.Request, error) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		a.conns.Add(1)
+		a.request.sent.Add(1)
 		a.conn.Store(&i.Conn)
 	}})
 	url := "http://" + a.choice.Backend.Address + a.request.Path
--- a/gladeservice/client.go
+++ b/gladeservice/client.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -75,6 +76,10 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+
+	// sent counts the connections that the call was written to, refused the refusals before running that came back.
+	sent    atomic.Int32
+	refused atomic.Int32
 }
 
 // Answer is the whole answer of a plain service.
@@ -169,10 +174,21 @@
 func (c *Client) Do(ctx context.Context, r *Request) (*Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, Timeout(&r.Route))
 	defer cancel()
+	do := c.once
 	if r.Route.Idempotent {
-		return c.repeatable(ctx, r)
+		do = c.repeatable
 	}
-	return c.once(ctx, r)
+	a, err := do(ctx, r)
+	c.assert(r, err)
+	return a, err
+}
+
+// assert checks what was sent against what is said.
+func (c *Client) assert(r *Request, err error) {
+	sent, refused := r.sent.Load(), r.refused.Load()
+	c.config.Check.That(r.Route.Idempotent || sent <= 1, gladecheck.AtMostOnce, "%s was written to %d connections", r.ID, sent)
+	notRun := err != nil && gladeapi.AsRefusal(err).Ran == gladeapi.NotRun
+	c.config.Check.That(!notRun || sent == refused, gladecheck.NotRunTrue, "%s was sent %d times and refused %d times", r.ID, sent, refused)
 }
 
 func (c *Client) refusal(status int, code gladeapi.Code, ran gladeapi.Ran, err error) *gladeapi.Refusal {
--- a/gladeservice/once.go
+++ b/gladeservice/once.go
@@ -6,7 +6,6 @@
 	"net/http"
 
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
-	"github.com/eelgrassglade/eelgrassglade/gladecheck"
 )
 
 // once sends a call to at most one server; a server that could not be connected to is no sending.
@@ -19,7 +18,6 @@
 		}
 		a := c.newAttempt(r, number, choice)
 		answer, err := a.do(ctx, c.single)
-		c.config.Check.That(a.conns.Load() <= 1, gladecheck.AtMostOnce, "%s was written to %d connections", a.id, a.conns.Load())
 		switch {
 		case err == nil:
 			return answer, nil
