--- a/cmd/gladebench/experiment.go
+++ b/cmd/gladebench/experiment.go
@@ -13,6 +13,7 @@
 			membershipCommand(),
 			takeoverCommand(),
 			capacityCommand(),
+			notesCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/cmd/gladebench/notes.go
@@ -0,0 +1,337 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/eelgrassglade/eelgrassglade/gladecluster"
+	"github.com/eelgrassglade/eelgrassglade/gladedaemon"
+	"github.com/eelgrassglade/eelgrassglade/gladenote"
+	"github.com/eelgrassglade/eelgrassglade/gladestandin"
+)
+
+const (
+	notesEngines      = 2
+	noteLimit         = 30 * time.Second
+	notePoll          = 5 * time.Millisecond
+	noteLoadTime      = 100 * time.Millisecond
+	organisationsEach = 4000
+	maxNoteMicros     = 60_000_000
+	histogramDigits   = 3
+)
+
+// InForceResult is how long notes take from submission until status says that they are in force.
+type InForceResult struct {
+	What  string  `json:"what"`
+	VMs   int     `json:"vms"`
+	Notes int64   `json:"notes"`
+	P50   float64 `json:"p50Millis"`
+	P95   float64 `json:"p95Millis"`
+	Max   float64 `json:"maxMillis"`
+}
+
+// NoteCallsResult is what notes cost the platform.
+type NoteCallsResult struct {
+	VMs     int `json:"vms"`
+	Watches int `json:"watches"`
+	// IdlePerSecond are the calls for notes and snapshots without any note, AllIdlePerSecond those of all kinds.
+	IdlePerSecond    float64 `json:"idlePerSecond"`
+	AllIdlePerSecond float64 `json:"allIdlePerSecond"`
+	// PerNote are the calls for notes and snapshots that one note costs.
+	PerNote float64 `json:"perNote"`
+}
+
+// BulkResult is the loading of many organisations.
+type BulkResult struct {
+	Organisations  int     `json:"organisations"`
+	Notes          int     `json:"notes"`
+	SubmitSeconds  float64 `json:"submitSeconds"`
+	InForceSeconds float64 `json:"inForceSeconds"`
+	// Objects and Bytes are what the platform then holds of notes and snapshots.
+	Objects int `json:"objects"`
+	Bytes   int `json:"bytes"`
+	Largest int `json:"largestBytes"`
+	// NewVMSeconds is the time from a new VM's start until it is ready.
+	NewVMSeconds float64 `json:"newVMSeconds"`
+}
+
+func notesCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "notes",
+		Usage: "measure the time until notes are in force, their platform calls and the loading of many organisations",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "notes", Usage: "notes of each sort", Value: 60},
+			&cli.IntFlag{Name: "organisations", Value: 48_000},
+			&cli.IntSliceFlag{Name: "vms", Usage: "VMs in all, for the platform calls", Value: []int{3, 15, 60}},
+			&cli.DurationFlag{Name: "idle", Usage: "time watched without notes", Value: 5 * time.Second},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			for _, measure := range []func(context.Context, *cli.Command) error{measureInForce, measureNoteCalls, measureBulk} {
+				if err := measure(ctx, c); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
+type notesBench struct {
+	*gladecluster.Cluster
+	client *http.Client
+	base   int64
+}
+
+func newNotesBench(ctx context.Context, vms int) (*notesBench, func(), error) {
+	k, closeCluster, err := gladecluster.New(gladecluster.Config{
+		FailureDomains: resumeDomains, Engines: notesEngines, VMs: vms / len(resumeDomains),
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, e := range k.Engines {
+		e.Engine.SetOrders(gladestandin.OrderConfig{LoadTime: noteLoadTime})
+	}
+	b := &notesBench{Cluster: k, client: &http.Client{}, base: 1}
+	if err := b.wait(ctx, 1); err != nil {
+		closeCluster()
+		return nil, nil, err
+	}
+	return b, closeCluster, nil
+}
+
+func (b *notesBench) call(ctx context.Context, vm int, method, path string, body, answer any) error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	url := "http://" + b.VMs[vm%len(b.VMs)].Daemon.OperatorsAddress() + path
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(raw))
+	if err != nil {
+		return err
+	}
+	response, err := b.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return json.NewDecoder(response.Body).Decode(answer)
+}
+
+func (b *notesBench) submit(ctx context.Context, vm int, n gladenote.Note) error {
+	var a gladedaemon.NoteAnswer
+	n.Base, n.Author, n.Title = b.base, "gladebench", fmt.Sprint("note ", b.base+1)
+	if err := b.call(ctx, vm, http.MethodPost, "/notes", n, &a); err != nil {
+		return err
+	}
+	if a.Accepted == nil {
+		return eris.Errorf("note refused: %v", a.Errors)
+	}
+	b.base = a.Accepted.Number
+	return nil
+}
+
+// wait asks until the newest note is in force.
+func (b *notesBench) wait(ctx context.Context, vm int) error {
+	started := time.Now()
+	for {
+		var s gladenote.Status
+		if err := b.call(ctx, vm, http.MethodGet, fmt.Sprintf("/notes/status?number=%d", b.base), nil, &s); err != nil {
+			return err
+		}
+		if s.InForce {
+			return nil
+		}
+		if time.Since(started) > noteLimit {
+			return eris.Errorf("note %d is not in force: %+v", b.base, s)
+		}
+		time.Sleep(notePoll)
+	}
+}
+
+func measureInForce(ctx context.Context, c *cli.Command) error {
+	b, closeBench, err := newNotesBench(ctx, 15)
+	if err != nil {
+		return err
+	}
+	defer closeBench()
+	for _, sort := range []struct {
+		what string
+		note func(i int) gladenote.Note
+	}{{"organisation added", organisationNote}, {"adapter added", adapterNote}} {
+		h := hdrhistogram.New(1, maxNoteMicros, histogramDigits)
+		for i := range c.Int("notes") {
+			started := time.Now()
+			if err := b.submit(ctx, i, sort.note(i)); err != nil {
+				return err
+			}
+			if err := b.wait(ctx, i+7); err != nil {
+				return err
+			}
+			if err := h.RecordValue(time.Since(started).Microseconds()); err != nil {
+				return err
+			}
+		}
+		if err := json.NewEncoder(os.Stdout).Encode(InForceResult{
+			What: sort.what, VMs: len(b.VMs), Notes: h.TotalCount(),
+			P50: millis(h.ValueAtQuantile(50)), P95: millis(h.ValueAtQuantile(95)), Max: millis(h.Max()),
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func millis(micros int64) float64 {
+	return float64(micros) / 1000
+}
+
+func organisationNote(i int) gladenote.Note {
+	name := fmt.Sprintf("organisation-%05d", i)
+	return gladenote.Note{Added: gladenote.Content{Organisations: []gladenote.Organisation{
+		{Name: name, KeyHashes: []string{gladenote.HashKey(name)}, RequestsPerSecond: 5},
+	}}}
+}
+
+func adapterNote(i int) gladenote.Note {
+	return gladenote.Note{Added: gladenote.Content{Adapters: []gladenote.Adapter{
+		{Name: fmt.Sprint("adapter-", i), Model: gladecluster.ModelName, Version: "1", Weights: "weights://adapter"},
+	}}}
+}
+
+func measureNoteCalls(ctx context.Context, c *cli.Command) error {
+	for _, n := range c.IntSlice("vms") {
+		b, closeBench, err := newNotesBench(ctx, n)
+		if err != nil {
+			return err
+		}
+		r, err := b.measureCalls(ctx, c.Duration("idle"))
+		closeBench()
+		if err != nil {
+			return err
+		}
+		if err := json.NewEncoder(os.Stdout).Encode(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func noteCalls(c *gladestandin.PlatformCounts) float64 {
+	return float64(c.Kinds[gladenote.KindNotes] + c.Kinds[gladenote.KindSnapshots])
+}
+
+func (b *notesBench) measureCalls(ctx context.Context, idle time.Duration) (*NoteCallsResult, error) {
+	const notes = 16
+	before := b.Platform.Counts()
+	time.Sleep(idle)
+	quiet := b.Platform.Counts()
+	for i := range notes {
+		if err := b.submit(ctx, i, organisationNote(i)); err != nil {
+			return nil, err
+		}
+	}
+	if err := b.wait(ctx, 1); err != nil {
+		return nil, err
+	}
+	after := b.Platform.Counts()
+	return &NoteCallsResult{
+		VMs:              len(b.VMs),
+		Watches:          quiet.Watches,
+		IdlePerSecond:    (noteCalls(&quiet) - noteCalls(&before)) / idle.Seconds(),
+		AllIdlePerSecond: float64(quiet.Calls()-before.Calls()) / idle.Seconds(),
+		PerNote:          (noteCalls(&after) - noteCalls(&quiet)) / notes,
+	}, nil
+}
+
+func measureBulk(ctx context.Context, c *cli.Command) error {
+	b, closeBench, err := newNotesBench(ctx, 15)
+	if err != nil {
+		return err
+	}
+	defer closeBench()
+	r := &BulkResult{Organisations: c.Int("organisations")}
+	started := time.Now()
+	for first := 0; first < r.Organisations; first += organisationsEach {
+		var n gladenote.Note
+		for i := first; i < min(first+organisationsEach, r.Organisations); i++ {
+			n.Added.Organisations = append(n.Added.Organisations, organisationNote(i).Added.Organisations...)
+		}
+		if err := b.submit(ctx, 0, n); err != nil {
+			return err
+		}
+		r.Notes++
+	}
+	r.SubmitSeconds = time.Since(started).Seconds()
+	if err := b.wait(ctx, 7); err != nil {
+		return err
+	}
+	r.InForceSeconds = time.Since(started).Seconds()
+	if err := b.forceSnapshot(ctx); err != nil {
+		return err
+	}
+	r.Objects, r.Bytes, r.Largest = b.held()
+	started = time.Now()
+	if err := b.replaceVM(ctx); err != nil {
+		return err
+	}
+	r.NewVMSeconds = time.Since(started).Seconds()
+	return json.NewEncoder(os.Stdout).Encode(r)
+}
+
+// forceSnapshot submits small notes until the platform holds a snapshot.
+func (b *notesBench) forceSnapshot(ctx context.Context) error {
+	for i := 0; len(b.Platform.Objects(gladenote.KindSnapshots)) == 0; i++ {
+		if err := b.submit(ctx, i, adapterNote(i)); err != nil {
+			return err
+		}
+		time.Sleep(notePoll)
+	}
+	return nil
+}
+
+// held returns the number of objects that hold notes, their bytes and the largest one's.
+func (b *notesBench) held() (objects, total, largest int) {
+	for _, kind := range []string{gladenote.KindNotes, gladenote.KindSnapshots} {
+		for _, o := range b.Platform.Objects(kind) {
+			objects++
+			total += len(o.Value)
+			largest = max(largest, len(o.Value))
+		}
+	}
+	return objects, total, largest
+}
+
+// replaceVM replaces a VM and waits until the new one is ready.
+func (b *notesBench) replaceVM(ctx context.Context) error {
+	v, err := b.ReplaceVM("giza")
+	if err != nil {
+		return err
+	}
+	client := v.Client()
+	defer client.CloseIdleConnections()
+	for {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, v.URL()+"/readyz", nil)
+		if err != nil {
+			return err
+		}
+		response, err := client.Do(request)
+		if err != nil {
+			return err
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return nil
+		}
+		time.Sleep(notePoll)
+	}
+}
--- a/gladedaemon/notes.go
+++ b/gladedaemon/notes.go
@@ -11,6 +11,7 @@
 	"github.com/eelgrassglade/eelgrassglade/gladekernel"
 	"github.com/eelgrassglade/eelgrassglade/gladenote"
 	"github.com/eelgrassglade/eelgrassglade/gladepeer"
+	"github.com/eelgrassglade/eelgrassglade/gladeroster"
 	"github.com/eelgrassglade/eelgrassglade/gladestore"
 )
 
@@ -27,11 +28,14 @@
 type Notes struct {
 	replica *gladenote.Replica
 	store   *gladestore.Client
+	roster  *gladeroster.Roster
 	node    *gladepeer.Node
 	domain  string
 	log     hclog.Logger
 	// reports is where this VM's report as order-giver is, if it is one.
 	reports atomic.Pointer[atomic.Pointer[gladenote.EngineReport]]
+	// changed is signalled at each new state, for this VM's order-giver.
+	changed chan struct{}
 	heard   heardDomains
 	use     usage
 }
@@ -63,11 +67,17 @@
 	if err != nil {
 		return err
 	}
+	roster, err := gladekernel.Lookup[*gladeroster.Roster](&d.kernel, ServiceRoster)
+	if err != nil {
+		return err
+	}
 	n := &Notes{
-		store:  store,
-		node:   node,
-		domain: d.settings.VM.FailureDomain,
-		log:    d.log.Named("notes"),
+		store:   store,
+		roster:  roster,
+		changed: make(chan struct{}, 1),
+		node:    node,
+		domain:  d.settings.VM.FailureDomain,
+		log:     d.log.Named("notes"),
 	}
 	replica, closeReplica := gladenote.NewReplica(d.replicaConfig(n))
 	n.replica = replica
@@ -93,7 +103,7 @@
 		Fetch: func(ctx context.Context, from string, q gladenote.FetchRequest) (gladenote.FetchAnswer, error) {
 			return gladepeer.Call[gladenote.FetchRequest, gladenote.FetchAnswer](ctx, n.node, from, methodNoteFetch, q)
 		},
-		OnApply:  n.publish,
+		OnApply:  n.applied,
 		Watchers: s.Watchers,
 		Interval: s.Interval.D(),
 		Settle:   s.Settle.D(),
@@ -102,6 +112,14 @@
 	}
 }
 
+func (n *Notes) applied(s *gladenote.State) {
+	n.publish(s)
+	select {
+	case n.changed <- struct{}{}:
+	default:
+	}
+}
+
 func (n *Notes) publish(s *gladenote.State) {
 	n.publishFact(factNote, noteFact{Number: s.Number, Since: time.Now().UTC(), InUse: n.use.withdrawn(s)})
 }
--- a/gladedaemon/notes_status.go
+++ b/gladedaemon/notes_status.go
@@ -66,7 +66,7 @@
 func (n *Notes) Status(ctx context.Context, number int64) gladenote.Status {
 	s := gladenote.Status{Number: number, Newest: n.State().Number}
 	listCtx, cancel := context.WithTimeout(ctx, statusCallTimeout)
-	list, listErr := n.store.VMs(listCtx)
+	list, listErr := n.roster.VMs(listCtx)
 	cancel()
 	domains := map[string]bool{n.domain: true}
 	for _, m := range n.node.Members() {
--- a/gladedaemon/orders.go
+++ b/gladedaemon/orders.go
@@ -85,6 +85,7 @@
 		Unused:        o.notes.Unused,
 		Report:        o.publish,
 		Loads:         o.loads,
+		Changed:       o.notes.changed,
 		Interval:      s.Interval.D(),
 		OrderLife:     s.OrderLife.D(),
 		Grace:         s.UnloadGrace.D(),
--- a/gladenote/log.go
+++ b/gladenote/log.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -29,6 +30,7 @@
 	defaultSnapshotEvery = 64
 	defaultKeep          = 64
 	maxReads             = 3
+	maxNext              = 8
 )
 
 // The errors of Submit.
@@ -187,6 +189,34 @@
 	return nil, nil, err
 }
 
+// Next returns the few notes after a number, or ErrOutOfOrder if it is too far behind.
+func (l *Log) Next(ctx context.Context, after int64) ([]Note, error) {
+	h, _, err := l.head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if h.Number > after {
+		return nil, eris.Wrapf(ErrOutOfOrder, "a snapshot stands for note %d", after+1)
+	}
+	var notes []Note
+	for range maxNext {
+		o, err := l.Store.Get(ctx, KindNotes, strconv.FormatInt(after+1, 10))
+		if errors.Is(err, gladestore.ErrNotFound) {
+			return notes, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		next, err := decodeNotes([]gladestore.Object{o})
+		if err != nil {
+			return nil, err
+		}
+		notes = append(notes, next...)
+		after++
+	}
+	return nil, eris.Wrapf(ErrOutOfOrder, "more than %d notes are missing", maxNext)
+}
+
 func (l *Log) read(ctx context.Context, after int64) (*State, []Note, error) {
 	var s *State
 	h, _, err := l.head(ctx)
@@ -249,7 +279,10 @@
 	if err := l.putHead(ctx, next, version); err != nil {
 		return err
 	}
-	return l.prune(ctx, old.Previous, s.Number-cmp.Or(l.Keep, defaultKeep))
+	if err := l.pruneSnapshots(ctx, &next); err != nil {
+		return err
+	}
+	return l.pruneNotes(ctx, s.Number-cmp.Or(l.Keep, defaultKeep))
 }
 
 func (l *Log) putHead(ctx context.Context, h head, version int64) error {
@@ -266,15 +299,36 @@
 	return err
 }
 
-// prune deletes a snapshot that nobody reads any more and the notes up to a number.
-func (l *Log) prune(ctx context.Context, h *head, upTo int64) error {
-	if h != nil {
-		for i := range h.Parts {
-			if err := l.Store.Delete(ctx, KindSnapshots, partName(h.Number, i), 0); err != nil {
-				return err
-			}
+// pruneSnapshots deletes the parts of older snapshots, also those that were never finished.
+func (l *Log) pruneSnapshots(ctx context.Context, h *head) error {
+	list, err := l.Store.List(ctx, KindSnapshots, "")
+	if err != nil {
+		return err
+	}
+	for _, o := range list.Objects {
+		text, _, part := strings.Cut(o.Name, "-")
+		number, err := strconv.ParseInt(text, 10, 64)
+		if !part || err != nil || number >= h.Number || h.Previous != nil && number == h.Previous.Number {
+			continue
+		}
+		if err := l.remove(ctx, &o); err != nil {
+			return err
 		}
 	}
+	return nil
+}
+
+// remove deletes an object unless it was changed or deleted meanwhile.
+func (l *Log) remove(ctx context.Context, o *gladestore.Object) error {
+	err := l.Store.Delete(ctx, o.Kind, o.Name, o.Version)
+	if errors.Is(err, gladestore.ErrConflict) {
+		return nil
+	}
+	return err
+}
+
+// pruneNotes deletes the notes up to a number.
+func (l *Log) pruneNotes(ctx context.Context, upTo int64) error {
 	list, err := l.Store.List(ctx, KindNotes, "")
 	if err != nil {
 		return err
@@ -284,7 +338,7 @@
 		if err != nil || number > upTo {
 			continue
 		}
-		if err := l.Store.Delete(ctx, KindNotes, o.Name, o.Version); err != nil && !errors.Is(err, gladestore.ErrConflict) {
+		if err := l.remove(ctx, &o); err != nil {
 			return err
 		}
 	}
--- a/gladenote/replica.go
+++ b/gladenote/replica.go
@@ -178,18 +178,32 @@
 
 // Submit brings the replica up to the platform's newest note and submits the next one.
 func (r *Replica) Submit(ctx context.Context, n Note) (Note, error) {
-	if err := r.load(ctx); err != nil {
+	if err := r.refresh(ctx); err != nil {
 		return n, eris.Wrap(err, "the platform's notes can't be read, so the note was not submitted")
 	}
 	accepted, err := r.config.Log.Submit(ctx, r.State(), n)
+	if err != nil {
+		return accepted, err
+	}
+	if err := r.apply(fromPlatform, accepted); err != nil {
+		r.log.Warn("Accepted note waits for others.", "number", accepted.Number, "error", err)
+	}
+	return accepted, nil
+}
+
+// refresh applies what the platform has more, by single reads as long as few notes are missing.
+func (r *Replica) refresh(ctx context.Context) error {
+	if !r.loaded.Load() {
+		return r.load(ctx)
+	}
+	next, err := r.config.Log.Next(ctx, r.State().Number)
 	if err == nil {
-		err = r.load(ctx)
-		if err != nil {
-			r.log.Warn("Note accepted but not read back.", "number", accepted.Number, "error", err)
-		}
-		return accepted, nil
+		err = r.apply(fromPlatform, next...)
 	}
-	return accepted, err
+	if errors.Is(err, ErrOutOfOrder) {
+		return r.load(ctx)
+	}
+	return err
 }
 
 // apply puts notes into force that follow each other; older ones are left out.
--- a/gladeorder/giver.go
+++ b/gladeorder/giver.go
@@ -18,6 +18,7 @@
 )
 
 const (
+	firstWait        = 50 * time.Millisecond
 	defaultInterval  = 500 * time.Millisecond
 	defaultIdle      = 10 * time.Second
 	defaultOrderLife = 5 * time.Second
@@ -49,7 +50,9 @@
 	Report func(gladenote.EngineReport)
 	// Loads is this failure domain's share of the weight store's rate; nil is no limit.
 	Loads *rate.Limiter
-	// Interval is the time between rounds while something is missing, Idle while nothing is; zero means 500 ms and 10 s.
+	// Changed is signalled when State or Engines give something new, if set.
+	Changed <-chan struct{}
+	// Interval is the longest time between rounds while something is missing, Idle while nothing is; zero means 500 ms and 10 s.
 	Interval time.Duration
 	Idle     time.Duration
 	// OrderLife is the longest time from the sending of an order to its effect; zero means 5 s.
@@ -65,6 +68,8 @@
 type giver struct {
 	Config
 	started time.Time
+	// settled is set after a round that found nothing to do.
+	settled bool
 	// ordered is when a load was last ordered, by engine incarnation and order.
 	ordered map[orderKey]time.Time
 	// unused is when a target was first seen unused, silent when an engine stopped to answer.
@@ -104,22 +109,25 @@
 func (g *giver) run(ctx context.Context) error {
 	var last roundKey
 	var lastTime time.Time
+	wait := min(firstWait, g.Interval)
 	for ctx.Err() == nil {
 		now := g.key()
-		if now != last || time.Since(lastTime) >= g.Idle {
+		if now != last {
+			wait = min(firstWait, g.Interval)
+		}
+		if now != last || time.Since(lastTime) >= g.Idle || !g.settled {
 			settled, err := g.round(ctx)
 			if err != nil {
 				return err
 			}
-			last, lastTime = roundKey{}, time.Now()
-			if settled {
-				last = now
-			}
+			last, lastTime, g.settled = now, time.Now(), settled
 		}
 		select {
-		case <-time.After(g.Interval):
+		case <-time.After(wait):
+		case <-g.Changed:
 		case <-ctx.Done():
 		}
+		wait = min(2*wait, g.Interval)
 	}
 	return nil
 }
--- a/gladestandin/platform.go
+++ b/gladestandin/platform.go
@@ -47,6 +47,13 @@
 	p.put(gladestore.Object{Kind: kind, Name: name, Version: p.version, Value: value})
 }
 
+// Objects returns all objects of a kind, by name.
+func (p *Platform) Objects(kind string) []gladestore.Object {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.list(kind, "").Objects
+}
+
 // ServeHTTP answers the object API.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/"), "/")
