--- a/cmd/gladebench/entry_cost.go
+++ b/cmd/gladebench/entry_cost.go
@@ -39,7 +39,7 @@
 			&cli.IntFlag{Name: "tokens", Value: 400, Destination: &c.tokens},
 			&cli.IntFlag{Name: "prompt-words", Value: 600, Usage: "words of each prompt", Destination: &c.prompt},
 			&cli.IntFlag{Name: "rounds", Value: 3, Destination: &c.rounds},
-			&cli.DurationFlag{Name: "token-time", Value: 20 * time.Millisecond, Destination: &c.tokenTime},
+			&cli.DurationFlag{Name: tokenTimeFlag, Value: 20 * time.Millisecond, Destination: &c.tokenTime},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error { return runEntryCost(ctx, c) },
 	}
--- a/cmd/gladebench/experiment.go
+++ b/cmd/gladebench/experiment.go
@@ -14,6 +14,7 @@
 			takeoverCommand(),
 			capacityCommand(),
 			notesCommand(),
+			randomCommand(),
 		},
 	}
 }
--- a/gladecluster/process.go
+++ b/gladecluster/process.go
@@ -64,7 +64,7 @@
 
 func (k *Cluster) startServer(s *Server, h http.Handler) error {
 	id := s.Backend.ID
-	address, kill, err := k.serve(id, k.observe(id, h))
+	address, kill, err := k.serve(id, k.observe(s, h))
 	if err != nil {
 		return err
 	}
@@ -92,7 +92,8 @@
 	on := k.host(name)
 	d, _, err := gladedaemon.New(gladedaemon.Config{
 		Settings: k.settings(domain, name), Dial: on.dial, Listen: on.listen,
-		Log: k.config.Log.Named(name), Check: k.config.Check,
+		Callers: func(h http.Handler) http.Handler { return k.config.Wrap(name, h) },
+		Log:     k.config.Log.Named(name), Check: k.config.Check,
 	})
 	if err != nil {
 		return nil, err
@@ -119,6 +120,9 @@
 		cancel()
 		<-done
 	})
+	if k.config.OnVM != nil {
+		k.config.OnVM(v)
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.VMs = append(k.VMs, v)
--- a/gladedaemon/entry.go
+++ b/gladedaemon/entry.go
@@ -43,6 +43,7 @@
 	}
 	server := gladeentry.New(gladeentry.Config{
 		Services:     calls.Serve,
+		Admit:        calls.limits.admitGeneration,
 		Recover:      standby.Recover,
 		VM:           d.settings.VM.Name,
 		State:        notes.State,
@@ -57,7 +58,7 @@
 		Record:       d.record,
 	})
 	d.kernel.OnDump("entry", func() any { return server.State() })
-	address, shutdown, err := d.serve(d.settings.Entry.Listen, d.closing(server))
+	address, shutdown, err := d.serve(d.settings.Entry.Listen, d.closing(d.callers(server)))
 	if err != nil {
 		return err
 	}
--- a/gladedaemon/services.go
+++ b/gladedaemon/services.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 
@@ -49,8 +47,7 @@
 	if r.URL.RawQuery != "" {
 		q.Path += "?" + r.URL.RawQuery
 	}
-	c.budget.Request()
-	outcome, err := c.run(r.Context(), q)
+	outcome, err := c.admitAndRun(r.Context(), q, o)
 	if err != nil {
 		return err
 	}
@@ -71,13 +68,9 @@
 func (c *Calls) request(
 	w http.ResponseWriter, r *http.Request, id string, o *gladenote.Organisation, route *gladenote.Route,
 ) (*callRequest, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.daemon.settings.Entry.MaxBodyBytes))
+	body, err := gladeentry.ReadBody(w, r, c.daemon.settings.Entry.MaxBodyBytes)
 	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return nil, refuse(http.StatusRequestEntityTooLarge, gladeapi.CodeTooLarge, err.Error())
-		}
-		return nil, refuse(http.StatusBadRequest, gladeapi.CodeBadRequest, "body: "+err.Error())
+		return nil, err
 	}
 	q := &callRequest{
 		ID: id, Organisation: o.Name, Route: *route, Key: r.Header.Get(gladeentry.HeaderIdempotencyKey),
@@ -92,9 +85,18 @@
 	return q, nil
 }
 
-func (c *Calls) run(ctx context.Context, q *callRequest) (*gladeonce.Outcome, error) {
+func (c *Calls) admitAndRun(ctx context.Context, q *callRequest, o *gladenote.Organisation) (*gladeonce.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, gladeservice.Timeout(&q.Route))
 	defer cancel()
+	release, err := c.limits.admitCall(ctx, o)
+	if err != nil {
+		return nil, err
+	}
+	defer release(0)
+	return c.run(ctx, q)
+}
+
+func (c *Calls) run(ctx context.Context, q *callRequest) (*gladeonce.Outcome, error) {
 	if q.Route.Idempotent {
 		return c.send(ctx, q)
 	}
--- a/gladedaemon/streams.go
+++ b/gladedaemon/streams.go
@@ -8,6 +8,7 @@
 	"github.com/eelgrassglade/eelgrassglade/gladeconfig"
 	"github.com/eelgrassglade/eelgrassglade/gladeengine"
 	"github.com/eelgrassglade/eelgrassglade/gladekernel"
+	"github.com/eelgrassglade/eelgrassglade/gladelimit"
 	"github.com/eelgrassglade/eelgrassglade/gladeroute"
 	"github.com/eelgrassglade/eelgrassglade/gladestandby"
 	"github.com/eelgrassglade/eelgrassglade/gladestream"
@@ -42,7 +43,13 @@
 	if err != nil {
 		return err
 	}
+	budget, err := gladekernel.Lookup[*gladelimit.Budget](&d.kernel, ServiceBudget)
+	if err != nil {
+		return err
+	}
 	runner := gladestream.NewRunner(gladestream.Config{
+		Blocks: gladeroute.GenerationBlocks,
+		Retry:  budget.Retry,
 		OnStart: func(run *gladestream.Run) {
 			standby.OnStart(run)
 			notes.Track(run)
@@ -60,6 +67,7 @@
 		Probe:         engines.Probe,
 		Cancel:        engines.Cancel,
 		Suspects:      suspects,
+		Servers:       func() []gladeapi.BackendServer { return enginesOf(table) },
 		Timeouts:      d.timeouts(),
 		MaxAttempts:   d.settings.Generations.MaxAttempts,
 		AttachTimeout: d.settings.Generations.JoinTimeout.D(),
--- a/gladestandby/owner.go
+++ b/gladestandby/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"slices"
 	"time"
 
@@ -101,6 +100,8 @@
 		j.Gate()
 	}
 	sent := 0
+	// last is when the last batch was sent.
+	var last time.Time
 	for {
 		ctx, cancel := context.WithTimeout(s.ctx, idleInterval)
 		tokens, end, err := j.ReadAll(ctx, sent)
@@ -109,7 +110,7 @@
 			return
 		}
 		if err == nil && !end.Ended() && s.hasStandby(o) {
-			s.gather()
+			s.gather(time.Until(last.Add(s.config.BatchInterval)))
 			tokens, end, _ = j.ReadAll(s.ctx, sent)
 		}
 		s.refreshClaim(o)
@@ -119,6 +120,7 @@
 			return
 		}
 		sent += len(tokens)
+		last = time.Now()
 		if !s.send(o, sent, end.Finish) {
 			s.takenOver(o)
 			return
@@ -150,9 +152,10 @@
 	}
 }
 
-func (s *Service) gather() {
+// gather waits for further tokens of a batch.
+func (s *Service) gather(d time.Duration) {
 	select {
-	case <-time.After(s.config.BatchInterval):
+	case <-time.After(d):
 	case <-s.ctx.Done():
 	}
 }
@@ -293,10 +296,7 @@
 	s.counters.refused.Inc(1)
 	s.config.Log.Warn("Generation taken over by another VM.", "request", o.generation.ID)
 	s.config.Record.Add(o.generation.ID, "standby", "takenOver", "epoch %d was refused", o.epoch)
-	o.run.Journal.Abandon(&gladeapi.Refusal{
-		Status: http.StatusGone, Code: gladeapi.CodeGenerationLost, Ran: gladeapi.Unknown,
-		Message: ErrTakenOver.Error() + "; repeat the request with its key and last event",
-	})
+	o.run.Journal.Abandon(ErrTakenOver)
 	s.config.Check.That(o.run.Journal.End().Ended(), gladecheck.OneGeneration, "%s goes on after it was taken over", o.generation.ID)
 	o.stop()
 }
