--- a/cmd/gladebench/experiment.go
+++ b/cmd/gladebench/experiment.go
@@ -9,6 +9,9 @@
 		Usage: "measure one part and print its table",
 		Commands: []*cli.Command{
 			resumeCommand(),
+			routingCommand(),
+			stormCommand(),
+			onceCommand(),
 			entryCostCommand(),
 			membershipCommand(),
 			takeoverCommand(),
