Kill the order-givers of all failure domains in a whole-daemon test

Cause: takeover of orders was only tested without the lease.

Change: the test kills every VM that gives orders, alone and with an outage and three lost answers after it, and expects the next note in force under a higher fencing number.

Conclusion: takeover works through lease, membership and status together.

--- a/gladecluster/notes_test.go
+++ b/gladecluster/notes_test.go
@@ -156,6 +156,48 @@
 	})
 }
 
+// TestOrderGiverDies kills the VMs that give orders, alone and during an outage, and expects the next note in force.
+func TestOrderGiverDies(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		t.Run(strconv.FormatBool(down), func(t *testing.T) {
+			withNotes(t, func(b *notesBench) {
+				givers := 0
+				for _, v := range slices.Clone(b.VMs) {
+					if orders(b, v) != nil {
+						givers++
+						v.Kill()
+					}
+				}
+				b.Assert(givers, qt.Equals, 3)
+				if down {
+					b.Platform.SetFaults(gladestandin.PlatformFaults{Down: true})
+					time.Sleep(20 * time.Second)
+					b.Platform.SetFaults(gladestandin.PlatformFaults{LoseAnswers: 3})
+				}
+				time.Sleep(5 * time.Second)
+				b.Publish()
+				v := b.LiveVMs()[0]
+				status, answer := b.submit(v, nextVersion(1))
+				b.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%v", answer))
+				s := b.wait(v, 2, time.Minute)
+				b.Assert(s.InForce, qt.IsTrue, qt.Commentf("%+v", s))
+				for _, d := range s.Domains {
+					b.Assert(d.Engines.FencingNumber > 1, qt.IsTrue)
+				}
+			})
+		})
+	}
+}
+
+// orders returns a VM's report as order-giver from its state dump, or nil.
+func orders(b *notesBench, v *VM) *gladenote.EngineReport {
+	var dump struct {
+		Orders *gladenote.EngineReport `json:"orders"`
+	}
+	b.operate(v, http.MethodGet, "/dump", nil, &dump)
+	return dump.Orders
+}
+
 func number(b *notesBench, v *VM) int64 {
 	var recent []gladenote.Summary
 	b.operate(v, http.MethodGet, "/notes", nil, &recent)
