--- a/cmd/gladebench/standin.go
+++ b/cmd/gladebench/standin.go
@@ -35,7 +35,7 @@
 			},
 			{
 				Name:  "service",
-				Usage: "a plain service",
+				Usage: "a plain service that answers what it is sent",
 				Flags: []cli.Flag{
 					listen,
 					&cli.StringFlag{Name: "id", Value: "service-1"},
@@ -62,8 +62,8 @@
 }
 
 func runService(_ context.Context, c *cli.Command) error {
-	service := gladestandin.NewService(gladestandin.ServiceConfig{ID: c.String("id"), RunTime: c.Duration("run-time")})
-	return listenAndServe(c, service)
+	s := gladestandin.NewService(gladestandin.ServiceConfig{ID: c.String("id"), RunTime: c.Duration("run-time")})
+	return listenAndServe(c, s)
 }
 
 func runPlatform(_ context.Context, c *cli.Command) error {
