Test that load reports are shared and taken over

Cause: no test showed that a VM hears of the servers that another one reads, or that a stopped VM's servers are read on.

Change: TestLoadReportsAreSharedAndTakenOver with whole daemons.

Conclusion: each VM of a failure domain hears of all its servers, also after the reader has stopped.

--- a/gladecluster/services_test.go
+++ b/gladecluster/services_test.go
@@ -16,6 +16,7 @@
 	"github.com/eelgrassglade/eelgrassglade/gladecheck"
 	"github.com/eelgrassglade/eelgrassglade/gladeconfig"
 	"github.com/eelgrassglade/eelgrassglade/gladeentry"
+	"github.com/eelgrassglade/eelgrassglade/gladeroute"
 	"github.com/eelgrassglade/eelgrassglade/gladestandin"
 	"github.com/eelgrassglade/eelgrassglade/gladewire"
 )
@@ -200,3 +201,22 @@
 		c.Assert(answered >= 170 && answered <= 260, qt.IsTrue, qt.Commentf("%d answered", answered))
 	})
 }
+
+func TestLoadReportsAreSharedAndTakenOver(t *testing.T) {
+	withServices(t, func(c *qt.C, _ *gladewire.Network, k *Cluster) {
+		heard := func(v *VM) int {
+			fresh := 0
+			for _, s := range v.Daemon.Kernel().Dump()["routes"].([]gladeroute.Status) {
+				if s.FailureDomain == "shubra" && time.Since(s.Heard) < 5*time.Second {
+					fresh++
+				}
+			}
+			return fresh
+		}
+		c.Check(heard(k.VMs[0]), qt.Equals, 3) // an engine and two services
+		c.Check(heard(k.VMs[1]), qt.Equals, 3)
+		k.VMs[0].Stop()
+		time.Sleep(20 * time.Second)
+		c.Check(heard(k.VMs[1]), qt.Equals, 3)
+	})
+}
