--- a/cmd/gladebench/experiment.go
+++ b/cmd/gladebench/experiment.go
@@ -16,6 +16,7 @@
 			membershipCommand(),
 			takeoverCommand(),
 			capacityCommand(),
+			notesCommand(),
 			randomCommand(),
 		},
 	}
