--- a/gladereplay/replay_test.go
+++ b/gladereplay/replay_test.go
@@ -1,6 +1,7 @@
 package gladereplay
 
 import (
+	"flag"
 	"os"
 	"path/filepath"
 	"strings"
@@ -51,6 +52,27 @@
 	}
 }
 
+var red = flag.Bool("red", false, "run the traces of testdata/red, which KNOWN-RED.txt lists")
+
+func TestKnownRedTraces(t *testing.T) {
+	paths, err := filepath.Glob("testdata/red/*.jsonl")
+	qt.Assert(t, err, qt.IsNil)
+	list, err := os.ReadFile("../KNOWN-RED.txt")
+	qt.Assert(t, err, qt.IsNil)
+	for _, path := range paths {
+		qt.Assert(t, string(list), qt.Contains, filepath.Base(path))
+		t.Log("known red:", path)
+		if !*red {
+			continue
+		}
+		trace, err := Load(path)
+		qt.Assert(t, err, qt.IsNil)
+		for _, f := range virtually(t, trace, Config{}).Failures {
+			t.Error(path, f)
+		}
+	}
+}
+
 func TestBadTracesNameTheirLines(t *testing.T) {
 	header := `{"trace":1,"name":"t","seed":1,"cluster":{"failureDomains":["a"],"vms":1,"engines":1}}` + "\n"
 	cases := []struct {
