Protect Rathu Paara's generations from the first token

Cause: protection from 2 s on ends what loses its VM sooner in generationLost. Change: at once, 200 ms batches, from the first token. Conclusion: the promise goes before the messages.

--- a/gladeconfig/profile.go
+++ b/gladeconfig/profile.go
@@ -47,5 +47,5 @@
 func preferResources(s *Settings) {
 	s.Standby.ReleaseAtOnce = true
 	s.Standby.BatchInterval = Duration(200 * time.Millisecond)
-	s.Standby.ProtectTokens = 64
+	s.Standby.ProtectTokens = 0
 }
