--- a/gladedaemon/daemon.go
+++ b/gladedaemon/daemon.go
@@ -109,6 +109,7 @@
 		d.addStreams,
 		d.addOrders,
 		d.addEntry,
+		d.drainRuns,
 		d.handOverAgain,
 		d.addOperators,
 	} {
--- a/gladedaemon/standby.go
+++ b/gladedaemon/standby.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladekernel"
@@ -10,6 +11,11 @@
 	"github.com/eelgrassglade/eelgrassglade/gladestream"
 )
 
+const (
+	drainPoll  = 20 * time.Millisecond
+	quietPolls = 5
+)
+
 // addStandby replicates the runs of this VM and holds the journals of others.
 func (d *Daemon) addStandby() error {
 	peers, err := gladekernel.Lookup[*gladepeer.Node](&d.kernel, ServicePeers)
@@ -55,6 +61,28 @@
 	return runner.Continue(j, p)
 }
 
+// drainRuns waits for the generations that callers read at other VMs.
+func (d *Daemon) drainRuns() error {
+	var service *gladestandby.Service
+	var runner *gladestream.Runner
+	if err := lookup(d, ServiceStandby, &service); err != nil {
+		return err
+	}
+	if err := lookup(d, ServiceStreams, &runner); err != nil {
+		return err
+	}
+	d.drains = append(d.drains, func(context.Context) {
+		// A follower between two of its calls shows in none; it comes back within a call's time.
+		for quiet := 0; quiet < quietPolls; quiet++ {
+			if runner.Running() > 0 || service.Followers() > 0 {
+				quiet = 0
+			}
+			time.Sleep(drainPoll)
+		}
+	})
+	return nil
+}
+
 // handOverAgain gives away the journals that arrived while the VM's last streams ran to their ends.
 func (d *Daemon) handOverAgain() error {
 	service, err := gladekernel.Lookup[*gladestandby.Service](&d.kernel, ServiceStandby)
--- a/gladestandby/mirror.go
+++ b/gladestandby/mirror.go
@@ -50,6 +50,8 @@
 	if o == nil {
 		return FollowAnswer{State: state}, nil
 	}
+	s.followers.Add(1)
+	defer s.followers.Add(-1)
 	j := o.run.Journal
 	answer := FollowAnswer{State: stateRunning}
 	if q.From == 0 {
@@ -79,6 +81,11 @@
 	return answer, nil
 }
 
+// Followers returns the number of VMs that wait for tokens of this VM's runs now.
+func (s *Service) Followers() int {
+	return int(s.followers.Load())
+}
+
 // find returns this VM's run of a request, or whether one may begin.
 func (s *Service) find(request string) (*owned, FollowState) {
 	s.mu.Lock()
--- a/gladestandby/service.go
+++ b/gladestandby/service.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -84,8 +85,9 @@
 	heldBytes int
 	keys      *lru.Cache[runKey, Claim]
 	// failed are standbys that did not answer, and until when they are not chosen.
-	failed map[string]time.Time
-	tasks  sync.WaitGroup
+	failed    map[string]time.Time
+	tasks     sync.WaitGroup
+	followers atomic.Int64
 }
 
 // pendingRun is a run that may begin here.
--- a/gladestream/runner.go
+++ b/gladestream/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -69,6 +70,8 @@
 	paces    paces
 	troubles troubles
 
+	running atomic.Int64
+
 	mu   sync.Mutex
 	live map[string]map[gladeapi.Attempt]context.CancelCauseFunc
 }
@@ -117,7 +120,9 @@
 	if r.config.OnStart != nil {
 		r.config.OnStart(run)
 	}
+	r.running.Add(1)
 	go func() {
+		defer r.running.Add(-1)
 		defer close(done)
 		defer cancel()
 		x := &execution{Runner: r, journal: j, g: j.Generation, number: p.Attempt.Number}
@@ -136,6 +141,11 @@
 	return len(r.live[engine])
 }
 
+// Running returns the number of generations in progress.
+func (r *Runner) Running() int {
+	return int(r.running.Load())
+}
+
 // Live returns the number of attempts on each engine.
 func (r *Runner) Live() map[string]int {
 	r.mu.Lock()
