Count no death against a request that had made progress on the engine

Change: a death speaks against a request only if its run on that engine had given 16 tokens or fewer; at twice the bound all deaths count, so kills stay bounded. Ruled out: age of the run, which a long prefill would pass.

--- a/gladeconfig/generations.go
+++ b/gladeconfig/generations.go
@@ -21,8 +21,10 @@
 	// LeaveLead is how long before an engine's leave time its streams are moved.
 	LeaveLead Duration `toml:"leaveLead"`
 	// PoisonKills is the number of engines that may die under a request, PoisonMemory how long that is remembered.
-	PoisonKills  int      `toml:"poisonKills"`
-	PoisonMemory Duration `toml:"poisonMemory"`
+	PoisonKills int `toml:"poisonKills"`
+	// PoisonProgress is the number of tokens after which an engine's death no longer speaks against a request.
+	PoisonProgress int      `toml:"poisonProgress"`
+	PoisonMemory   Duration `toml:"poisonMemory"`
 }
 
 func defaultGenerations() Generations {
@@ -38,6 +40,7 @@
 		MaxAttempts:         32,
 		LeaveLead:           Duration(2 * time.Second),
 		PoisonKills:         2,
+		PoisonProgress:      16,
 		PoisonMemory:        Duration(15 * time.Minute),
 	}
 }
@@ -60,6 +63,9 @@
 	if g.MaxAttempts < 1 {
 		complain("generations.maxAttempts", "must be at least 1")
 	}
+	if g.PoisonProgress < 1 {
+		complain("generations.poisonProgress", "must be at least 1")
+	}
 	if g.PoisonKills < 1 {
 		complain("generations.poisonKills", "must be at least 1")
 	}
--- a/gladedaemon/suspects.go
+++ b/gladedaemon/suspects.go
@@ -32,6 +32,7 @@
 	log := d.log.Named("suspect")
 	tracker := gladesuspect.New(gladesuspect.Config{
 		MaxKills: d.settings.Generations.PoisonKills,
+		Progress: d.settings.Generations.PoisonProgress,
 		Memory:   d.settings.Generations.PoisonMemory.D(),
 		Servers:  func() []gladeapi.BackendServer { return enginesOf(table) },
 		Down: func(ctx context.Context, b gladeapi.BackendServer) bool {
--- a/gladereplay/replay_test.go
+++ b/gladereplay/replay_test.go
@@ -57,9 +57,9 @@
 func TestKnownRedTraces(t *testing.T) {
 	paths, err := filepath.Glob("testdata/red/*.jsonl")
 	qt.Assert(t, err, qt.IsNil)
-	list, err := os.ReadFile("../KNOWN-RED.txt")
-	qt.Assert(t, err, qt.IsNil)
 	for _, path := range paths {
+		list, err := os.ReadFile("../KNOWN-RED.txt")
+		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, string(list), qt.Contains, filepath.Base(path))
 		t.Log("known red:", path)
 		if !*red {
--- a/gladestream/follow.go
+++ b/gladestream/follow.go
@@ -59,6 +59,7 @@
 			}
 			first = false
 			last = now
+			p.visit.Progress(n - p.from)
 			x.gained(p, e, now)
 			w.wait(x.config.Timeouts.between(&spacing))
 		}
--- a/gladesuspect/tracker.go
+++ b/gladesuspect/tracker.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -20,6 +21,7 @@
 	defaultMaxKills   = 2
 	defaultMemory     = 15 * time.Minute
 	defaultWindow     = time.Second
+	defaultProgress   = 16
 	defaultMassDeaths = 3
 	maxRefused        = 1024
 )
@@ -32,6 +34,8 @@
 	Memory time.Duration
 	// Window is the time within which deaths belong together, and the wait before a verdict; zero means 1 s.
 	Window time.Duration
+	// Progress is the number of tokens after which a run no longer speaks against its request; zero means 16.
+	Progress int
 	// MassDeaths is the number of other servers of a failure domain whose death in a Window acquits; zero means 3.
 	MassDeaths int
 	// Servers are all known servers and Down reports whether one does not answer now.  Before a refusal they show
@@ -70,6 +74,8 @@
 	at       time.Time
 	sequence uint64
 	requests map[uint64]bool
+	// progressed are those of them whose run had come so far that it hardly killed the server.
+	progressed map[uint64]bool
 	// near is the number of deaths in the same failure domain within the window, without this one.
 	near int
 }
@@ -80,6 +86,7 @@
 	fingerprint uint64
 	server      gladeapi.BackendServer
 	sequence    uint64
+	tokens      atomic.Int64
 }
 
 // New returns a Tracker.
@@ -87,6 +94,7 @@
 	c.MaxKills = cmp.Or(c.MaxKills, defaultMaxKills)
 	c.Memory = cmp.Or(c.Memory, defaultMemory)
 	c.Window = cmp.Or(c.Window, defaultWindow)
+	c.Progress = cmp.Or(c.Progress, defaultProgress)
 	c.MassDeaths = cmp.Or(c.MassDeaths, defaultMassDeaths)
 	if c.Log == nil {
 		c.Log = hclog.NewNullLogger()
@@ -119,6 +127,13 @@
 	return v, true
 }
 
+// Progress notes how many tokens the run has given.
+func (v *Visit) Progress(tokens int) {
+	if v != nil {
+		v.tokens.Store(int64(tokens))
+	}
+}
+
 // Leave notes the end of a run; finished acquits the request of all deaths.
 func (v *Visit) Leave(finished bool) {
 	if v == nil {
@@ -147,7 +162,7 @@
 	if d == nil {
 		d = t.newDeath(v.server)
 	}
-	t.blame(d, v.fingerprint)
+	t.blame(d, v)
 }
 
 func (t *Tracker) remove(v *Visit) {
@@ -171,7 +186,7 @@
 
 func (t *Tracker) newDeath(server gladeapi.BackendServer) *death {
 	t.sequence++
-	d := &death{server: server, at: time.Now(), sequence: t.sequence, requests: map[uint64]bool{}}
+	d := &death{server: server, at: time.Now(), sequence: t.sequence, requests: map[uint64]bool{}, progressed: map[uint64]bool{}}
 	for _, o := range slices.Backward(t.deaths) {
 		if d.at.Sub(o.at) > t.config.Window {
 			break
@@ -183,18 +198,19 @@
 	}
 	t.deaths = append(t.deaths, d)
 	for _, o := range t.visits[server.ID] {
-		t.blame(d, o.fingerprint)
+		t.blame(d, o)
 	}
 	t.config.Log.Warn("Engine died.", "engine", server.ID, "requests", len(d.requests))
 	return d
 }
 
-func (t *Tracker) blame(d *death, fingerprint uint64) {
-	if d.requests[fingerprint] {
+func (t *Tracker) blame(d *death, v *Visit) {
+	if d.requests[v.fingerprint] {
 		return
 	}
-	d.requests[fingerprint] = true
-	t.blamed[fingerprint] = append(t.blamed[fingerprint], d)
+	d.requests[v.fingerprint] = true
+	d.progressed[v.fingerprint] = v.tokens.Load() > int64(t.config.Progress)
+	t.blamed[v.fingerprint] = append(t.blamed[v.fingerprint], d)
 }
 
 func (t *Tracker) acquit(fingerprint uint64) {
--- a/gladesuspect/tracker_test.go
+++ b/gladesuspect/tracker_test.go
@@ -130,6 +130,35 @@
 	}
 }
 
+func TestDeathsAfterProgressSpeakAgainstNobody(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// tokens are what the runs had given when their servers died.
+		tokens []int
+		poison bool
+	}{
+		{"long runs that were merely there", []int{100, 200, 300}, false},
+		{"a crash in the middle that repeats at once", []int{500, 0, 0}, true},
+		{"a crash at the prompt", []int{0, 1}, true},
+		{"a crash now and then at any place", []int{100, 100, 100, 100}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			virtual(t, func(c *qt.C) {
+				tracker := New(Config{})
+				for i, tokens := range test.tokens {
+					_, err := judge(tracker, guilty)
+					c.Assert(err, qt.IsNil)
+					v := enter(c, tracker, guilty, server(i))
+					v.Progress(tokens)
+					v.Died()
+				}
+				_, err := judge(tracker, guilty)
+				c.Assert(errors.Is(err, ErrPoison), qt.Equals, test.poison)
+			})
+		})
+	}
+}
+
 func TestTwoPoisonRequestsAtOnceAreBothRefused(t *testing.T) {
 	virtual(t, func(c *qt.C) {
 		tracker := New(Config{})
--- a/gladesuspect/verdict.go
+++ b/gladesuspect/verdict.go
@@ -80,17 +80,22 @@
 	})
 }
 
-// level returns the number of deaths under a request, without those of a mass loss.
+// level returns the number of deaths under a request, without those of a mass loss or after progress.
 func (t *Tracker) level(fingerprint uint64) int {
 	n := 0
 	for _, d := range t.blamed[fingerprint] {
-		if !t.mass(d, fingerprint) {
+		if t.speaks(d, fingerprint) {
 			n++
 		}
 	}
 	return n
 }
 
+// speaks reports whether a death tells anything against a request.
+func (t *Tracker) speaks(d *death, fingerprint uint64) bool {
+	return !d.progressed[fingerprint] && !t.mass(d, fingerprint)
+}
+
 // guilty reports whether enough deaths speak against a request and against no other suspect.
 func (t *Tracker) guilty(fingerprint uint64) bool {
 	if len(t.blamed[fingerprint]) >= 2*t.config.MaxKills {
@@ -103,7 +108,7 @@
 func (t *Tracker) evidence(fingerprint uint64) []*death {
 	var deaths []*death
 	for _, d := range t.blamed[fingerprint] {
-		if t.mass(d, fingerprint) || len(deaths) > 0 && t.shared(d, fingerprint) {
+		if !t.speaks(d, fingerprint) || len(deaths) > 0 && t.shared(d, fingerprint) {
 			continue
 		}
 		deaths = append(deaths, d)
@@ -125,7 +130,7 @@
 // shared reports whether a death may as well be the work of another request that was a suspect before.
 func (t *Tracker) shared(d *death, fingerprint uint64) bool {
 	for other := range d.requests {
-		earlier := func(o *death) bool { return o.sequence < d.sequence }
+		earlier := func(o *death) bool { return o.sequence < d.sequence && !o.progressed[other] }
 		if other != fingerprint && slices.ContainsFunc(t.blamed[other], earlier) {
 			return true
 		}
