--- a/gladestream/follow.go
+++ b/gladestream/follow.go
@@ -11,12 +11,14 @@
 
 // follow takes the events of an attempt into the journal, and joins the attempt again if only the connection is lost.
 func (x *execution) follow(ctx context.Context, p *place, s *Source, w *watchdog) error {
+	joinedAt := -1
 	for {
 		err := x.take(ctx, p, s, w)
 		s.Close()
-		if err == nil || ctx.Err() != nil || !broken(err) {
+		if err == nil || ctx.Err() != nil || !broken(err) || x.journal.Len() == joinedAt {
 			return err
 		}
+		joinedAt = x.journal.Len()
 		w.stop()
 		again, rejoined := x.rejoin(ctx, p)
 		if rejoined != nil {
--- /dev/null
+++ b/gladestream/random_test.go
@@ -0,0 +1,118 @@
+package gladestream_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+	"github.com/eelgrassglade/eelgrassglade/gladestandin"
+	"github.com/eelgrassglade/eelgrassglade/gladestream"
+)
+
+var (
+	firstSeed = flag.Uint64("seed", 1, "first seed of TestRandomFaults")
+	seeds     = flag.Uint64("seeds", 20, "number of seeds of TestRandomFaults")
+)
+
+const (
+	randomFaults  = 8
+	randomStreams = 10
+	// mortal is the number of engines that may die, so that some are left.
+	mortal = 4
+)
+
+// randomFault does something to one engine; what may be undone is undone later.
+func randomFault(p *pool, r *rand.Rand) {
+	i := r.IntN(len(p.engines))
+	e, host := p.engines[i], p.servers[i].ID
+	later := func(f func()) { time.AfterFunc(time.Duration(r.IntN(4000))*time.Millisecond, f) }
+	mend := func() { e.SetFaults(gladestandin.Faults{}) }
+	switch at := 1 + r.IntN(100); r.IntN(11) {
+	case 0:
+		if i < mortal {
+			p.kills[i]()
+		}
+	case 1:
+		if i < mortal {
+			e.SetFaults(gladestandin.Faults{DieAt: at})
+		}
+	case 2:
+		e.SetFaults(gladestandin.Faults{StallAt: at})
+	case 3:
+		e.SetFaults(gladestandin.Faults{Stall: true})
+		later(mend)
+	case 4:
+		e.SetFaults(gladestandin.Faults{Pause: true})
+		later(mend)
+	case 5:
+		p.network.Pause(host)
+		later(func() { p.network.Resume(host) })
+	case 6:
+		e.SetFaults(gladestandin.Faults{RepeatAt: at, SkipAt: at + 20})
+	case 7:
+		e.SetFaults(gladestandin.Faults{CrossAt: at, LateAt: at + 20})
+	case 8:
+		e.SetFaults(gladestandin.Faults{BreakAt: at, IgnoreCancel: true})
+	case 9:
+		e.SetFaults(gladestandin.Faults{Mute: true})
+		later(mend)
+	case 10:
+		p.runner.Move(host)
+	}
+}
+
+func TestRandomFaults(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 0))
+			c := gladestandin.EngineConfig{
+				EventTokens: 1 + r.IntN(3), Plain: r.IntN(4) == 0, OddText: r.IntN(2) == 0, MaxBatch: 2 + r.IntN(8),
+			}
+			virtual(t, c, []int{2, 2, 2}, func(p *pool) { runRandomFaults(p, r, c.Plain) })
+		})
+	}
+}
+
+func runRandomFaults(p *pool, r *rand.Rand, plain bool) {
+	runs := make([]*gladestream.Run, randomStreams)
+	for i := range runs {
+		runs[i] = p.runner.Start(generation(fmt.Sprint("r", i), fmt.Sprint(prompt, i), 200))
+		time.Sleep(time.Duration(r.IntN(100)) * time.Millisecond)
+	}
+	for range randomFaults {
+		time.Sleep(time.Duration(r.IntN(600)) * time.Millisecond)
+		randomFault(p, r)
+		if plain {
+			unnumbered(p)
+		}
+	}
+	for i, run := range runs {
+		got := wait(run)
+		want := sequence(fmt.Sprint(prompt, i), 200)
+		p.Check(got.ids, qt.DeepEquals, want[:min(len(got.ids), len(want))])
+		if got.end.Err == nil {
+			p.Check(got.ids, qt.HasLen, len(want))
+			continue
+		}
+		// An innocent may meet two of the four deaths; nothing else may end a generation.
+		p.Check(refusal(p, got).Code, qt.Equals, gladeapi.CodePoison)
+	}
+	for _, s := range p.servers {
+		p.network.Resume(s.ID)
+	}
+	time.Sleep(5 * time.Second)
+}
+
+// unnumbered takes away the faults that an engine without numbered events can't show to be wrong.
+func unnumbered(p *pool) {
+	for _, e := range p.engines {
+		f := e.Faults()
+		f.RepeatAt, f.SkipAt = 0, 0
+		e.SetFaults(f)
+	}
+}
