--- a/gladestream/watchdog_test.go
+++ b/gladestream/watchdog_test.go
@@ -1,6 +1,7 @@
 package gladestream
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,13 +13,13 @@
 
 func TestWatchdogOfAPausedProcessWaitsForTheGrace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		calls := 0
-		w := newWatchdog(time.Second, func() { calls++ })
+		var calls atomic.Int32
+		w := newWatchdog(time.Second, func() { calls.Add(1) })
 		w.deadline.Store(time.Now().Add(-time.Minute).UnixNano())
 		w.fire()
-		qt.Assert(t, calls, qt.Equals, 0)
+		qt.Assert(t, calls.Load(), qt.Equals, int32(0))
 		time.Sleep(2 * time.Second)
-		qt.Assert(t, calls, qt.Equals, 1)
+		qt.Assert(t, calls.Load(), qt.Equals, int32(1))
 	})
 }
 
