Kill the engine before its VM again, with the prompts that this order allows

Cause: the case was turned round, as a VM that outlives its engine may begin an attempt that no standby has heard of; the order itself went untested. Change: a case of its own with a bound of three prompts. Conclusion: both orders are tested, each as strictly as it can be.

--- a/gladecluster/standby_test.go
+++ b/gladecluster/standby_test.go
@@ -117,6 +117,11 @@
 			c.cluster.VMs[0].Kill()
 			engine.Kill()
 		}, 2},
+		{"engine, then VM", nil, func(c *standbyCase) {
+			// The VM may have begun a second attempt that no standby has heard of when it dies.
+			c.busyEngine().Kill()
+			c.cluster.VMs[0].Kill()
+		}, 3},
 		{"VM, then the engine while it is taken over", nil, func(c *standbyCase) {
 			c.cluster.VMs[0].Kill()
 			after(120*time.Millisecond, c.busyEngine().Kill)
