Drain in one place; find services of the daemon in one way

Cause: three ways to look services up, and a wait group to which calls could be added while it was waited for. Before: a race that the detector could meet. Conclusion: the steps of a stop stand together.

--- a/gladedaemon/calls.go
+++ b/gladedaemon/calls.go
@@ -2,17 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladeconfig"
-	"github.com/eelgrassglade/eelgrassglade/gladekernel"
 	"github.com/eelgrassglade/eelgrassglade/gladelimit"
 	"github.com/eelgrassglade/eelgrassglade/gladenote"
 	"github.com/eelgrassglade/eelgrassglade/gladeonce"
@@ -44,7 +45,7 @@
 	once   *gladeonce.Once
 	issuer *gladeonce.Issuer
 	// forwarded counts the calls that this VM runs for others.
-	forwarded sync.WaitGroup
+	forwarded atomic.Int64
 
 	mu    sync.Mutex
 	known map[string]string
@@ -56,16 +57,14 @@
 	c := &Calls{daemon: d, known: map[string]string{}}
 	var table *gladeroute.Table
 	var store *gladestore.Client
-	for _, err := range []error{
+	if err := errors.Join(
 		lookup(d, ServiceNotes, &c.notes),
 		lookup(d, ServicePeers, &c.node),
 		lookup(d, ServiceLimits, &c.limits),
 		lookup(d, ServiceRoutes, &table),
 		lookup(d, ServiceStore, &store),
-	} {
-		if err != nil {
-			return err
-		}
+	); err != nil {
+		return err
 	}
 	c.client = d.newServiceClient(table, c.limits.budget)
 	if err := c.addOnce(store); err != nil {
@@ -81,12 +80,6 @@
 	return d.kernel.Provide(ServiceCalls, c)
 }
 
-func lookup[T any](d *Daemon, name string, service *T) error {
-	s, err := gladekernel.Lookup[T](&d.kernel, name)
-	*service = s
-	return err
-}
-
 func (d *Daemon) newServiceClient(table *gladeroute.Table, budget *gladelimit.Budget) *gladeservice.Client {
 	client, closeClient := gladeservice.New(gladeservice.Config{
 		Choose:         table.Choose,
--- a/gladedaemon/daemon.go
+++ b/gladedaemon/daemon.go
@@ -109,8 +109,7 @@
 		d.addStreams,
 		d.addOrders,
 		d.addEntry,
-		d.drainRuns,
-		d.handOverAgain,
+		d.drainPeers,
 		d.addOperators,
 	} {
 		if err := add(); err != nil {
@@ -155,15 +154,6 @@
 	return &d.kernel
 }
 
-func (d *Daemon) drain() {
-	d.stopping.Store(true)
-	d.log.Info("Draining.")
-	for _, f := range d.drains {
-		f(context.Background())
-	}
-	d.log.Info("Drained.")
-}
-
 func (d *Daemon) addBasics() error {
 	record, err := gladerecord.New(gladerecord.Config{VM: d.settings.VM.Name})
 	if err != nil {
@@ -185,6 +175,13 @@
 	return nil
 }
 
+// lookup sets service to the one that is registered under a name.
+func lookup[T any](d *Daemon, name string, service *T) error {
+	s, err := gladekernel.Lookup[T](&d.kernel, name)
+	*service = s
+	return err
+}
+
 // loop adds an actor that calls f at once and then at each interval.
 func (d *Daemon) loop(interval gladeconfig.Duration, f func(context.Context)) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/gladedaemon/entry.go
+++ b/gladedaemon/entry.go
@@ -11,7 +11,6 @@
 
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladeentry"
-	"github.com/eelgrassglade/eelgrassglade/gladekernel"
 	"github.com/eelgrassglade/eelgrassglade/gladestandby"
 	"github.com/eelgrassglade/eelgrassglade/gladestream"
 )
@@ -25,20 +24,18 @@
 var errStopping = eris.New("the VM is stopping")
 
 func (d *Daemon) addEntry() error {
-	runner, err := gladekernel.Lookup[*gladestream.Runner](&d.kernel, ServiceStreams)
-	if err != nil {
-		return err
-	}
-	notes, err := gladekernel.Lookup[*Notes](&d.kernel, ServiceNotes)
-	if err != nil {
-		return err
-	}
-	calls, err := gladekernel.Lookup[*Calls](&d.kernel, ServiceCalls)
-	if err != nil {
-		return err
-	}
-	standby, err := gladekernel.Lookup[*gladestandby.Service](&d.kernel, ServiceStandby)
-	if err != nil {
+	var (
+		runner  *gladestream.Runner
+		notes   *Notes
+		calls   *Calls
+		standby *gladestandby.Service
+	)
+	if err := errors.Join(
+		lookup(d, ServiceStreams, &runner),
+		lookup(d, ServiceNotes, &notes),
+		lookup(d, ServiceCalls, &calls),
+		lookup(d, ServiceStandby, &standby),
+	); err != nil {
 		return err
 	}
 	server := gladeentry.New(gladeentry.Config{
@@ -66,7 +63,7 @@
 	d.drains = append(d.drains, func(ctx context.Context) {
 		time.Sleep(d.settings.Entry.LameDuck.D())
 		shutdown(ctx)
-	}, calls.drain)
+	})
 	return d.kernel.Provide(ServiceEntry, server)
 }
 
--- a/gladedaemon/explain.go
+++ b/gladedaemon/explain.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/eelgrassglade/eelgrassglade/gladekernel"
 	"github.com/eelgrassglade/eelgrassglade/gladepeer"
 	"github.com/eelgrassglade/eelgrassglade/gladerecord"
 )
@@ -37,8 +36,8 @@
 
 // handleExplain answers operators from the records of all VMs, and other VMs from this one's.
 func (d *Daemon) handleExplain(mux *http.ServeMux) error {
-	peers, err := gladekernel.Lookup[*gladepeer.Node](&d.kernel, ServicePeers)
-	if err != nil {
+	var peers *gladepeer.Node
+	if err := lookup(d, ServicePeers, &peers); err != nil {
 		return err
 	}
 	gladepeer.Handle(peers, methodExplain, func(_ context.Context, _, request string) (gladerecord.Record, error) {
--- a/gladedaemon/notes.go
+++ b/gladedaemon/notes.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
-	"github.com/eelgrassglade/eelgrassglade/gladekernel"
 	"github.com/eelgrassglade/eelgrassglade/gladenote"
 	"github.com/eelgrassglade/eelgrassglade/gladepeer"
 	"github.com/eelgrassglade/eelgrassglade/gladeroster"
@@ -59,16 +59,16 @@
 }
 
 func (d *Daemon) addNotes() error {
-	store, err := gladekernel.Lookup[*gladestore.Client](&d.kernel, ServiceStore)
-	if err != nil {
-		return err
-	}
-	node, err := gladekernel.Lookup[*gladepeer.Node](&d.kernel, ServicePeers)
-	if err != nil {
-		return err
-	}
-	roster, err := gladekernel.Lookup[*gladeroster.Roster](&d.kernel, ServiceRoster)
-	if err != nil {
+	var (
+		store  *gladestore.Client
+		node   *gladepeer.Node
+		roster *gladeroster.Roster
+	)
+	if err := errors.Join(
+		lookup(d, ServiceStore, &store),
+		lookup(d, ServicePeers, &node),
+		lookup(d, ServiceRoster, &roster),
+	); err != nil {
 		return err
 	}
 	n := &Notes{
--- a/gladedaemon/notes_http.go
+++ b/gladedaemon/notes_http.go
@@ -9,7 +9,6 @@
 	"strings"
 
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
-	"github.com/eelgrassglade/eelgrassglade/gladekernel"
 	"github.com/eelgrassglade/eelgrassglade/gladenote"
 	"github.com/eelgrassglade/eelgrassglade/gladepeer"
 	"github.com/eelgrassglade/eelgrassglade/gladestore"
@@ -23,8 +22,8 @@
 
 // handleNotes adds the operators' requests about release notes.
 func (d *Daemon) handleNotes(mux *http.ServeMux) error {
-	n, err := gladekernel.Lookup[*Notes](&d.kernel, ServiceNotes)
-	if err != nil {
+	var n *Notes
+	if err := lookup(d, ServiceNotes, &n); err != nil {
 		return err
 	}
 	mux.HandleFunc("POST /notes", n.serveSubmit)
--- a/gladedaemon/orders.go
+++ b/gladedaemon/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync/atomic"
 
@@ -11,7 +12,6 @@
 
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladeengine"
-	"github.com/eelgrassglade/eelgrassglade/gladekernel"
 	"github.com/eelgrassglade/eelgrassglade/gladelease"
 	"github.com/eelgrassglade/eelgrassglade/gladenote"
 	"github.com/eelgrassglade/eelgrassglade/gladeorder"
@@ -34,16 +34,16 @@
 }
 
 func (d *Daemon) addOrders() error {
-	notes, err := gladekernel.Lookup[*Notes](&d.kernel, ServiceNotes)
-	if err != nil {
-		return err
-	}
-	table, err := gladekernel.Lookup[*gladeroute.Table](&d.kernel, ServiceRoutes)
-	if err != nil {
-		return err
-	}
-	engines, err := gladekernel.Lookup[*gladeengine.Client](&d.kernel, ServiceEngines)
-	if err != nil {
+	var (
+		notes   *Notes
+		table   *gladeroute.Table
+		engines *gladeengine.Client
+	)
+	if err := errors.Join(
+		lookup(d, ServiceNotes, &notes),
+		lookup(d, ServiceRoutes, &table),
+		lookup(d, ServiceEngines, &engines),
+	); err != nil {
 		return err
 	}
 	client, closeClient := gladeorder.NewClient(d.dial)
--- a/gladedaemon/roster.go
+++ b/gladedaemon/roster.go
@@ -1,8 +1,9 @@
 package gladedaemon
 
 import (
+	"errors"
+
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
-	"github.com/eelgrassglade/eelgrassglade/gladekernel"
 	"github.com/eelgrassglade/eelgrassglade/gladepeer"
 	"github.com/eelgrassglade/eelgrassglade/gladeroster"
 	"github.com/eelgrassglade/eelgrassglade/gladestore"
@@ -10,12 +11,14 @@
 
 // addRoster shares the platform's list of VMs among the VMs.
 func (d *Daemon) addRoster() error {
-	store, err := gladekernel.Lookup[*gladestore.Client](&d.kernel, ServiceStore)
-	if err != nil {
-		return err
-	}
-	peers, err := gladekernel.Lookup[*gladepeer.Node](&d.kernel, ServicePeers)
-	if err != nil {
+	var (
+		store *gladestore.Client
+		peers *gladepeer.Node
+	)
+	if err := errors.Join(
+		lookup(d, ServiceStore, &store),
+		lookup(d, ServicePeers, &peers),
+	); err != nil {
 		return err
 	}
 	own := &ownEntry{EntryVM: peers.Self().EntryVM}
--- a/gladedaemon/services.go
+++ b/gladedaemon/services.go
@@ -163,7 +163,7 @@
 // runForwarded runs a call for a VM that got a key which this VM made.
 func (c *Calls) runForwarded(ctx context.Context, from string, q callRequest) (callAnswer, error) {
 	c.forwarded.Add(1)
-	defer c.forwarded.Done()
+	defer c.forwarded.Add(-1)
 	c.daemon.record.Add(q.ID, "calls", "forwarded", "by %s", from)
 	ctx, cancel := context.WithTimeout(ctx, gladeservice.Timeout(&q.Route))
 	defer cancel()
@@ -174,11 +174,6 @@
 	return callAnswer{Outcome: o}, nil
 }
 
-// drain waits for the calls that this VM runs for others.
-func (c *Calls) drain(context.Context) {
-	c.forwarded.Wait()
-}
-
 func refuse(status int, code gladeapi.Code, message string) *gladeapi.Refusal {
 	return &gladeapi.Refusal{Status: status, Code: code, Ran: gladeapi.NotRun, Message: message}
 }
--- a/gladedaemon/standby.go
+++ b/gladedaemon/standby.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladekernel"
@@ -11,15 +10,10 @@
 	"github.com/eelgrassglade/eelgrassglade/gladestream"
 )
 
-const (
-	drainPoll  = 20 * time.Millisecond
-	quietPolls = 5
-)
-
 // addStandby replicates the runs of this VM and holds the journals of others.
 func (d *Daemon) addStandby() error {
-	peers, err := gladekernel.Lookup[*gladepeer.Node](&d.kernel, ServicePeers)
-	if err != nil {
+	var peers *gladepeer.Node
+	if err := lookup(d, ServicePeers, &peers); err != nil {
 		return err
 	}
 	c := &d.settings.Standby
@@ -61,38 +55,6 @@
 	return runner.Continue(j, p)
 }
 
-// drainRuns waits for the generations that callers read at other VMs.
-func (d *Daemon) drainRuns() error {
-	var service *gladestandby.Service
-	var runner *gladestream.Runner
-	if err := lookup(d, ServiceStandby, &service); err != nil {
-		return err
-	}
-	if err := lookup(d, ServiceStreams, &runner); err != nil {
-		return err
-	}
-	d.drains = append(d.drains, func(context.Context) {
-		// A follower between two of its calls shows in none; it comes back within a call's time.
-		for quiet := 0; quiet < quietPolls; quiet++ {
-			if runner.Running() > 0 || service.Followers() > 0 {
-				quiet = 0
-			}
-			time.Sleep(drainPoll)
-		}
-	})
-	return nil
-}
-
-// handOverAgain gives away the journals that arrived while the VM's last streams ran to their ends.
-func (d *Daemon) handOverAgain() error {
-	service, err := gladekernel.Lookup[*gladestandby.Service](&d.kernel, ServiceStandby)
-	if err != nil {
-		return err
-	}
-	d.drains = append(d.drains, func(ctx context.Context) { service.HandOver(ctx) })
-	return nil
-}
-
 // admitter is the entry's seam for admission.
 type admitter func(context.Context, *gladeapi.Generation) (func(gladeapi.Usage), error)
 
--- a/gladedaemon/streams.go
+++ b/gladedaemon/streams.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladeconfig"
 	"github.com/eelgrassglade/eelgrassglade/gladeengine"
-	"github.com/eelgrassglade/eelgrassglade/gladekernel"
 	"github.com/eelgrassglade/eelgrassglade/gladelimit"
 	"github.com/eelgrassglade/eelgrassglade/gladeroute"
 	"github.com/eelgrassglade/eelgrassglade/gladestandby"
@@ -23,28 +23,30 @@
 }
 
 func (d *Daemon) addStreams() error {
-	engines, err := gladekernel.Lookup[*gladeengine.Client](&d.kernel, ServiceEngines)
-	if err != nil {
-		return err
-	}
-	table, err := gladekernel.Lookup[*gladeroute.Table](&d.kernel, ServiceRoutes)
-	if err != nil {
-		return err
-	}
-	notes, err := gladekernel.Lookup[*Notes](&d.kernel, ServiceNotes)
-	if err != nil {
+	var (
+		engines *gladeengine.Client
+		table   *gladeroute.Table
+		notes   *Notes
+	)
+	if err := errors.Join(
+		lookup(d, ServiceEngines, &engines),
+		lookup(d, ServiceRoutes, &table),
+		lookup(d, ServiceNotes, &notes),
+	); err != nil {
 		return err
 	}
 	suspects, err := d.addSuspects(engines, table)
 	if err != nil {
 		return err
 	}
-	standby, err := gladekernel.Lookup[*gladestandby.Service](&d.kernel, ServiceStandby)
-	if err != nil {
-		return err
-	}
-	budget, err := gladekernel.Lookup[*gladelimit.Budget](&d.kernel, ServiceBudget)
-	if err != nil {
+	var (
+		standby *gladestandby.Service
+		budget  *gladelimit.Budget
+	)
+	if err := errors.Join(
+		lookup(d, ServiceStandby, &standby),
+		lookup(d, ServiceBudget, &budget),
+	); err != nil {
 		return err
 	}
 	runner := gladestream.NewRunner(gladestream.Config{
