--- a/gladestandin/engine.go
+++ b/gladestandin/engine.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladeengine"
 )
 
@@ -49,6 +48,10 @@
 	OddText bool
 	// Targets are the weights that are ready; nil means any.
 	Targets []string
+	// LoadLag is the age of the load reports that /load shows, LoadDrop the share of those that are lost, drawn from LoadSeed.
+	LoadLag  time.Duration
+	LoadDrop float64
+	LoadSeed uint64
 	// Crash closes the server of an engine that dies of a fault, if set.
 	Crash func()
 }
@@ -67,6 +70,7 @@
 	orders  engineOrders
 	counts  EngineCounts
 	faults  Faults
+	loads   loadHistory
 	// gate is closed at the end of a pause.
 	gate     chan struct{}
 	stepping bool
@@ -234,22 +238,6 @@
 	return e.targets == nil || e.targets[target]
 }
 
-func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
-	targets := e.Targets()
-	e.mu.Lock()
-	report := gladeapi.LoadReport{
-		Backend:     e.config.ID,
-		Incarnation: e.config.Incarnation,
-		Running:     len(e.running),
-		Waiting:     len(e.waiting),
-		CacheUsed:   e.cache.used(),
-		Targets:     targets,
-		Taken:       time.Now(),
-	}
-	e.mu.Unlock()
-	writeJSON(w, report)
-}
-
 // engineModels is the answer of GET /v1/models.
 type engineModels struct {
 	Object string        `json:"object"`
