Stop VMs in tests as they are stopped: with a lame-duck time, behind a balancer that lags

The test cluster's VMs had no lame-duck time and its balancer never learned of a stop; closing a listener cuts what is in its backlog, which is what the lame-duck time is for. The race detector saw two readers of the list of VMs write one flag.

--- a/gladecaller/call.go
+++ b/gladecaller/call.go
@@ -57,6 +57,7 @@
 			break
 		}
 		t := c.tryCall(ctx, &q, try, a)
+		t.GaveUp = ctx.Err() != nil
 		a.Tries = append(a.Tries, t)
 		a.Refusal, a.Err = t.Refusal, t.Err
 		if !q.again(a, &t, try) {
--- a/gladecaller/caller.go
+++ b/gladecaller/caller.go
@@ -78,6 +78,8 @@
 	From    int
 	Refusal *gladeapi.Refusal
 	Err     error
+	// GaveUp is set if the caller left by itself, because of silence or its own deadline.
+	GaveUp bool
 }
 
 // entry picks the VM of the given try: the wanted one first, then the others in turn.
--- a/gladecaller/generate.go
+++ b/gladecaller/generate.go
@@ -184,10 +184,19 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	response, err := c.send(ctx, e, q.path(), body, header)
+	c.exchange(cancel, q, &t, a, func() (*http.Response, error) { return c.send(ctx, e, q.path(), body, header) })
+	t.GaveUp = ctx.Err() != nil
+	return t
+}
+
+// exchange sends a request and reads its answer; leave gives it up when the VM is silent.
+func (c *Caller) exchange(
+	leave func(), q *Request, t *Try, a *Answer, send func() (*http.Response, error),
+) {
+	response, err := send()
 	if err != nil {
 		t.Err = sendError(err)
-		return t
+		return
 	}
 	defer func() { _ = response.Body.Close() }()
 	t.Status = response.StatusCode
@@ -196,14 +205,13 @@
 	case response.StatusCode != http.StatusOK:
 		t.Refusal, t.Err = readRefusal(response.StatusCode, response.Body)
 	case q.Stream:
-		silence := time.AfterFunc(c.config.Silence, cancel)
+		silence := time.AfterFunc(c.config.Silence, leave)
 		defer silence.Stop()
-		r := streamReader{answer: a, first: n == 0, dropAfter: q.DropAfter, heard: func() { silence.Reset(c.config.Silence) }}
+		r := streamReader{answer: a, first: len(a.Tries) == 0, dropAfter: q.DropAfter, heard: func() { silence.Reset(c.config.Silence) }}
 		t.Refusal, t.Err = r.read(response.Body)
 	default:
 		t.Err = a.readWhole(response.Body)
 	}
-	return t
 }
 
 func sendError(err error) error {
--- a/gladecluster/caller.go
+++ b/gladecluster/caller.go
@@ -2,7 +2,7 @@
 
 import "github.com/eelgrassglade/eelgrassglade/gladecaller"
 
-// Caller returns a caller of the default organisation, who knows all VMs, also those that have died, and its clean-up function.
+// Caller returns a caller of the default organisation, who knows all VMs but those that stop as planned, also those that have died, and its clean-up function.
 func (k *Cluster) Caller() (*gladecaller.Caller, func()) {
 	return gladecaller.New(gladecaller.Config{
 		APIKey:  APIKey,
@@ -14,9 +14,11 @@
 func (k *Cluster) entries() []gladecaller.Entry {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	entries := make([]gladecaller.Entry, len(k.VMs))
-	for i, v := range k.VMs {
-		entries[i] = gladecaller.Entry{Name: v.Name, URL: v.URL()}
+	var entries []gladecaller.Entry
+	for _, v := range k.VMs {
+		if !v.stopping {
+			entries = append(entries, gladecaller.Entry{Name: v.Name, URL: v.URL()})
+		}
 	}
 	return entries
 }
--- a/gladecluster/cluster.go
+++ b/gladecluster/cluster.go
@@ -97,6 +97,9 @@
 	Entry gladeapi.EntryVM
 	// Dial reaches the VM as a caller does.
 	Dial gladeapi.Dial
+
+	// stopping VMs get no new requests from the balancer.
+	stopping bool
 }
 
 // URL returns the callers' base URL of the VM.
--- a/gladecluster/process.go
+++ b/gladecluster/process.go
@@ -26,6 +26,10 @@
 	operatorsPort = 8081
 	peersPort     = 8082
 
+	// balancerLag is the time in which the balancer still sends requests to a VM that stops.
+	balancerLag = 500 * time.Millisecond
+	lameDuck    = 2 * balancerLag
+
 	serviceRunTime = 5 * time.Millisecond
 )
 
@@ -109,6 +113,7 @@
 	v := &VM{Name: name, FailureDomain: domain, Daemon: d, Dial: k.host(CallerHost).dial, Entry: entryOf(d)}
 	v.Stop = func() {
 		cancel()
+		time.AfterFunc(balancerLag, func() { k.leaveBalancer(v) })
 		<-done
 		k.forget(v)
 	}
@@ -135,6 +140,9 @@
 	s.VM = gladeconfig.VM{Name: name, FailureDomain: domain}
 	s.Platform.Address = "http://" + k.platform
 	s.Entry.LameDuck = 0
+	if k.config.Network != nil {
+		s.Entry.LameDuck = gladeconfig.Duration(lameDuck)
+	}
 	s.Entry.Listen = k.address(name, entryPort)
 	s.Operators.Listen = k.address(name, operatorsPort)
 	s.Peers.Listen = k.address(name, peersPort)
@@ -156,6 +164,13 @@
 	return e
 }
 
+// leaveBalancer keeps new requests from a VM that is stopping.
+func (k *Cluster) leaveBalancer(v *VM) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	v.stopping = true
+}
+
 func (k *Cluster) forget(v *VM) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/gladedaemon/roster.go
+++ b/gladedaemon/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync/atomic"
 
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladepeer"
@@ -40,7 +41,7 @@
 type ownEntry struct {
 	gladeapi.EntryVM
 	// stayed is set once the list has shown the VM as staying.
-	stayed bool
+	stayed atomic.Bool
 }
 
 // leaves reports whether the list says that this very start of the VM is leaving.
@@ -51,10 +52,12 @@
 		if e.Name != o.Name {
 			continue
 		}
-		if e.Leaving && (e.Incarnation == o.Incarnation || e.Incarnation == "" && o.stayed) {
+		if e.Leaving && (e.Incarnation == o.Incarnation || e.Incarnation == "" && o.stayed.Load()) {
 			return true
 		}
-		o.stayed = o.stayed || !e.Leaving
+		if !e.Leaving {
+			o.stayed.Store(true)
+		}
 	}
 	return false
 }
--- a/gladereplay/judge.go
+++ b/gladereplay/judge.go
@@ -102,7 +102,7 @@
 func (r *run) judgeStops(id string, dropAfter int, tries []gladecaller.Try) {
 	for i := range tries {
 		t := &tries[i]
-		cut := errors.Is(t.Err, gladecaller.ErrCut) && (dropAfter == 0 || i > 0)
+		cut := errors.Is(t.Err, gladecaller.ErrCut) && !t.GaveUp && (dropAfter == 0 || i > 0)
 		if cut && r.stopped[t.Entry] && !r.disturbed[t.Entry] {
 			r.fail(gladecheck.StopCutsNothing, id, "%s cut it while it stopped: %v", t.Entry, t.Err)
 		}
