--- a/gladepeer/link.go
+++ b/gladepeer/link.go
@@ -64,7 +64,7 @@
 	return l.conn, nil
 }
 
-// adopt makes an accepted connection the link to its sender if there is none.
+// adopt makes an accepted connection the link to its sender if there is none, also one that waits after a failure.
 func (n *Node) adopt(from string, c *jsonrpc2.Conn) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -72,10 +72,30 @@
 		return
 	}
 	m := n.member(from)
-	if m == nil || n.links[m.PeerAddress] != nil {
+	if m == nil {
 		return
 	}
-	n.links[m.PeerAddress] = &link{turn: make(chan struct{}, 1), conn: c}
+	l := n.links[m.PeerAddress]
+	if l == nil {
+		n.links[m.PeerAddress] = &link{turn: make(chan struct{}, 1), conn: c}
+		return
+	}
+	select {
+	case l.turn <- struct{}{}:
+		l.replace(c)
+		<-l.turn
+	default:
+	}
+}
+
+// replace sets the connection of a link that has none; the caller holds turn.
+func (l *link) replace(c *jsonrpc2.Conn) {
+	if l.conn != nil && !closed(l.conn) {
+		return
+	}
+	l.conn = c
+	l.backoff = 0
+	l.next = time.Time{}
 }
 
 func closed(c *jsonrpc2.Conn) bool {
@@ -125,6 +145,8 @@
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 	}
 	n.adopt(sender.From, c)
+	// The call itself may tell who the sender is.
+	defer n.adopt(sender.From, c)
 	return h(ctx, *r.Params)
 }
 
--- a/gladepeer/node_test.go
+++ b/gladepeer/node_test.go
@@ -289,3 +289,38 @@
 		n.answer(in)
 	})
 }
+
+// TestCallFromAPeerEndsTheWaitAfterAFailure has a VM that nobody reached call in before others may dial it again.
+func TestCallFromAPeerEndsTheWaitAfterAFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := &gladewire.Network{}
+		start := func(name string) *Node {
+			h := network.Host(name)
+			n, closeNode, err := New(Config{
+				Self:  gladeapi.EntryVM{Name: name, FailureDomain: "shubra", PeerAddress: name + ":1", Incarnation: "1"},
+				Seeds: []string{"vm-a:1", "vm-b:1"}, Dial: h.Dial, Listen: h.Listen,
+			})
+			c.Assert(err, qt.IsNil)
+			t.Cleanup(closeNode)
+			Handle(n, "ask", func(context.Context, string, struct{}) (struct{}, error) { return struct{}{}, nil })
+			return n
+		}
+		a := start("vm-a")
+		for range 10 {
+			_, err := callAddress[struct{}, struct{}](c.Context(), a, "vm-b:1", "ask", struct{}{})
+			c.Assert(err, qt.ErrorIs, ErrUnreachable)
+			time.Sleep(maxBackoff)
+		}
+		_, err := callAddress[struct{}, struct{}](c.Context(), a, "vm-b:1", "ask", struct{}{})
+		c.Assert(err, qt.ErrorIs, ErrUnreachable)
+		b := start("vm-b")
+		_, err = callAddress[struct{}, struct{}](c.Context(), b, "vm-a:1", "ask", struct{}{})
+		c.Assert(err, qt.IsNil)
+		time.Sleep(minBackoff)
+		_, err = callAddress[struct{}, struct{}](c.Context(), b, "vm-a:1", "ask", struct{}{})
+		c.Assert(err, qt.IsNil)
+		_, err = Call[struct{}, struct{}](c.Context(), a, "vm-b", "ask", struct{}{})
+		c.Assert(err, qt.IsNil)
+	})
+}
--- a/gladestandby/owner.go
+++ b/gladestandby/owner.go
@@ -23,6 +23,8 @@
 	followTime = 5 * time.Second
 	// rankInterval is how long a choice of standbys holds while they answer.
 	rankInterval = 250 * time.Millisecond
+	// sendPause is the wait before a standby that failed early is asked again; links wait 50 ms after a failure.
+	sendPause = 60 * time.Millisecond
 	// maxBatchTokens bounds the tokens of one batch.
 	maxBatchTokens = 4096
 )
@@ -157,7 +159,7 @@
 	}
 }
 
-// gather waits for further tokens of a batch.
+// gather waits, as for further tokens of a batch.
 func (s *Service) gather(d time.Duration) {
 	select {
 	case <-time.After(d):
@@ -195,7 +197,7 @@
 			break
 		}
 		for _, name := range names {
-			refused, err := s.sendTo(o, name, n, finish)
+			refused, err := s.sendAgain(o, name, n, finish)
 			if refused {
 				return false
 			}
@@ -216,6 +218,17 @@
 	return true
 }
 
+// sendAgain is sendTo, repeated once if it fails early: the link to a living VM may have been replaced under it.
+func (s *Service) sendAgain(o *owned, name string, n int, finish gladeapi.FinishReason) (refused bool, err error) {
+	began := time.Now()
+	refused, err = s.sendTo(o, name, n, finish)
+	if err != nil && time.Since(began) < s.config.CallTimeout/2 {
+		s.gather(sendPause)
+		refused, err = s.sendTo(o, name, n, finish)
+	}
+	return refused, err
+}
+
 // sendTo brings one standby to the first n tokens.
 func (s *Service) sendTo(o *owned, name string, n int, finish gladeapi.FinishReason) (refused bool, err error) {
 	s.mu.Lock()
