--- a/gladeconfig/profile.go
+++ b/gladeconfig/profile.go
@@ -19,7 +19,8 @@
 )
 
 var profiles = map[string]func(*Settings){
-	ProfileNileFixer:  preferLatency,
+	// The defaults are Nile Fixer's: every shown token is held at a standby, in batches of 20 ms.
+	ProfileNileFixer:  func(*Settings) {},
 	ProfileRathuPaara: preferResources,
 }
 
@@ -36,16 +37,8 @@
 	return s, nil
 }
 
-// preferLatency holds every shown token at a standby, so that a loss of VM and engine together repeats no work.
-func preferLatency(s *Settings) {
-	s.Standby.ReleaseAtOnce = false
-	s.Standby.BatchInterval = Duration(20 * time.Millisecond)
-	s.Standby.ProtectTokens = 0
-}
-
 // preferResources gives up some resume latency for fewer messages and less work done twice.
 func preferResources(s *Settings) {
 	s.Standby.ReleaseAtOnce = true
 	s.Standby.BatchInterval = Duration(200 * time.Millisecond)
-	s.Standby.ProtectTokens = 0
 }
