--- /dev/null
+++ b/cmd/gladed/front.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrassglade/eelgrassglade/internal/observe/gladelog"
+	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladefront"
+	gladeplatform "github.com/eelgrassglade/eelgrassglade/platform"
+)
+
+// metricsPort is the port named in deploy/system.toml.
+const metricsPort = "9464"
+
+// runFront runs the entry role with the platform's settings.
+func runFront(ctx context.Context, path string) error {
+	settings, err := gladeplatform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	host, _, err := net.SplitHostPort(settings.EntryAddress)
+	if err != nil {
+		return eris.Wrap(err, "entry address")
+	}
+	writer, closeWriter := gladelog.NewWriter(os.Stdout)
+	defer closeWriter()
+	front, closeFront, err := gladefront.New(gladefront.Config{
+		Settings: settings, MetricsAddress: net.JoinHostPort(host, metricsPort),
+		Log: gladelog.New("gladed", writer, hclog.Info),
+	})
+	if err != nil {
+		return err
+	}
+	defer closeFront()
+	signal.Ignore(syscall.SIGPIPE)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return front.Run(ctx)
+}
--- a/cmd/gladed/main.go
+++ b/cmd/gladed/main.go
@@ -8,14 +8,16 @@
 	"syscall"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
 	"github.com/eelgrassglade/eelgrassglade/gladeconfig"
 	"github.com/eelgrassglade/eelgrassglade/gladedaemon"
+	gladeplatform "github.com/eelgrassglade/eelgrassglade/platform"
 )
 
 func main() {
-	config := &cli.StringFlag{Name: "config", Usage: "read settings from `FILE`", Required: true}
+	config := &cli.StringFlag{Name: "config", Usage: "read settings from `FILE`; without it the platform's settings are used"}
 	app := &cli.Command{
 		Name:  "gladed",
 		Usage: "serve generations and calls on an entry VM",
@@ -30,7 +32,21 @@
 	}
 }
 
+// errNoSettings means that neither a settings file nor the platform's settings are there.
+var errNoSettings = eris.New("no settings: give --config or run on the platform")
+
 func check(_ context.Context, c *cli.Command) error {
+	if !c.IsSet("config") {
+		path, ok := gladeplatform.SettingsPath()
+		if !ok {
+			return errNoSettings
+		}
+		if _, err := gladeplatform.LoadSettings(path); err != nil {
+			return err
+		}
+		fmt.Println("settings are valid")
+		return nil
+	}
 	if _, err := gladeconfig.Load(c.String("config")); err != nil {
 		return err
 	}
@@ -39,6 +55,13 @@
 }
 
 func run(ctx context.Context, c *cli.Command) error {
+	if !c.IsSet("config") {
+		path, ok := gladeplatform.SettingsPath()
+		if !ok {
+			return errNoSettings
+		}
+		return runFront(ctx, path)
+	}
 	settings, err := gladeconfig.Load(c.String("config"))
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -0,0 +1,267 @@
+package gladeforward
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/eelgrassglade/eelgrassglade/gladelimit"
+	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
+	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladesend"
+	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladeserve"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
+)
+
+const (
+	// startRetryAfter is told while this VM knows no release: it starts within a second.
+	startRetryAfter = time.Second
+	// noServerRetryAfter is told when no server can take a request: a crashed one is back after about that time.
+	noServerRetryAfter = time.Second
+	// probeTimeout bounds the connection that shows whether a silent server lives; a live one accepts in a few ms.
+	probeTimeout = 120 * time.Millisecond
+)
+
+// Config configures a Forwarder.
+type Config struct {
+	// Release returns the release in force, nil until one is known.
+	Release func() *gladerelease.Release
+	Fleet   *gladefleet.Table
+	Client  *gladesend.Client
+	Budget  *gladelimit.Budget
+	// Decode takes a call out of a request's header, AnswerID names the request on an own answer and CopyOf names
+	// a server's copy of a run; all three are the platform's.
+	Decode   func(http.Header) gladesend.Call
+	AnswerID func(http.Header, string)
+	CopyOf   func(address, requestID string) string
+	// Changed is called when this VM's share of a server's load has changed.
+	Changed func()
+	Log     hclog.Logger
+	Metrics metrics.Registry
+}
+
+// Forwarder answers requests.
+type Forwarder struct {
+	config Config
+
+	mu      sync.Mutex
+	probing map[string]bool
+	tasks   sync.WaitGroup
+}
+
+// New returns a forwarder and its clean-up function, which waits for probes.
+func New(c Config) (*Forwarder, func()) {
+	f := &Forwarder{config: c, probing: map[string]bool{}}
+	return f, f.tasks.Wait
+}
+
+// job is one request under way.
+type job struct {
+	*Forwarder
+	ctx     context.Context
+	x       *gladeserve.Exchange
+	call    gladesend.Call
+	release *gladerelease.Release
+	route   *gladerelease.Route
+	service string
+	tenant  string
+	// deadline ends the request, if limited; client is the caller's own limit.
+	deadline time.Time
+	limited  bool
+	// avoid are the servers that this request failed on, sends the times it was sent.
+	avoid []string
+	sends int
+	// ran tells that a server may have run it.
+	ran bool
+}
+
+// Handle answers one request; the context ends when the caller leaves.
+func (f *Forwarder) Handle(ctx context.Context, x *gladeserve.Exchange) {
+	call := f.config.Decode(x.Request.Header)
+	gladesend.StripHop(call.Header)
+	call.Method, call.Target, call.Host, call.Body = x.Request.Method, x.Request.RequestURI, x.Request.Host, x.Body
+	j := &job{Forwarder: f, ctx: ctx, x: x, call: call, release: f.config.Release()}
+	if j.release == nil {
+		j.refuse(http.StatusServiceUnavailable, "no release known", startRetryAfter)
+		return
+	}
+	if !j.admit() {
+		return
+	}
+	f.count("requests." + j.route.Kind.String())
+	f.config.Budget.Request()
+	if j.route.Kind == gladerelease.Stream {
+		j.stream()
+	} else {
+		j.plain()
+	}
+	f.observe("latency."+j.route.Kind.String(), time.Since(x.Received))
+}
+
+// admit finds the request's route, organisation and time limit.
+func (j *job) admit() bool {
+	path, _, _ := strings.Cut(j.call.Target, "?")
+	j.route = j.release.Match(hostName(j.call.Host), path)
+	if j.route == nil {
+		j.refuse(http.StatusNotFound, "no route", 0)
+		return false
+	}
+	organisation, known := j.release.Organisations[j.call.Key]
+	if !known && j.release.Restricted && !j.route.Public {
+		j.refuse(http.StatusUnauthorized, "unknown key", 0)
+		return false
+	}
+	j.tenant = organisation.Name
+	j.service = j.route.Service(j.call.ID)
+	if j.route.Timeout > 0 {
+		j.limit(j.x.Received.Add(j.route.Timeout))
+	}
+	if j.call.Limited {
+		j.limit(j.x.Received.Add(j.call.TimeLeft))
+	}
+	return true
+}
+
+func (j *job) limit(t time.Time) {
+	if !j.limited || t.Before(j.deadline) {
+		j.deadline, j.limited = t, true
+	}
+}
+
+// hostName drops the port of a Host header.
+func hostName(host string) string {
+	name, port, found := strings.Cut(host, ":")
+	if _, err := strconv.Atoi(port); found && err == nil {
+		return name
+	}
+	return host
+}
+
+// expired returns a channel that fires at the time limit, and its clean-up function.
+func (j *job) expired() (<-chan time.Time, func()) {
+	if !j.limited {
+		return nil, func() {}
+	}
+	t := time.NewTimer(time.Until(j.deadline))
+	return t.C, func() { t.Stop() }
+}
+
+// send returns a send to a server with what is left of the time.
+func (j *job) send(s gladefleet.Server) *gladesend.Send {
+	j.sends++
+	return &gladesend.Send{
+		Server: s.ID, Address: s.Address, Organisation: j.tenant, LastEvent: j.call.LastEvent,
+		Limited: j.limited, Left: time.Until(j.deadline),
+	}
+}
+
+// refuse answers a request that no server has run.
+func (j *job) refuse(status int, reason string, after time.Duration) {
+	h := http.Header{}
+	j.config.AnswerID(h, j.call.ID)
+	if after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
+	}
+	j.count("refused." + strconv.Itoa(status))
+	j.log("Refused.", "status", status, "reason", reason, "retryAfter", after)
+	j.x.Reply(status, h, nil)
+}
+
+// fail answers a request that may have run, or breaks its answer off.
+func (j *job) fail(status int, reason string) {
+	j.count("failed." + strconv.Itoa(status))
+	j.log("Failed.", "status", status, "reason", reason, "begun", j.x.Begun())
+	if j.x.Begun() {
+		return // the connection is closed without the answer's end
+	}
+	h := http.Header{}
+	j.config.AnswerID(h, j.call.ID)
+	j.x.Reply(status, h, nil)
+}
+
+// unserved ends a request for which no server is left.
+func (j *job) unserved(reason string) {
+	if j.ran {
+		j.fail(http.StatusBadGateway, reason)
+		return
+	}
+	j.refuse(http.StatusServiceUnavailable, reason, noServerRetryAfter)
+}
+
+// timedOut ends a request at its time limit.
+func (j *job) timedOut() {
+	j.fail(http.StatusGatewayTimeout, "time limit")
+}
+
+// session returns the hash that leads requests of one session to one server.
+func (j *job) session() uint64 {
+	if j.call.Session == "" {
+		return 0
+	}
+	return xxhash.Sum64String(j.call.Session)
+}
+
+// failed takes note of a server that accepts no connections, and probes others that are in doubt with it.
+func (f *Forwarder) failed(s gladefleet.Server, reason string) {
+	f.config.Log.Warn("Backend server is down.", "server", s.ID, "address", s.Address, "domain", s.FailureDomain, "reason", reason)
+	f.count("servers.down")
+	f.config.Client.Pool.Forget(s.Address)
+	for _, o := range f.config.Fleet.Fail(s.ID, time.Now()) {
+		f.probe(o)
+	}
+}
+
+// probe finds out in the background whether a server accepts connections.
+func (f *Forwarder) probe(s gladefleet.Server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.probing[s.ID] {
+		return
+	}
+	f.probing[s.ID] = true
+	f.count("probes")
+	f.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		if err := f.config.Client.Pool.Probe(ctx, s.Address); err != nil {
+			f.failed(s, "no connection: "+err.Error())
+		} else {
+			f.config.Fleet.Heard(s.ID, time.Now())
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.probing, s.ID)
+	})
+}
+
+func (f *Forwarder) count(name string) {
+	metrics.GetOrRegisterCounter(name, f.config.Metrics).Inc(1)
+}
+
+// sampleSize bounds the values kept for one histogram.
+const sampleSize = 256
+
+func (f *Forwarder) observe(name string, d time.Duration) {
+	h := metrics.GetOrRegisterHistogram(name, f.config.Metrics, metrics.NewUniformSample(sampleSize))
+	h.Update(d.Microseconds())
+}
+
+// log writes one decision about the request.
+func (j *job) log(message string, args ...any) {
+	name, version := "", int64(0)
+	if j.release != nil {
+		version = j.release.Version
+	}
+	if j.route != nil {
+		name = j.route.Name
+	}
+	j.config.Log.Info(message, append([]any{
+		"request", j.call.ID, "route", name, "release", version, "ageMs", time.Since(j.x.Received).Milliseconds(),
+	}, args...)...)
+}
--- /dev/null
+++ b/internal/proxy/gladefront/follow.go
@@ -0,0 +1,202 @@
+package gladefront
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladeview"
+	gladeplatform "github.com/eelgrassglade/eelgrassglade/platform"
+)
+
+const (
+	// watchWait is how long a watch waits for a change: a connection that went silent is noticed after it, within
+	// the time in which a release has to be in force once a VM is in touch again.
+	watchWait = 2 * time.Second
+	// callTimeout bounds a call to the store beyond the time that it may wait; answers take milliseconds.
+	callTimeout = 700 * time.Millisecond
+	// lapseGrace is how long after the store's return entries that expired meanwhile may still come back.
+	lapseGrace = 2200 * time.Millisecond
+)
+
+// entry is an object of the store, decoded, or what was wrong with it.
+type entry[T any] struct {
+	value T
+	err   error
+}
+
+// follow keeps the release and the backend servers up to date.
+func (f *Front) follow() {
+	ctx, cancel := context.WithCancel(context.Background())
+	transport := &http.Transport{MaxIdleConnsPerHost: storeIdle}
+	store := &gladeplatform.Store{Address: f.config.Settings.StoreAddress, Client: &http.Client{Transport: transport}}
+	done := make(chan struct{}, 2)
+	go func() {
+		gladeview.Follow(ctx, followConfig(f, store, gladeplatform.KindConfig, decodeRelease, f.onReleases, f.onReleaseChanges))
+		done <- struct{}{}
+	}()
+	go func() {
+		gladeview.Follow(ctx, followConfig(f, store, gladeplatform.KindServers, gladeplatform.DecodeServer, f.onServers, f.onServerChanges))
+		done <- struct{}{}
+	}()
+	f.cleanup(func() {
+		cancel()
+		<-done
+		<-done
+		transport.CloseIdleConnections()
+	})
+}
+
+func decodeRelease(o gladeplatform.Object) (*gladerelease.Release, error) {
+	return gladeplatform.DecodeRelease(o.Spec)
+}
+
+// followConfig joins the platform's calls to a Follow of one kind.
+func followConfig[T any](
+	f *Front, store *gladeplatform.Store, kind string, decode func(gladeplatform.Object) (T, error),
+	onList func([]gladeview.Item[entry[T]]), onChanges func([]gladeview.Change[entry[T]]),
+) gladeview.FollowConfig[entry[T]] {
+	item := func(o gladeplatform.Object) gladeview.Item[entry[T]] {
+		v, err := decode(o)
+		return gladeview.Item[entry[T]]{Name: o.Meta.Name, Value: entry[T]{value: v, err: err}}
+	}
+	return gladeview.FollowConfig[entry[T]]{
+		List: func(ctx context.Context) ([]gladeview.Item[entry[T]], int64, error) {
+			var items []gladeview.Item[entry[T]]
+			for after := ""; ; {
+				p, err := f.listPage(ctx, store, kind, after)
+				if err != nil {
+					return nil, 0, err
+				}
+				for _, o := range p.Items {
+					items = append(items, item(o))
+					after = o.Meta.Name
+				}
+				if !p.More || len(p.Items) == 0 {
+					return items, p.Revision, nil
+				}
+			}
+		},
+		Watch: func(ctx context.Context, revision int64) ([]gladeview.Change[entry[T]], int64, error) {
+			ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+			defer cancel()
+			f.count("store.watch." + kind)
+			c, err := store.Watch(ctx, kind, revision, watchWait)
+			if errors.Is(err, gladeview.ErrHistoryGone) {
+				f.log.Warn("The store has lost its history; listing anew.", "kind", kind, "revision", revision)
+			}
+			changes := make([]gladeview.Change[entry[T]], 0, len(c.Events))
+			for _, e := range c.Events {
+				changes = append(changes, gladeview.Change[entry[T]]{Item: item(e.Object), Deleted: e.Deleted})
+			}
+			return changes, c.Revision, err
+		},
+		OnList: onList, OnChanges: onChanges,
+		OnLost: func(err error) { f.log.Warn("Lost the store.", "kind", kind, "reason", err) },
+		OnRegained: func(outage time.Duration) {
+			f.log.Info("Regained the store.", "kind", kind, "outage", outage)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.regained = time.Now()
+		},
+	}
+}
+
+func (f *Front) listPage(ctx context.Context, store *gladeplatform.Store, kind, after string) (gladeplatform.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	f.count("store.list." + kind)
+	return store.List(ctx, kind, after)
+}
+
+func (f *Front) count(name string) {
+	metrics.GetOrRegisterCounter(name, f.metrics).Inc(1)
+}
+
+func (f *Front) onReleases(items []gladeview.Item[entry[*gladerelease.Release]]) {
+	for _, i := range items {
+		f.take(i)
+	}
+}
+
+func (f *Front) onReleaseChanges(changes []gladeview.Change[entry[*gladerelease.Release]]) {
+	for _, c := range changes {
+		if !c.Deleted {
+			f.take(c.Item)
+		}
+	}
+}
+
+// take puts a release in force unless a newer one is.
+func (f *Front) take(i gladeview.Item[entry[*gladerelease.Release]]) {
+	if i.Name != gladeplatform.MainConfig {
+		return
+	}
+	if i.Value.err != nil {
+		f.log.Error("Cannot read the release; the one before stays in force.", "reason", i.Value.err)
+		return
+	}
+	r := i.Value.value
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.release.Load()
+	if old != nil && old.Version >= r.Version {
+		return
+	}
+	f.release.Store(r)
+	f.log.Info("Release in force.", "release", r.Version, "routes", len(r.Routes), "organisationKeys", len(r.Organisations))
+}
+
+func (f *Front) onServers(items []gladeview.Item[entry[gladefleet.Server]]) {
+	now := time.Now()
+	listed := map[string]bool{}
+	for _, i := range items {
+		if f.put(i, now) {
+			listed[i.Name] = true
+		}
+	}
+	for _, id := range f.fleet.Listed() {
+		if !listed[id] {
+			f.remove(id, now)
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = true
+}
+
+func (f *Front) onServerChanges(changes []gladeview.Change[entry[gladefleet.Server]]) {
+	now := time.Now()
+	for _, c := range changes {
+		if c.Deleted || !f.put(c.Item, now) {
+			f.remove(c.Name, now)
+		}
+	}
+}
+
+// put takes in a listed server and reports whether the entry names one.
+func (f *Front) put(i gladeview.Item[entry[gladefleet.Server]], now time.Time) bool {
+	if i.Value.err != nil {
+		f.log.Warn("Entry names no backend server.", "entry", i.Name, "reason", i.Value.err)
+		return false
+	}
+	s := i.Value.value
+	f.fleet.Put(s, now)
+	f.log.Info("Backend server listed.", "server", s.ID, "service", s.Service, "address", s.Address, "domain", s.FailureDomain,
+		"leaving", s.Leaving, "started", s.Started)
+	return true
+}
+
+// remove takes note that the store no longer lists a server; just after an outage it may have expired by mistake.
+func (f *Front) remove(id string, now time.Time) {
+	f.mu.Lock()
+	grace := max(0, lapseGrace-now.Sub(f.regained))
+	f.mu.Unlock()
+	f.log.Info("Backend server gone.", "server", id, "grace", grace)
+	f.fleet.Remove(id, now, grace)
+}
--- /dev/null
+++ b/internal/proxy/gladeserve/exchange.go
@@ -0,0 +1,106 @@
+package gladeserve
+
+import (
+	"bufio"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Exchange is one request and its answer.
+type Exchange struct {
+	// Request has no body; Body is the whole body.
+	Request *http.Request
+	Body    []byte
+	// Began is when the first byte arrived, Received when the last did.
+	Began, Received time.Time
+
+	conn    *conn
+	closing bool
+	begun   bool
+	chunked bool
+	ended   bool
+}
+
+// Reply writes a whole answer.
+func (x *Exchange) Reply(status int, h http.Header, body []byte) {
+	if x.Begin(status, h, int64(len(body))) == nil && x.write(body) == nil {
+		x.ended = x.flush() == nil
+	}
+}
+
+// Begun reports whether a part of an answer has been written.
+func (x *Exchange) Begun() bool { return x.begun }
+
+// Begin writes an answer's header; a negative length stands for chunks that Write adds and End ends.
+func (x *Exchange) Begin(status int, h http.Header, length int64) error {
+	x.begun = true
+	w := x.conn.writer
+	_ = x.conn.net.SetWriteDeadline(time.Now().Add(writeTimeout))
+	x.closing = x.closing || x.conn.server.stopping()
+	h.Del("Connection")
+	h.Del("Transfer-Encoding")
+	h.Del("Content-Length")
+	_, _ = w.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\n")
+	_ = h.Write(w) // an error of the connection shows when the writer is flushed
+	if x.closing {
+		_, _ = w.WriteString("Connection: close\r\n")
+	}
+	if length < 0 {
+		x.chunked = true
+		_, _ = w.WriteString("Transfer-Encoding: chunked\r\n")
+	} else if status != http.StatusNoContent && status != http.StatusNotModified {
+		_, _ = w.WriteString("Content-Length: " + strconv.FormatInt(length, 10) + "\r\n")
+	}
+	_, err := w.WriteString("\r\n")
+	return err
+}
+
+// Write writes a part of an answer's body and sends it on.
+func (x *Exchange) Write(p []byte) error {
+	_ = x.conn.net.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if err := x.write(p); err != nil {
+		return err
+	}
+	return x.flush()
+}
+
+func (x *Exchange) write(p []byte) error {
+	if len(p) == 0 || x.Request != nil && x.Request.Method == http.MethodHead {
+		return nil
+	}
+	w := x.conn.writer
+	if x.chunked {
+		_, _ = w.WriteString(strconv.FormatInt(int64(len(p)), 16) + "\r\n")
+	}
+	if _, err := w.Write(p); err != nil {
+		return err
+	}
+	if x.chunked {
+		_, err := w.WriteString("\r\n")
+		return err
+	}
+	return nil
+}
+
+// Flush sends on what has been written.
+func (x *Exchange) Flush() error { return x.flush() }
+
+func (x *Exchange) flush() error { return x.conn.writer.Flush() }
+
+// End ends an answer; one that is not ended is broken off with its connection.
+func (x *Exchange) End() error {
+	if x.chunked {
+		_, _ = x.conn.writer.WriteString("0\r\n\r\n")
+	}
+	err := x.flush()
+	x.ended = err == nil
+	return err
+}
+
+func newConn(s *Server, n writerConn) *conn {
+	return &conn{
+		server: s, net: n, reader: bufio.NewReaderSize(n, readBytes), writer: bufio.NewWriterSize(n, readBytes),
+		parser: bufio.NewReaderSize(nil, readBytes), idle: true,
+	}
+}
--- /dev/null
+++ b/internal/proxy/gladeserve/server.go
@@ -0,0 +1,115 @@
+package gladeserve
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
+)
+
+// Config configures a Server.
+type Config struct {
+	// Listener accepts the callers' connections.
+	Listener net.Listener
+	// Limits returns the limits in force.
+	Limits func() gladerelease.Limits
+	// Handle serves one request; the context ends when the caller closes its connection.
+	Handle func(context.Context, *Exchange)
+	// Refused is told of requests that could not be read.
+	Refused func(status int, reason error)
+}
+
+// Server serves callers.
+type Server struct {
+	config Config
+	stop   atomic.Bool
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	tasks sync.WaitGroup
+}
+
+type writerConn = net.Conn
+
+// acceptPause keeps a lack of descriptors from turning into a busy loop.
+const acceptPause = 50 * time.Millisecond
+
+// New starts serving and returns the clean-up function, which closes all connections.
+func New(c Config) (*Server, func()) {
+	s := &Server{config: c, conns: map[*conn]struct{}{}}
+	s.tasks.Go(func() {
+		for {
+			n, err := c.Listener.Accept()
+			if err != nil {
+				if s.closed(err) {
+					return
+				}
+				time.Sleep(acceptPause)
+				continue
+			}
+			s.serve(n)
+		}
+	})
+	return s, s.close
+}
+
+func (s *Server) closed(err error) bool {
+	n, ok := err.(net.Error) //nolint:errorlint // Accept returns it unwrapped
+	return !ok || !n.Timeout() && s.stopping()
+}
+
+func (s *Server) serve(n net.Conn) {
+	c := newConn(s, n)
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	s.tasks.Go(func() {
+		c.serve()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	})
+}
+
+func (s *Server) stopping() bool { return s.stop.Load() }
+
+// Stop makes each further answer the last one of its connection; new connections are still served.
+func (s *Server) Stop() { s.stop.Store(true) }
+
+// CloseIdle closes the connections on which no request has begun.
+func (s *Server) CloseIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.closeIdle()
+	}
+}
+
+// Busy returns the number of connections on which a request is under way.
+func (s *Server) Busy() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.conns {
+		c.mu.Lock()
+		if !c.idle {
+			n++
+		}
+		c.mu.Unlock()
+	}
+	return n
+}
+
+func (s *Server) close() {
+	s.Stop()
+	_ = s.config.Listener.Close()
+	s.mu.Lock()
+	for c := range s.conns {
+		_ = c.net.Close()
+	}
+	s.mu.Unlock()
+	s.tasks.Wait()
+}
