Doubt a failure domain whose servers fail together; know replaced servers

Cause: after a zone crash runs went to servers that were just as dead, one 200 ms timeout after the other, and copies were kept on entries whose address had a new server (421). Change: a failed server stays out until it is heard or a probe succeeds; two failures in a domain doubt the rest of it; 421 or a newer entry at the address marks a server replaced; refused connections are not counted as attempts.

--- a/internal/fleet/gladefleet/choose.go
+++ b/internal/fleet/gladefleet/choose.go
@@ -58,7 +58,7 @@
 		switch {
 		case !e.open(now) || slices.Contains(n.Avoid, e.ID):
 			continue
-		case e.out(now):
+		case t.out(e, now):
 			if fallback == nil || e.outage.Before(fallback.outage) {
 				fallback = e
 			}
@@ -103,7 +103,7 @@
 
 // open reports whether a server may get anything new.
 func (e *entry) open(now time.Time) bool {
-	return !e.Leaving && (e.gone.IsZero() || now.Before(e.gone))
+	return !e.Leaving && !e.replaced && (e.gone.IsZero() || now.Before(e.gone))
 }
 
 // Take takes a place on the server that holds a request's copy; it fails if that server is gone or down.
@@ -111,7 +111,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.servers[id]
-	if e == nil || !e.open(now) || e.out(now) {
+	if e == nil || !e.open(now) || e.failed {
 		return nil, eris.Wrap(ErrNoServer, id)
 	}
 	return t.take(e, 0, reasonCopy), nil
@@ -162,7 +162,7 @@
 	var best *entry
 	bestCost := 0.0
 	for _, e := range t.services[run.Service] {
-		if e.ID == run.ID || !e.open(now) || e.out(now) || slices.Contains(avoid, e.ID) {
+		if e.ID == run.ID || !e.open(now) || t.out(e, now) || slices.Contains(avoid, e.ID) {
 			continue
 		}
 		cost := e.load() + 100*rand.Float64()
@@ -172,6 +172,9 @@
 		if run.FailureDomain != t.config.FailureDomain && e.FailureDomain != t.config.FailureDomain {
 			cost += farCopyTokens
 		}
+		if t.domains[e.Service+e.FailureDomain].recent(now) {
+			cost += failingTokens
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
@@ -188,6 +191,8 @@
 	sameDomainTokens = 1e6
 	// farCopyTokens brings the copy of a run elsewhere into the own failure domain unless that is much fuller.
 	farCopyTokens = 12000
+	// failingTokens keeps a copy out of a failure domain in which servers have just failed.
+	failingTokens = 1e5
 )
 
 // Release gives the room back.
--- a/internal/fleet/gladefleet/server.go
+++ b/internal/fleet/gladefleet/server.go
@@ -45,13 +45,17 @@
 	runs, prompt, copies int
 	// peers are the loads that other VMs told, by VM.
 	peers map[string]Share
-	// failures in a row keep the server out until outage; down is closed at each failure that shows it down.
+	// failed tells that the server accepted no connection and has not been heard since; outage is when to try it.
+	failed   bool
 	failures int
 	outage   time.Time
 	downAt   time.Time
-	down     chan struct{}
-	heard    time.Time
-	faults   float64
+	// down is closed at each failure.
+	down   chan struct{}
+	heard  time.Time
+	faults float64
+	// replaced tells that another server has the address.
+	replaced bool
 }
 
 // Share is what one VM has on a server.
@@ -61,8 +65,9 @@
 	Copies int `json:"copies,omitempty"`
 }
 
-func (e *entry) out(now time.Time) bool {
-	return now.Before(e.outage)
+// due reports whether a failed server should be tried again.
+func (e *entry) due(now time.Time) bool {
+	return e.failed && !now.Before(e.outage)
 }
 
 // load returns the tokens that a new prompt has to wait for, and what stands for the run's own speed.
@@ -98,6 +103,7 @@
 	}
 	e.outage = now.Add(min(maxOutage, firstOutage<<min(e.failures, 4)))
 	e.failures++
+	e.failed = true
 	e.downAt = now
 	close(e.down)
 	e.down = make(chan struct{})
@@ -105,8 +111,7 @@
 
 func (e *entry) recover(now time.Time) {
 	e.heard = now
-	if e.failures > 0 && !now.Before(e.downAt) {
-		e.failures = 0
-		e.outage = time.Time{}
+	if e.failed {
+		e.failed, e.failures = false, 0
 	}
 }
--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -21,6 +21,8 @@
 	burstWindow = 1200 * time.Millisecond
 	// burstServers is the number of servers of a failure domain whose failures in burstWindow cast doubt on the rest.
 	burstServers = 2
+	// aliveFor is how long a server that was heard needs no probe.
+	aliveFor = 100 * time.Millisecond
 )
 
 // Config configures a Table.
@@ -36,11 +38,30 @@
 	mu       sync.Mutex
 	servers  map[string]*entry
 	services map[string][]*entry
+	// domains holds the failures of late by failure domain.
+	domains map[string]*domain
+}
+
+// domain is what this VM knows of one service's servers in one failure domain.
+type domain struct {
+	// first and last are the times of the failures that belong together, count their number.
+	first, last time.Time
+	count       int
+}
+
+// doubtful reports whether so many servers failed of late that the others are doubted until they are heard.
+func (d *domain) doubtful(now time.Time) bool {
+	return d != nil && d.count >= burstServers && now.Sub(d.last) < burstWindow
+}
+
+// recent reports whether any server failed of late.
+func (d *domain) recent(now time.Time) bool {
+	return d != nil && now.Sub(d.last) < burstWindow
 }
 
 // New returns an empty table.
 func New(c Config) *Table {
-	return &Table{config: c, servers: map[string]*entry{}, services: map[string][]*entry{}}
+	return &Table{config: c, servers: map[string]*entry{}, services: map[string][]*entry{}, domains: map[string]*domain{}}
 }
 
 // Put takes in a listed server; a new life under an old identifier begins without the old one's failures.
@@ -55,15 +76,37 @@
 	case s.Started < e.Started:
 		return
 	case s.Started > e.Started:
-		e.outage, e.failures, e.faults = time.Time{}, 0, 0
+		e.failed, e.failures, e.faults, e.replaced = false, 0, 0, false
 	case e.Leaving:
 		s.Leaving = true
 	}
 	e.Server = s
 	e.gone = time.Time{}
+	for _, o := range t.servers {
+		if o.Address == s.Address && o.ID != s.ID && o.Started < s.Started {
+			t.replace(o)
+		}
+	}
 	t.index()
 }
 
+// Replaced notes that another server has a server's address.
+func (t *Table) Replaced(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.servers[id]; e != nil {
+		t.replace(e)
+	}
+}
+
+func (t *Table) replace(e *entry) {
+	if !e.replaced {
+		e.replaced = true
+		close(e.down)
+		e.down = make(chan struct{})
+	}
+}
+
 // Remove notes that the store no longer lists a server; grace is added to the time for which it may be a mistake.
 func (t *Table) Remove(id string, now time.Time, grace time.Duration) {
 	t.mu.Lock()
@@ -133,33 +176,62 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.servers[id]
-	if e == nil || e.out(now) && now.Sub(e.downAt) < firstOutage/2 {
+	if e == nil || e.failed && now.Before(e.outage) {
 		return nil
 	}
+	again := e.failed
 	e.fail(now)
-	failed := 0
+	if again {
+		return nil
+	}
+	d := t.domains[e.Service+e.FailureDomain]
+	if !d.recent(now) {
+		d = &domain{first: now}
+		t.domains[e.Service+e.FailureDomain] = d
+	}
+	d.last = now
+	d.count++
+	if !d.doubtful(now) {
+		return nil
+	}
 	var doubtful []Server
 	for _, o := range t.services[e.Service] {
-		switch {
-		case o.FailureDomain != e.FailureDomain:
-		case now.Sub(o.downAt) < burstWindow:
-			failed++
-		case o.runs > 0 && o.gone.IsZero():
+		if o.FailureDomain == e.FailureDomain && o.runs > 0 && !o.failed && !o.replaced && o.heard.Before(now.Add(-aliveFor)) {
 			doubtful = append(doubtful, o.Server)
 		}
 	}
-	if failed < burstServers {
-		return nil
-	}
 	return doubtful
 }
 
-// Out reports whether a server is unknown, gone, or was found down of late.
+// Due returns the servers that failed and should be tried again; it defers their next trial.
+func (t *Table) Due(now time.Time) []Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var due []Server
+	for _, e := range t.servers {
+		if e.due(now) && e.open(now) && !e.replaced {
+			e.outage = now.Add(firstOutage) // the trial's outcome sets it anew
+			due = append(due, e.Server)
+		}
+	}
+	return due
+}
+
+// Out reports whether a server is unknown, gone, replaced, or was found down of late.
 func (t *Table) Out(id string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.servers[id]
-	return e == nil || e.out(now) || !e.gone.IsZero() && now.After(e.gone)
+	return e == nil || e.failed || e.replaced || !e.gone.IsZero() && now.After(e.gone)
+}
+
+// out reports whether a server is thought to be down, because of its own failure or of its failure domain's.
+func (t *Table) out(e *entry, now time.Time) bool {
+	if e.failed {
+		return true
+	}
+	d := t.domains[e.Service+e.FailureDomain]
+	return d.doubtful(now) && e.heard.Before(d.first)
 }
 
 // SetPeer takes in what another VM has on the servers; an empty map forgets it.
--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -55,12 +55,33 @@
 	tasks   sync.WaitGroup
 }
 
-// New returns a forwarder and its clean-up function, which waits for probes.
+// New returns a forwarder and its clean-up function, which ends its probes.
 func New(c Config) (*Forwarder, func()) {
 	f := &Forwarder{config: c, probing: map[string]bool{}}
-	return f, f.tasks.Wait
+	done := make(chan struct{})
+	f.tasks.Go(func() {
+		ticker := time.NewTicker(dueEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+				for _, s := range c.Fleet.Due(time.Now()) {
+					f.probe(s)
+				}
+			}
+		}
+	})
+	return f, func() {
+		close(done)
+		f.tasks.Wait()
+	}
 }
 
+// dueEvery is how often failed servers are looked for that should be tried again.
+const dueEvery = 100 * time.Millisecond
+
 // job is one request under way.
 type job struct {
 	*Forwarder
@@ -217,6 +238,18 @@
 	}
 }
 
+// declined takes note of a server that answered that it did not run a request.
+func (f *Forwarder) declined(s gladefleet.Server, status int) {
+	if status == http.StatusMisdirectedRequest {
+		f.config.Log.Info("Another server has the address.", "server", s.ID, "address", s.Address)
+		f.config.Fleet.Replaced(s.ID)
+		f.config.Client.Pool.Forget(s.Address)
+		return
+	}
+	f.config.Fleet.Heard(s.ID, time.Now())
+	f.config.Fleet.Outcome(s.ID, true)
+}
+
 // probe finds out in the background whether a server accepts connections.
 func (f *Forwarder) probe(s gladefleet.Server) {
 	f.mu.Lock()
--- a/internal/proxy/gladeforward/plain.go
+++ b/internal/proxy/gladeforward/plain.go
@@ -151,8 +151,7 @@
 		j.log("Not sent.", "server", a.server.ID, "reason", a.err)
 		return false
 	case notRun(a):
-		j.config.Fleet.Heard(a.server.ID, now)
-		j.config.Fleet.Outcome(a.server.ID, true)
+		j.declined(a.server, a.status)
 		j.log("Server did not run it.", "server", a.server.ID, "status", a.status)
 		return false
 	case a.err != nil:
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -273,6 +273,7 @@
 	case errors.Is(i.err, gladesend.ErrNotSent):
 		a.failed(a.place.Server, i.err.Error())
 		a.shun(a.place.ID)
+		a.sends--
 		a.log("Not sent.", "server", a.place.ID, "reason", i.err)
 		return declined, true
 	}
@@ -286,12 +287,14 @@
 // header looks at the status and marks of a server's answer.
 func (a *attempt) header(body []byte) (result, bool) {
 	x := a.exchange
-	a.config.Fleet.Heard(a.place.ID, time.Now())
-	switch {
-	case x.Mark.NotRun || x.Status == http.StatusMisdirectedRequest:
+	if x.Mark.NotRun || x.Status == http.StatusMisdirectedRequest {
 		a.log("Server did not run it.", "server", a.place.ID, "status", x.Status)
+		a.declined(a.place.Server, x.Status)
 		a.shun(a.place.ID)
 		return declined, true
+	}
+	a.config.Fleet.Heard(a.place.ID, time.Now())
+	switch {
 	case x.Status == http.StatusOK && x.Mark.Sealed && !x.Mark.Encoded:
 		return 0, false
 	case x.Mark.Sealed && !a.x.Begun() && (x.Status < http.StatusInternalServerError || a.sends >= max(1, a.route.Attempts)):
