Replace lost copies by call, share loads and state between VMs, keep a retry budget

Change: a run whose copy's server is gone gets another copy by call; shares of load go as datagrams within the failure domain; membership and relay of releases and servers over gladepeer; budget per service over all VMs; a stopping VM refuses new streams; engines are asked for the prompts of resumed streams.

--- a/cmd/gladed/front.go
+++ b/cmd/gladed/front.go
@@ -39,6 +39,14 @@
 	}
 	defer closeFront()
 	signal.Ignore(syscall.SIGPIPE)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	go func() {
+		for range reload {
+			front.Reload(path)
+		}
+	}()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return front.Run(ctx)
--- a/internal/fleet/gladefleet/choose.go
+++ b/internal/fleet/gladefleet/choose.go
@@ -106,6 +106,19 @@
 	return !e.Leaving && !e.replaced && (e.gone.IsZero() || now.Before(e.gone))
 }
 
+// Near returns the servers of a service in this VM's failure domain that can be used.
+func (t *Table) Near(service string, now time.Time) []Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var near []Server
+	for _, e := range t.services[service] {
+		if e.FailureDomain == t.config.FailureDomain && e.open(now) && !t.out(e, now) {
+			near = append(near, e.Server)
+		}
+	}
+	return near
+}
+
 // Take takes a place on the server that holds a request's copy; it fails if that server is gone or down.
 func (t *Table) Take(id string, now time.Time) (*Taken, error) {
 	t.mu.Lock()
--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -64,8 +64,10 @@
 	return &Table{config: c, servers: map[string]*entry{}, services: map[string][]*entry{}, domains: map[string]*domain{}}
 }
 
-// Put takes in a listed server; a new life under an old identifier begins without the old one's failures.
-func (t *Table) Put(s Server, now time.Time) {
+// Put takes in a listed server and reports whether that changes anything.
+//
+// A new life under an old identifier begins without the old one's failures.
+func (t *Table) Put(s Server, _ time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.servers[s.ID]
@@ -73,8 +75,8 @@
 	case e == nil:
 		e = &entry{Server: s, hash: xxhash.Sum64String(s.ID), down: make(chan struct{})}
 		t.servers[s.ID] = e
-	case s.Started < e.Started:
-		return
+	case s.Started < e.Started || e.Server == s && e.gone.IsZero():
+		return false
 	case s.Started > e.Started:
 		e.failed, e.failures, e.faults, e.replaced = false, 0, 0, false
 	case e.Leaving:
@@ -88,6 +90,7 @@
 		}
 	}
 	t.index()
+	return true
 }
 
 // Replaced notes that another server has a server's address.
@@ -267,6 +270,8 @@
 // Status is what the table knows of one server.
 type Status struct {
 	Server
+	// Listed tells that the store lists the server.
+	Listed   bool      `json:"listed"`
 	Runs     int       `json:"runs"`
 	Load     float64   `json:"load"`
 	Failures int       `json:"failures"`
@@ -280,7 +285,7 @@
 	defer t.mu.Unlock()
 	all := make([]Status, 0, len(t.servers))
 	for _, e := range t.servers {
-		all = append(all, Status{Server: e.Server, Runs: e.runs, Load: e.load(), Failures: e.failures, Outage: e.outage, Faults: e.faults})
+		all = append(all, Status{Server: e.Server, Listed: e.gone.IsZero(), Runs: e.runs, Load: e.load(), Failures: e.failures, Outage: e.outage, Faults: e.faults})
 	}
 	slices.SortFunc(all, func(a, b Status) int { return cmp.Compare(a.ID, b.ID) })
 	return all
--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -12,7 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/eelgrassglade/eelgrassglade/gladelimit"
+	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladebudget"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladesend"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladeserve"
@@ -24,6 +24,10 @@
 	startRetryAfter = time.Second
 	// noServerRetryAfter is told when no server can take a request: a crashed one is back after about that time.
 	noServerRetryAfter = time.Second
+	// streamTime is the time that a stream takes as a rule: a stopping VM with less time left refuses new ones.
+	streamTime = 7 * time.Second
+	// elsewhereRetryAfter is told by a stopping VM: other VMs can take the request at once.
+	elsewhereRetryAfter = 20 * time.Millisecond
 	// probeTimeout bounds the connection that shows whether a silent server lives; a live one accepts in a few ms.
 	probeTimeout = 120 * time.Millisecond
 )
@@ -34,7 +38,11 @@
 	Release func() *gladerelease.Release
 	Fleet   *gladefleet.Table
 	Client  *gladesend.Client
-	Budget  *gladelimit.Budget
+	Engine  Engine
+	// Budget bounds what is sent once more.
+	Budget *gladebudget.Budget
+	// StopsAt returns when this process ends, the zero time unless it is stopping.
+	StopsAt func() time.Time
 	// Decode takes a call out of a request's header, AnswerID names the request on an own answer and CopyOf names
 	// a server's copy of a run; all three are the platform's.
 	Decode   func(http.Header) gladesend.Call
@@ -49,6 +57,8 @@
 // Forwarder answers requests.
 type Forwarder struct {
 	config Config
+	began  time.Time
+	held   held
 
 	mu      sync.Mutex
 	probing map[string]bool
@@ -57,7 +67,7 @@
 
 // New returns a forwarder and its clean-up function, which ends its probes.
 func New(c Config) (*Forwarder, func()) {
-	f := &Forwarder{config: c, probing: map[string]bool{}}
+	f := &Forwarder{config: c, began: time.Now(), held: held{answers: map[string]heldAnswer{}}, probing: map[string]bool{}}
 	done := make(chan struct{})
 	f.tasks.Go(func() {
 		ticker := time.NewTicker(dueEvery)
@@ -116,7 +126,7 @@
 		return
 	}
 	f.count("requests." + j.route.Kind.String())
-	f.config.Budget.Request()
+	f.config.Budget.Request(j.service, x.Received)
 	if j.route.Kind == gladerelease.Stream {
 		j.stream()
 	} else {
--- a/internal/proxy/gladeforward/plain.go
+++ b/internal/proxy/gladeforward/plain.go
@@ -97,7 +97,7 @@
 
 // repeat sends the request to a further server if attempts, time and the budget allow it.
 func (j *job) repeat(ctx context.Context, answers chan<- answer, running *int) bool {
-	if j.sends >= maxSends || j.ran && j.sends >= max(1, j.route.Attempts) || !j.config.Budget.Retry() {
+	if j.sends >= maxSends || j.ran && j.sends >= max(1, j.route.Attempts) || !j.config.Budget.Repeat(j.service, time.Now()) {
 		return false
 	}
 	if !j.launch(ctx, answers) {
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -31,9 +31,10 @@
 	*job
 	// last is the last event that the caller has.
 	last int64
-	// copy holds the run's memory so far, if any.
+	// copy holds the run's memory so far, if any, under the name from.
 	copy *gladefleet.Copy
-	// sealed is the first server's answer, which the caller gets.
+	from string
+	// events is the number that the caller got from this VM.
 	events int
 	// worst is the longest pause after the first event.
 	worst time.Duration
@@ -52,18 +53,17 @@
 // stream answers a request whose answer is a series of events.
 func (j *job) stream() {
 	s := &stream{job: j, last: j.call.LastEvent}
-	var previous *gladefleet.Copy
-	defer func() {
-		previous.Release()
-		s.copy.Release()
-	}()
+	if at := j.config.StopsAt(); !at.IsZero() && time.Until(at) < streamTime {
+		j.refuse(http.StatusServiceUnavailable, "stopping", elsewhereRetryAfter)
+		return
+	}
+	defer s.dropCopy()
 	for {
-		place, from := s.next(previous)
+		place, from := s.next()
 		if place == nil {
 			return
 		}
-		previous.Release()
-		previous = nil
+		s.dropCopy()
 		end := s.attempt(place, from)
 		place.Release()
 		j.config.Changed()
@@ -72,14 +72,8 @@
 			return
 		case broken:
 			j.ran = true
-			previous, s.copy = s.copy, nil
-		case declined:
-			if from != "" { // its source is used up; what it held is read anew
-				s.copy.Release()
-				s.copy = nil
-			}
-			s.copy.Release()
-			s.copy = nil
+		case declined: // a copy that was named is used up, and no new one has been made
+			s.dropCopy()
 		}
 		if !s.mayRepeat() {
 			return
@@ -87,6 +81,12 @@
 	}
 }
 
+// dropCopy gives the room of the copy back.
+func (s *stream) dropCopy() {
+	s.copy.Release()
+	s.copy, s.from = nil, ""
+}
+
 // mayRepeat reports whether the stream may be sent again, and ends it otherwise.
 func (s *stream) mayRepeat() bool {
 	switch {
@@ -96,7 +96,7 @@
 		s.fail(http.StatusBadGateway, "broken off and not resumable")
 	case s.sends >= maxStreamSends:
 		s.unserved("too many attempts")
-	case !s.config.Budget.Retry():
+	case !s.config.Budget.Repeat(s.service, time.Now()):
 		s.unserved("retry budget is empty")
 	default:
 		return true
@@ -105,13 +105,16 @@
 }
 
 // next takes a place for the next attempt: at the copy of the run, or at the best server.
-func (s *stream) next(previous *gladefleet.Copy) (*gladefleet.Taken, string) {
+func (s *stream) next() (*gladefleet.Taken, string) {
 	now := time.Now()
-	if previous != nil {
-		if place, err := s.config.Fleet.Take(previous.ID, now); err == nil {
-			return place, s.config.CopyOf(place.Address, s.call.ID)
+	if s.copy != nil {
+		if place, err := s.config.Fleet.Take(s.copy.ID, now); err == nil {
+			return place, s.from
 		}
 	}
+	if place := s.holder(); place != nil {
+		return place, ""
+	}
 	need := gladefleet.Need{Service: s.service, Prompt: max(1, s.call.PromptTokens), Session: s.session(), Avoid: s.avoid}
 	place, err := s.config.Fleet.Choose(need, now)
 	if err != nil && len(s.avoid) > 0 {
@@ -139,13 +142,13 @@
 func (s *stream) attempt(place *gladefleet.Taken, from string) result {
 	send := s.send(place.Server)
 	send.LastEvent, send.From = s.last, from
-	engine := s.release.Services[s.service].Engine
-	if engine != nil && engine.Copies && s.route.Repeatable() {
+	copyID := ""
+	if s.copies() {
 		s.copy = s.config.Fleet.ChooseCopy(place.Server, s.call.PromptTokens, s.avoid, time.Now())
 	}
-	copyID := ""
 	if s.copy != nil {
 		send.Copy, copyID = s.copy.Address, s.copy.ID
+		s.from = s.config.CopyOf(s.copy.Address, s.call.ID)
 	}
 	s.config.Changed()
 	s.log("Sent.", "server", place.ID, "reason", place.Reason, "send", s.sends, "copy", copyID, "from", from, "last", s.last,
@@ -154,7 +157,16 @@
 	defer cancel()
 	items := make(chan item)
 	go s.read(ctx, send, items)
-	return s.follow(place, items)
+	a := &attempt{
+		stream: s, place: place, heard: time.Now(), attemptContext: ctx, copies: s.copies(), done: make(chan copied),
+	}
+	return a.follow(items)
+}
+
+// copies reports whether the stream's engines keep copies of each other's runs.
+func (s *stream) copies() bool {
+	engine := s.release.Services[s.service].Engine
+	return engine != nil && engine.Copies && s.route.Repeatable()
 }
 
 // read passes on what a server sends until its end.
@@ -195,30 +207,28 @@
 }
 
 // follow passes an attempt's events on to the caller.
-func (s *stream) follow(place *gladefleet.Taken, items <-chan item) result {
-	expired, stop := s.expired()
+func (a *attempt) follow(items <-chan item) result {
+	expired, stop := a.expired()
 	defer stop()
 	check := time.NewTicker(checkEvery)
 	defer check.Stop()
-	a := &attempt{stream: s, place: place, heard: time.Now()}
 	for {
 		select {
-		case <-s.ctx.Done():
-			s.log("Caller left.", "sends", s.sends, "last", s.last)
+		case <-a.ctx.Done():
+			a.log("Caller left.", "sends", a.sends, "last", a.last)
 			return left
 		case <-expired:
-			s.timedOut()
+			a.timedOut()
 			return left
-		case <-place.Down():
-			s.log("Moving on.", "server", place.ID, "reason", "server was found down", "silentMs", a.silence().Milliseconds(), "last", s.last)
-			s.shun(place.ID)
-			return broken
+		case <-a.place.Down():
+			return a.moveOn("server was found down")
 		case <-check.C:
 			if a.stalled() {
-				s.log("Moving on.", "server", place.ID, "reason", "silent", "silentMs", a.silence().Milliseconds(), "last", s.last)
-				s.shun(place.ID)
-				return broken
+				return a.moveOn("silent")
 			}
+			a.keepCopy(time.Now())
+		case c := <-a.done:
+			a.copied(c)
 		case i := <-items:
 			if end, ok := a.take(i); ok {
 				return end
@@ -227,6 +237,13 @@
 	}
 }
 
+// moveOn leaves a server whose run may still go on there; the connection to it is closed.
+func (a *attempt) moveOn(reason string) result {
+	a.log("Moving on.", "server", a.place.ID, "reason", reason, "silentMs", a.silence().Milliseconds(), "last", a.last)
+	a.shun(a.place.ID)
+	return broken
+}
+
 // shun keeps the request from a server.
 func (s *stream) shun(id string) { s.avoid = append(s.avoid, id) }
 
@@ -238,6 +255,14 @@
 	heard    time.Time
 	// got is the number of events of this attempt.
 	got int
+
+	// attemptContext ends with the attempt.
+	attemptContext context.Context
+	// copies tells that copies can be made, copying that a call that makes one is under way, called that the copy was
+	// made by call and has to be brought up to date, next at nextCopy.
+	copies, copying, called bool
+	nextCopy                time.Time
+	done                    chan copied
 }
 
 func (a *attempt) silence() time.Duration { return time.Since(a.heard) }
--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -59,7 +59,7 @@
 // followConfig joins the platform's calls to a Follow of one kind.
 func followConfig[T any](
 	f *Front, store *gladeplatform.Store, kind string, decode func(gladeplatform.Object) (T, error),
-	onList func([]gladeview.Item[entry[T]]), onChanges func([]gladeview.Change[entry[T]]),
+	onList func([]gladeview.Item[entry[T]], int64), onChanges func([]gladeview.Change[entry[T]], int64),
 ) gladeview.FollowConfig[entry[T]] {
 	item := func(o gladeplatform.Object) gladeview.Item[entry[T]] {
 		v, err := decode(o)
@@ -97,12 +97,17 @@
 			return changes, c.Revision, err
 		},
 		OnList: onList, OnChanges: onChanges,
-		OnLost: func(err error) { f.log.Warn("Lost the store.", "kind", kind, "reason", err) },
+		OnLost: func(err error) {
+			f.log.Warn("Lost the store.", "kind", kind, "reason", err)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.lost = true
+		},
 		OnRegained: func(outage time.Duration) {
 			f.log.Info("Regained the store.", "kind", kind, "outage", outage)
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			f.regained = time.Now()
+			f.lost, f.regained = false, time.Now()
 		},
 	}
 }
@@ -118,13 +123,13 @@
 	metrics.GetOrRegisterCounter(name, f.metrics).Inc(1)
 }
 
-func (f *Front) onReleases(items []gladeview.Item[entry[*gladerelease.Release]]) {
+func (f *Front) onReleases(items []gladeview.Item[entry[*gladerelease.Release]], _ int64) {
 	for _, i := range items {
 		f.take(i)
 	}
 }
 
-func (f *Front) onReleaseChanges(changes []gladeview.Change[entry[*gladerelease.Release]]) {
+func (f *Front) onReleaseChanges(changes []gladeview.Change[entry[*gladerelease.Release]], _ int64) {
 	for _, c := range changes {
 		if !c.Deleted {
 			f.take(c.Item)
@@ -132,7 +137,7 @@
 	}
 }
 
-// take puts a release in force unless a newer one is.
+// take takes over an object that holds a release.
 func (f *Front) take(i gladeview.Item[entry[*gladerelease.Release]]) {
 	if i.Name != gladeplatform.MainConfig {
 		return
@@ -142,6 +147,11 @@
 		return
 	}
 	r := i.Value.value
+	f.put(r, "store")
+}
+
+// put puts a release in force unless it or a newer one is.
+func (f *Front) put(r *gladerelease.Release, from string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old := f.release.Load()
@@ -149,47 +159,50 @@
 		return
 	}
 	f.release.Store(r)
-	f.log.Info("Release in force.", "release", r.Version, "routes", len(r.Routes), "organisationKeys", len(r.Organisations))
+	f.log.Info("Release in force.", "release", r.Version, "from", from, "routes", len(r.Routes), "organisationKeys", len(r.Organisations))
 }
 
-func (f *Front) onServers(items []gladeview.Item[entry[gladefleet.Server]]) {
-	now := time.Now()
-	listed := map[string]bool{}
+func (f *Front) onServers(items []gladeview.Item[entry[gladefleet.Server]], revision int64) {
+	var servers []gladefleet.Server
 	for _, i := range items {
-		if f.put(i, now) {
-			listed[i.Name] = true
-		}
-	}
-	for _, id := range f.fleet.Listed() {
-		if !listed[id] {
-			f.remove(id, now)
+		if f.readable(i) {
+			servers = append(servers, i.Value.value)
 		}
 	}
+	f.replace(servers, time.Now())
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.listed = true
+	f.listed, f.revision = true, revision
 }
 
-func (f *Front) onServerChanges(changes []gladeview.Change[entry[gladefleet.Server]]) {
+func (f *Front) onServerChanges(changes []gladeview.Change[entry[gladefleet.Server]], revision int64) {
 	now := time.Now()
 	for _, c := range changes {
-		if c.Deleted || !f.put(c.Item, now) {
+		if c.Deleted || !f.readable(c.Item) {
 			f.remove(c.Name, now)
+			continue
 		}
+		f.list(c.Value.value, now)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision = revision
 }
 
-// put takes in a listed server and reports whether the entry names one.
-func (f *Front) put(i gladeview.Item[entry[gladefleet.Server]], now time.Time) bool {
+// readable reports whether an entry names a backend server.
+func (f *Front) readable(i gladeview.Item[entry[gladefleet.Server]]) bool {
 	if i.Value.err != nil {
 		f.log.Warn("Entry names no backend server.", "entry", i.Name, "reason", i.Value.err)
-		return false
 	}
-	s := i.Value.value
-	f.fleet.Put(s, now)
-	f.log.Info("Backend server listed.", "server", s.ID, "service", s.Service, "address", s.Address, "domain", s.FailureDomain,
-		"leaving", s.Leaving, "started", s.Started)
-	return true
+	return i.Value.err == nil
+}
+
+// list takes in a listed server.
+func (f *Front) list(s gladefleet.Server, now time.Time) {
+	if f.fleet.Put(s, now) {
+		f.log.Info("Backend server listed.", "server", s.ID, "service", s.Service, "address", s.Address, "domain", s.FailureDomain,
+			"leaving", s.Leaving, "started", s.Started)
+	}
 }
 
 // remove takes note that the store no longer lists a server; just after an outage it may have expired by mistake.
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -13,8 +13,10 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 
-	"github.com/eelgrassglade/eelgrassglade/gladelimit"
+	"github.com/eelgrassglade/eelgrassglade/gladepeer"
+	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladebudget"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
+	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladeshare"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladeforward"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladesend"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladeserve"
@@ -27,12 +29,14 @@
 	rotationTime = 2500 * time.Millisecond
 	// stopMargin is left of the grace for the process to end by itself.
 	stopMargin = 400 * time.Millisecond
+	// lastCall is how long before the end of the grace no further connection is taken: a call takes up to about a second.
+	lastCall = 1500 * time.Millisecond
 	// stopPoll is how often a stopping VM looks whether it still serves.
 	stopPoll = 50 * time.Millisecond
 	// storeIdle is how many idle connections to the store are kept: one for each kind and one for reads.
 	storeIdle = 3
-	// perSecondShare spreads the retry reserve over VMs and the window; the smallest deployment has 14 VMs.
-	expectedVMs = 14
+	// engineIdle is below the shortest idle time-out of a backend server.
+	engineIdle = 800 * time.Millisecond
 )
 
 // Config configures a Front.
@@ -51,12 +55,19 @@
 	release atomic.Pointer[gladerelease.Release]
 	fleet   *gladefleet.Table
 	server  *gladeserve.Server
+	node    *gladepeer.Node
+	sharer  *gladeshare.Sharer
 	stop    atomic.Bool
-	group   run.Group
+	// stopAt is when the process is killed, once it is stopping.
+	stopAt atomic.Pointer[time.Time]
+	group  run.Group
 
 	mu sync.Mutex
-	// listed tells that the backend servers are known; regained is when the store last came back.
+	// listed tells that the backend servers are known, up to a revision of the store.
 	listed   bool
+	revision int64
+	// lost tells that the store cannot be reached; regained is when it last came back.
+	lost     bool
 	regained time.Time
 	cleanups []func()
 }
@@ -84,18 +95,25 @@
 
 func (f *Front) open() error {
 	s := f.config.Settings
+	if err := f.joinPeers(); err != nil {
+		return err
+	}
 	f.follow()
 	pool, closePool := gladesend.NewPool(gladesend.PoolConfig{})
 	f.cleanup(closePool)
+	engines := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: engineIdle, DialContext: dialEngine}
+	f.cleanup(engines.CloseIdleConnections)
+	engine := &gladeplatform.Engine{Client: &http.Client{Transport: engines}}
 	forwarder, closeForwarder := gladeforward.New(gladeforward.Config{
 		Release: f.release.Load, Fleet: f.fleet,
 		Client: &gladesend.Client{Pool: pool, Encode: gladeplatform.EncodeSend, Decode: gladeplatform.DecodeAnswer},
-		Budget: gladelimit.NewBudget(gladelimit.BudgetConfig{
-			Share: s.RetryShare, Reserve: max(1, s.RetryReserve/expectedVMs),
-			PerSecond: max(0.1, s.RetryReserve/expectedVMs/max(1, s.RetryWindow.Seconds())/2),
+		Engine: gladeforward.Engine{Copy: engine.Copy, Held: engine.Held},
+		Budget: gladebudget.New(gladebudget.Config{
+			Share: s.RetryShare, Reserve: s.RetryReserve, Window: s.RetryWindow, VMs: f.vms,
 		}),
-		Decode: gladeplatform.DecodeCall, AnswerID: gladeplatform.AnswerID, CopyOf: gladeplatform.CopyOf,
-		Changed: func() {}, Log: f.log.Named("proxy"), Metrics: f.metrics,
+		StopsAt: f.stopsAt,
+		Decode:  gladeplatform.DecodeCall, AnswerID: gladeplatform.AnswerID, CopyOf: gladeplatform.CopyOf,
+		Changed: f.sharer.Changed, Log: f.log.Named("proxy"), Metrics: f.metrics,
 	})
 	f.cleanup(closeForwarder)
 	listener, err := net.Listen("tcp", s.EntryAddress)
@@ -116,6 +134,23 @@
 	return f.listen(f.config.MetricsAddress, "/metrics", f.serveMetrics)
 }
 
+// dialEngine opens a connection for an engine call.
+func dialEngine(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: engineDialTimeout, KeepAlive: -1}
+	return d.DialContext(ctx, network, address)
+}
+
+// engineDialTimeout bounds a new connection; a live engine accepts within a few milliseconds.
+const engineDialTimeout = 200 * time.Millisecond
+
+// stopsAt returns when this process will be killed, the zero time unless it is stopping.
+func (f *Front) stopsAt() time.Time {
+	if at := f.stopAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // listen serves one path over HTTP; an empty address serves nothing.
 func (f *Front) listen(address, path string, h http.HandlerFunc) error {
 	if address == "" {
@@ -174,13 +209,38 @@
 	return err
 }
 
+// Reload reads the settings file again; of its settings only the time for a stop may change while the process runs.
+func (f *Front) Reload(path string) {
+	s, err := gladeplatform.LoadSettings(path)
+	if err != nil {
+		f.log.Error("Settings not reloaded; the ones before stay in force.", "reason", err)
+		return
+	}
+	f.mu.Lock()
+	f.config.Settings.StopGrace = s.StopGrace
+	f.mu.Unlock()
+	f.log.Info("Settings reloaded.", "grace", s.StopGrace)
+}
+
+func (f *Front) grace() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.config.Settings.StopGrace
+}
+
 // drain takes this VM out of the rotation and waits for its requests.
 func (f *Front) drain() {
 	began := time.Now()
+	grace := f.grace()
+	end := began.Add(grace)
+	f.stopAt.Store(&end)
 	f.stop.Store(true)
 	f.server.Stop()
-	f.log.Info("Stopping.", "busy", f.server.Busy(), "grace", f.config.Settings.StopGrace)
-	for time.Since(began) < f.config.Settings.StopGrace-stopMargin {
+	f.log.Info("Stopping.", "busy", f.server.Busy(), "grace", grace)
+	for time.Since(began) < grace-stopMargin {
+		if time.Since(began) > grace-lastCall {
+			f.server.Close()
+		}
 		if time.Since(began) > rotationTime {
 			f.server.CloseIdle()
 			if f.server.Busy() == 0 {
--- a/internal/proxy/gladesend/call.go
+++ b/internal/proxy/gladesend/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -32,6 +33,11 @@
 	Body   []byte
 }
 
+// SessionOf brings the identifier of a prompt's part into the form in which it is compared.
+func SessionOf(part string) string {
+	return strings.ToLower(strings.TrimLeft(strings.TrimSpace(part), "0"))
+}
+
 // Send is what one send of a call adds.
 type Send struct {
 	// Server is the identifier and Address the place of the backend server.
--- a/internal/proxy/gladeserve/server.go
+++ b/internal/proxy/gladeserve/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -44,7 +45,7 @@
 		for {
 			n, err := c.Listener.Accept()
 			if err != nil {
-				if s.closed(err) {
+				if errors.Is(err, net.ErrClosed) {
 					return
 				}
 				time.Sleep(acceptPause)
@@ -56,11 +57,6 @@
 	return s, s.close
 }
 
-func (s *Server) closed(err error) bool {
-	n, ok := err.(net.Error) //nolint:errorlint // Accept returns it unwrapped
-	return !ok || !n.Timeout() && s.stopping()
-}
-
 func (s *Server) serve(n net.Conn) {
 	c := newConn(s, n)
 	s.mu.Lock()
@@ -79,6 +75,12 @@
 // Stop makes each further answer the last one of its connection; new connections are still served.
 func (s *Server) Stop() { s.stop.Store(true) }
 
+// Close closes the listener; connections that were accepted are served.
+func (s *Server) Close() {
+	s.Stop()
+	_ = s.config.Listener.Close()
+}
+
 // CloseIdle closes the connections on which no request has begun.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
@@ -104,8 +106,7 @@
 }
 
 func (s *Server) close() {
-	s.Stop()
-	_ = s.config.Listener.Close()
+	s.Close()
 	s.mu.Lock()
 	for c := range s.conns {
 		_ = c.net.Close()
--- a/internal/state/gladerelease/release.go
+++ b/internal/state/gladerelease/release.go
@@ -26,27 +26,27 @@
 
 // Share is one service of a route that is split by weight.
 type Share struct {
-	Service string
-	Weight  int
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
 }
 
 // Route leads requests of one host and path prefix to services.
 type Route struct {
-	Name       string
-	Host       string
-	PathPrefix string
-	Kind       Kind
+	Name       string `json:"name"`
+	Host       string `json:"host"`
+	PathPrefix string `json:"pathPrefix"`
+	Kind       Kind   `json:"kind"`
 	// Timeout ends a request, zero for none; Target is when a response, or a stream's first event, is still on time.
-	Timeout time.Duration
-	Target  time.Duration
+	Timeout time.Duration `json:"timeout"`
+	Target  time.Duration `json:"target"`
 	// EventGap is the longest pause between a stream's events that is on time, zero for none.
-	EventGap time.Duration
+	EventGap time.Duration `json:"eventGap"`
 	// Attempts is the largest number of backend servers that one request may be sent to.
-	Attempts  int
-	Priority  int
-	Shares    []Share
-	Public    bool
-	Resumable bool
+	Attempts  int     `json:"attempts"`
+	Priority  int     `json:"priority"`
+	Shares    []Share `json:"shares"`
+	Public    bool    `json:"public"`
+	Resumable bool    `json:"resumable"`
 }
 
 // Repeatable reports whether a request may run more than once.
@@ -74,31 +74,31 @@
 
 // Engine is what the configuration tells of a service of model engines.
 type Engine struct {
-	Slots int
+	Slots int `json:"slots"`
 	// KVTokens is the number of tokens that a backend server's memory holds.
-	KVTokens int
+	KVTokens int `json:"kvTokens"`
 	// Copies tells that the engines keep copies of other engines' runs.
-	Copies bool
+	Copies bool `json:"copies"`
 	// CopyRetention is how long a copy outlives its last part.
-	CopyRetention time.Duration
+	CopyRetention time.Duration `json:"copyRetention"`
 }
 
 // Service is a pool of backend servers.
 type Service struct {
-	Name       string
-	HealthPath string
+	Name       string `json:"name"`
+	HealthPath string `json:"healthPath"`
 	// MaxConnections bounds the connections of all callers to one backend server.
-	MaxConnections int
+	MaxConnections int `json:"maxConnections"`
 	// Engine is nil for plain services.
-	Engine *Engine
+	Engine *Engine `json:"engine"`
 }
 
 // Limits bound what a client may send and how long it may take.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes   int           `json:"headerBytes"`
+	BodyBytes     int64         `json:"bodyBytes"`
+	HeaderTimeout time.Duration `json:"headerTimeout"`
+	IdleTimeout   time.Duration `json:"idleTimeout"`
 }
 
 // DefaultLimits hold until a release is known; they are those of the users' first configuration.
@@ -106,19 +106,19 @@
 
 // Organisation is the holder of an API key.
 type Organisation struct {
-	Name     string
-	Priority int
+	Name     string `json:"name"`
+	Priority int    `json:"priority"`
 }
 
 // Release is one version of the configuration.
 type Release struct {
-	Version       int64
-	Routes        []Route
-	Services      map[string]Service
-	Limits        Limits
-	Organisations map[string]Organisation // by API key
+	Version       int64                   `json:"version"`
+	Routes        []Route                 `json:"routes"`
+	Services      map[string]Service      `json:"services"`
+	Limits        Limits                  `json:"limits"`
+	Organisations map[string]Organisation `json:"organisations"` // by API key
 	// Restricted tells that requests need a key, unless their route is public.
-	Restricted bool
+	Restricted bool `json:"restricted"`
 
 	hosts map[string][]*Route
 }
--- a/internal/state/gladeview/follow.go
+++ b/internal/state/gladeview/follow.go
@@ -38,9 +38,9 @@
 	List func(context.Context) ([]Item[T], int64, error)
 	// Watch returns the changes after a revision, or none after a while, and the revision to go on from.
 	Watch func(ctx context.Context, revision int64) ([]Change[T], int64, error)
-	// OnList and OnChanges receive what was learnt.
-	OnList    func([]Item[T])
-	OnChanges func([]Change[T])
+	// OnList and OnChanges receive what was learnt, up to a revision.
+	OnList    func(items []Item[T], revision int64)
+	OnChanges func(changes []Change[T], revision int64)
 	// OnLost and OnRegained tell of the store; outage is how long it was lost.
 	OnLost     func(error)
 	OnRegained func(outage time.Duration)
@@ -61,7 +61,7 @@
 		if !f.noted(ctx, err) {
 			continue
 		}
-		f.OnList(items)
+		f.OnList(items, revision)
 		f.watch(ctx, revision)
 	}
 }
@@ -78,7 +78,7 @@
 		}
 		revision = max(revision, next)
 		if len(changes) > 0 {
-			f.OnChanges(changes)
+			f.OnChanges(changes, revision)
 			sleep(ctx, settle)
 		}
 	}
