Take vanished entries at their word unless most of a service vanish

Change: only where a list has less than half of a service left are the missing ones thought to have lapsed; choices rank sound, lapsed, doubted and failed servers.

--- a/internal/fleet/gladefleet/choose.go
+++ b/internal/fleet/gladefleet/choose.go
@@ -36,7 +36,7 @@
 	reasonNear    = "least loaded in the failure domain"
 	reasonFar     = "least loaded elsewhere"
 	reasonSession = "has read the session"
-	reasonDown    = "all were found down of late"
+	reasonDown    = "no sound server is left"
 	reasonCopy    = "holds the copy"
 )
 
@@ -51,19 +51,42 @@
 	return t.take(best, n.Prompt, reason), nil
 }
 
+// standing ranks what a server is thought to be; a lower one is chosen only if no better is left.
+type standing int
+
+const (
+	sound    standing = iota
+	expired           // the store no longer lists it, perhaps by mistake
+	doubtful          // servers beside it failed together
+	failing           // it accepted no connection
+)
+
+// standing returns a server's rank, and false if it may get nothing new.
+func (t *Table) standing(e *entry, now time.Time) (standing, bool) {
+	switch {
+	case !e.open(now):
+		return 0, false
+	case e.failed:
+		return failing, true
+	case t.out(e, now):
+		return doubtful, true
+	case !e.gone.IsZero():
+		return expired, true
+	}
+	return sound, true
+}
+
 func (t *Table) pick(n Need, now time.Time) (*entry, string) {
-	var best, fallback, favourite *entry
-	bestLoad, favouriteLoad := 0.0, 0.0
+	var best, favourite *entry
+	bestLoad, favouriteLoad, bestStanding := 0.0, 0.0, failing+1
 	for _, e := range t.services[n.Service] {
-		switch {
-		case !e.open(now) || slices.Contains(n.Avoid, e.ID):
-			continue
-		case t.out(e, now):
-			if fallback == nil || e.outage.Before(fallback.outage) {
-				fallback = e
-			}
+		rank, ok := t.standing(e, now)
+		if !ok || rank > bestStanding || slices.Contains(n.Avoid, e.ID) {
 			continue
 		}
+		if rank < bestStanding {
+			best, favourite, bestStanding = nil, nil, rank
+		}
 		load := t.cost(e)
 		if best == nil || load < bestLoad {
 			best, bestLoad = e, load
@@ -73,8 +96,8 @@
 		}
 	}
 	switch {
-	case best == nil:
-		return fallback, reasonDown
+	case best == nil || bestStanding > sound:
+		return best, reasonDown
 	case favourite != nil && favouriteLoad <= bestLoad+sessionTokens:
 		return favourite, reasonSession
 	case best.FailureDomain == t.config.FailureDomain:
--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -120,17 +120,26 @@
 	}
 }
 
-// Listed returns the identifiers of the servers that the store lists.
-func (t *Table) Listed() []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	ids := make([]string, 0, len(t.servers))
-	for id, e := range t.servers {
-		if e.gone.IsZero() {
-			ids = append(ids, id)
+// lapsedShare is the share of a service's servers that a new list must still have to be taken at its word.
+const lapsedShare = 0.5
+
+// Lapsed returns the services of which a new list has so few servers left that their entries may have expired while
+// the store was away; a replaced server does not count, since another stands for it.
+func Lapsed(before []Status, listed []Server) map[string]bool {
+	old, left := map[string]int{}, map[string]int{}
+	for _, s := range before {
+		if s.Listed {
+			old[s.Service]++
 		}
 	}
-	return ids
+	for _, s := range listed {
+		left[s.Service]++
+	}
+	lapsed := map[string]bool{}
+	for service, n := range old {
+		lapsed[service] = float64(left[service]) < lapsedShare*float64(n)
+	}
+	return lapsed
 }
 
 // index rebuilds the servers by service, in the order of their identifiers.
--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -21,7 +21,7 @@
 	// callTimeout bounds a call to the store beyond the time that it may wait; answers take milliseconds.
 	callTimeout = 700 * time.Millisecond
 	// lapseGrace is how long after the store's return entries that expired meanwhile may still come back.
-	lapseGrace = 2200 * time.Millisecond
+	lapseGrace = 1500 * time.Millisecond
 )
 
 // entry is an object of the store, decoded, or what was wrong with it.
@@ -179,7 +179,7 @@
 	now := time.Now()
 	for _, c := range changes {
 		if c.Deleted || !f.readable(c.Item) {
-			f.remove(c.Name, now)
+			f.remove(c.Name, now, false)
 			continue
 		}
 		f.list(c.Value.value, now)
@@ -205,11 +205,12 @@
 	}
 }
 
-// remove takes note that the store no longer lists a server; just after an outage it may have expired by mistake.
-func (f *Front) remove(id string, now time.Time) {
-	f.mu.Lock()
-	grace := max(0, lapseGrace-now.Sub(f.regained))
-	f.mu.Unlock()
+// remove takes note that the store no longer lists a server; lapsed tells that this may be a mistake.
+func (f *Front) remove(id string, now time.Time, lapsed bool) {
+	grace := time.Duration(0)
+	if lapsed {
+		grace = lapseGrace
+	}
 	f.log.Info("Backend server gone.", "server", id, "grace", grace)
 	f.fleet.Remove(id, now, grace)
 }
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -132,11 +132,15 @@
 	listed := map[string]bool{}
 	for _, s := range servers {
 		listed[s.ID] = true
+	}
+	before := f.fleet.Statuses()
+	lapsed := gladefleet.Lapsed(before, servers)
+	for _, s := range servers {
 		f.list(s, now)
 	}
-	for _, id := range f.fleet.Listed() {
-		if !listed[id] {
-			f.remove(id, now)
+	for _, s := range before {
+		if s.Listed && !listed[s.ID] {
+			f.remove(s.ID, now, lapsed[s.Service])
 		}
 	}
 }
