--- /dev/null
+++ b/internal/admit/gladebudget/budget_test.go
@@ -0,0 +1,78 @@
+package gladebudget
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+const service = "returns-app"
+
+// Pattern: a storm of failures while few requests come; the VMs together must not send more repeats than allowed.
+func TestSumOverVMsStaysWithinTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const share, reserve = 0.8, 300.0
+		window := 10 * time.Second
+		vms := rapid.IntRange(1, 40).Draw(t, "vms")
+		budgets := make([]*Budget, vms)
+		for i := range budgets {
+			budgets[i] = New(Config{Share: share, Reserve: reserve, Window: window, VMs: func() int { return vms }})
+		}
+		now := time.Unix(1000, 0)
+		var requests, repeats []time.Time
+		for range rapid.IntRange(50, 600).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 80).Draw(t, "pause")) * time.Millisecond)
+			b := budgets[rapid.IntRange(0, vms-1).Draw(t, "vm")]
+			if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
+				b.Request(service, now)
+				requests = append(requests, now)
+				continue
+			}
+			if b.Repeat(service, now) {
+				repeats = append(repeats, now)
+			}
+			if n, m := within(repeats, now, window), within(requests, now, window); float64(n) > share*float64(m)+reserve {
+				t.Fatalf("%d repeats of %d requests", n, m)
+			}
+		}
+	})
+}
+
+func within(times []time.Time, now time.Time, window time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if now.Sub(at) < window {
+			n++
+		}
+	}
+	return n
+}
+
+func TestServicesDoNotShareABudget(t *testing.T) {
+	c := qt.New(t)
+	b := New(Config{Share: 1, Window: 10 * time.Second, VMs: func() int { return 1 }})
+	now := time.Unix(1000, 0)
+	for range 10 {
+		b.Request(service, now)
+	}
+	c.Assert(b.Repeat("glade-llm", now), qt.IsFalse)
+	c.Assert(b.Left(service, now), qt.Equals, 8.0)
+	for range 8 {
+		c.Assert(b.Repeat(service, now), qt.IsTrue)
+	}
+	c.Assert(b.Repeat(service, now), qt.IsFalse)
+	c.Assert(b.Repeat(service, now.Add(time.Minute)), qt.IsFalse)
+}
+
+func TestClockSteps(t *testing.T) {
+	c := qt.New(t)
+	b := New(Config{Share: 1, Window: 10 * time.Second, VMs: func() int { return 0 }})
+	now := time.Unix(1000, 0)
+	for range 5 {
+		b.Request(service, now)
+	}
+	c.Assert(b.Repeat(service, now.Add(-time.Hour)), qt.IsTrue)
+	c.Assert(b.Left(service, now), qt.Equals, 3.0)
+}
--- a/internal/fleet/gladefleet/choose.go
+++ b/internal/fleet/gladefleet/choose.go
@@ -91,7 +91,7 @@
 		if best == nil || load < bestLoad {
 			best, bestLoad = e, load
 		}
-		if n.Session != 0 && (favourite == nil || mix(n.Session^e.hash) > mix(n.Session^favourite.hash)) {
+		if n.Session != 0 && t.prefers(n.Session, e, favourite) {
 			favourite, favouriteLoad = e, load
 		}
 	}
@@ -106,6 +106,18 @@
 	return best, reasonFar
 }
 
+// prefers reports whether a session belongs to a server rather than to the favourite so far, the own domain first.
+func (t *Table) prefers(session uint64, e, favourite *entry) bool {
+	if favourite == nil {
+		return true
+	}
+	near, other := e.FailureDomain == t.config.FailureDomain, favourite.FailureDomain == t.config.FailureDomain
+	if near != other {
+		return near
+	}
+	return mix(session^e.hash) > mix(session^favourite.hash)
+}
+
 // sessionTokens is how much more load the server that has read a session may have than the least loaded one.
 const sessionTokens = 600
 
