Let one VM of a failure domain read the store for all of it

Change: the VM that rendezvous hashing puts first reads and tells its neighbours by datagram; who hears no reader for 0.8 s reads itself; releases are watched long by all and closely by readers, whose beats carry the version.

--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -4,20 +4,28 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladefeed"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladeview"
 	gladeplatform "github.com/eelgrassglade/eelgrassglade/platform"
 )
 
 const (
-	// watchWait is how long a watch waits for a change: a connection that went silent is noticed after it, within
-	// the time in which a release has to be in force once a VM is in touch again.
-	watchWait = 2 * time.Second
+	// releaseWait is how long a watch of the release waits: peers tell of a newer one if its connection is silent.
+	releaseWait = 10 * time.Second
+	// readerWait is the same where a VM reads for others: a watch that hears nothing any more is noticed in time for
+	// the bounds on releases and leaving servers.
+	readerWait = 900 * time.Millisecond
+	// watchSlack is how much longer an answer may take; a slow store needs a quarter of a second.
+	watchSlack = 400 * time.Millisecond
+	// wantedEvery is how often a VM looks whether it has to read the servers itself.
+	wantedEvery = 100 * time.Millisecond
 	// callTimeout bounds a call to the store beyond the time that it may wait; answers take milliseconds.
 	callTimeout = 700 * time.Millisecond
 	// lapseGrace is how long after the store's return entries that expired meanwhile may still come back.
@@ -37,11 +45,11 @@
 	store := &gladeplatform.Store{Address: f.config.Settings.StoreAddress, Client: &http.Client{Transport: transport}}
 	done := make(chan struct{}, 2)
 	go func() {
-		gladeview.Follow(ctx, followConfig(f, store, gladeplatform.KindConfig, decodeRelease, f.onReleases, f.onReleaseChanges))
+		gladeview.Follow(ctx, followConfig(f, store, gladeplatform.KindConfig, releaseWait, decodeRelease, f.onReleases, f.onReleaseChanges))
 		done <- struct{}{}
 	}()
 	go func() {
-		gladeview.Follow(ctx, followConfig(f, store, gladeplatform.KindServers, gladeplatform.DecodeServer, f.onServers, f.onServerChanges))
+		f.readForDomain(ctx, store)
 		done <- struct{}{}
 	}()
 	f.cleanup(func() {
@@ -52,13 +60,57 @@
 	})
 }
 
+// readForDomain follows the release and the servers closely while this VM reads them for its failure domain.
+func (f *Front) readForDomain(ctx context.Context, store *gladeplatform.Store) {
+	servers := followConfig(f, store, gladeplatform.KindServers, readerWait, gladeplatform.DecodeServer, f.onServers, f.onServerChanges)
+	releases := followConfig(f, store, gladeplatform.KindConfig, readerWait, decodeRelease, f.onReleases, f.onReleaseChanges)
+	for ctx.Err() == nil {
+		if !f.feed.Wanted(false, time.Now()) {
+			select {
+			case <-ctx.Done():
+			case <-time.After(wantedEvery):
+			}
+			continue
+		}
+		f.log.Info("Reading the store for the failure domain.", "first", f.reads())
+		f.setReading(true)
+		reading, cancel := context.WithCancel(ctx)
+		var tasks sync.WaitGroup
+		tasks.Go(func() { gladeview.Follow(reading, servers) })
+		tasks.Go(func() { gladeview.Follow(reading, releases) })
+		for reading.Err() == nil && f.feed.Wanted(true, time.Now()) {
+			select {
+			case <-reading.Done():
+			case <-time.After(wantedEvery):
+			}
+		}
+		cancel()
+		tasks.Wait()
+		f.setReading(false)
+		f.log.Info("Another VM reads the store for the failure domain.")
+	}
+}
+
+func (f *Front) setReading(reading bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reading = reading
+	delete(f.lost, gladeplatform.KindServers)
+}
+
+func (f *Front) setLost(kind string, lost bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lost[kind] = lost
+}
+
 func decodeRelease(o gladeplatform.Object) (*gladerelease.Release, error) {
 	return gladeplatform.DecodeRelease(o.Spec)
 }
 
 // followConfig joins the platform's calls to a Follow of one kind.
 func followConfig[T any](
-	f *Front, store *gladeplatform.Store, kind string, decode func(gladeplatform.Object) (T, error),
+	f *Front, store *gladeplatform.Store, kind string, wait time.Duration, decode func(gladeplatform.Object) (T, error),
 	onList func([]gladeview.Item[entry[T]], int64), onChanges func([]gladeview.Change[entry[T]], int64),
 ) gladeview.FollowConfig[entry[T]] {
 	item := func(o gladeplatform.Object) gladeview.Item[entry[T]] {
@@ -83,10 +135,10 @@
 			}
 		},
 		Watch: func(ctx context.Context, revision int64) ([]gladeview.Change[entry[T]], int64, error) {
-			ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+			ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 			defer cancel()
 			f.count("store.watch." + kind)
-			c, err := store.Watch(ctx, kind, revision, watchWait)
+			c, err := store.Watch(ctx, kind, revision, wait)
 			if errors.Is(err, gladeview.ErrHistoryGone) {
 				f.log.Warn("The store has lost its history; listing anew.", "kind", kind, "revision", revision)
 			}
@@ -99,15 +151,11 @@
 		OnList: onList, OnChanges: onChanges,
 		OnLost: func(err error) {
 			f.log.Warn("Lost the store.", "kind", kind, "reason", err)
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			f.lost = true
+			f.setLost(kind, true)
 		},
 		OnRegained: func(outage time.Duration) {
 			f.log.Info("Regained the store.", "kind", kind, "outage", outage)
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			f.lost, f.regained = false, time.Now()
+			f.setLost(kind, false)
 		},
 	}
 }
@@ -159,6 +207,7 @@
 		return
 	}
 	f.release.Store(r)
+	go f.feed.Tell(gladefeed.Update{Before: f.revision, Revision: f.revision, Release: r.Version})
 	f.log.Info("Release in force.", "release", r.Version, "from", from, "routes", len(r.Routes), "organisationKeys", len(r.Organisations))
 }
 
@@ -169,24 +218,35 @@
 			servers = append(servers, i.Value.value)
 		}
 	}
+	f.mu.Lock()
+	stale := f.listed && revision < f.revision
+	f.mu.Unlock()
+	if stale {
+		return // a peer has told more; the watch brings the rest
+	}
 	f.replace(servers, time.Now())
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.listed, f.revision = true, revision
+	f.mu.Unlock()
+	f.feed.Tell(gladefeed.Update{Before: revision, Revision: revision})
 }
 
 func (f *Front) onServerChanges(changes []gladeview.Change[entry[gladefleet.Server]], revision int64) {
 	now := time.Now()
+	update := gladefeed.Update{Revision: revision}
 	for _, c := range changes {
 		if c.Deleted || !f.readable(c.Item) {
 			f.remove(c.Name, now, false)
+			update.Changes = append(update.Changes, gladefeed.Change{Gone: c.Name})
 			continue
 		}
 		f.list(c.Value.value, now)
+		update.Changes = append(update.Changes, gladefeed.Change{Server: &c.Value.value})
 	}
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.revision = revision
+	update.Before, f.revision = f.revision, max(f.revision, revision)
+	f.mu.Unlock()
+	f.feed.Tell(update)
 }
 
 // readable reports whether an entry names a backend server.
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -20,6 +20,8 @@
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladeforward"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladesend"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladeserve"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladefeed"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelay"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
 	gladeplatform "github.com/eelgrassglade/eelgrassglade/platform"
 )
@@ -57,6 +59,8 @@
 	server  *gladeserve.Server
 	node    *gladepeer.Node
 	sharer  *gladeshare.Sharer
+	relay   *gladerelay.Relay
+	feed    *gladefeed.Feed
 	stop    atomic.Bool
 	// stopAt is when the process is killed, once it is stopping.
 	stopAt atomic.Pointer[time.Time]
@@ -66,16 +70,17 @@
 	// listed tells that the backend servers are known, up to a revision of the store.
 	listed   bool
 	revision int64
-	// lost tells that the store cannot be reached; regained is when it last came back.
-	lost     bool
-	regained time.Time
+	// lost tells by kind that the store cannot be reached.
+	lost map[string]bool
+	// reading tells that this VM follows the servers in the store itself.
+	reading  bool
 	cleanups []func()
 }
 
 // New opens the listeners and starts the parts; it returns the clean-up function.
 func New(c Config) (*Front, func(), error) {
 	f := &Front{
-		config: c, log: c.Log, metrics: metrics.NewRegistry(),
+		config: c, log: c.Log, metrics: metrics.NewRegistry(), lost: map[string]bool{},
 		fleet: gladefleet.New(gladefleet.Config{FailureDomain: c.Settings.FailureDomain}),
 	}
 	if err := f.open(); err != nil {
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -1,6 +1,7 @@
 package gladefront
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"strconv"
@@ -10,8 +11,10 @@
 	"github.com/eelgrassglade/eelgrassglade/gladepeer"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladeshare"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladefeed"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelay"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
+	gladeplatform "github.com/eelgrassglade/eelgrassglade/platform"
 )
 
 const (
@@ -39,29 +42,121 @@
 	}
 	f.cleanup(closeNode)
 	f.node = node
-	share, err := shareAddress(s.PeerAddress)
+	share, err := after(s.PeerAddress, sharePort)
 	if err != nil {
 		return err
 	}
 	sharer, closeSharer, err := gladeshare.New(gladeshare.Config{
-		VM: s.VM, Address: share, Peers: f.nearPeers, Table: f.fleet, Log: f.log.Named("shares"),
+		VM: s.VM, Address: share, Peers: func() []string { return f.nearPeers(sharePort) }, Table: f.fleet, Log: f.log.Named("shares"),
 	})
 	if err != nil {
 		return err
 	}
 	f.cleanup(closeSharer)
 	f.sharer = sharer
-	f.cleanup(gladerelay.New(gladerelay.Config{
+	relay, closeRelay := gladerelay.New(gladerelay.Config{
 		Node: node, State: f.state, Release: f.release.Load, Servers: f.knownServers,
 		OnRelease: func(r *gladerelease.Release, from string) { f.put(r, from) },
 		OnServers: f.takeServers,
 		Log:       f.log.Named("relay"),
-	}))
+	})
+	f.relay = relay
+	f.cleanup(closeRelay)
+	return f.joinFeed()
+}
+
+// joinFeed starts the exchange of what the failure domain's reader learns of the backend servers.
+func (f *Front) joinFeed() error {
+	s := f.config.Settings
+	address, err := after(s.PeerAddress, feedPort)
+	if err != nil {
+		return err
+	}
+	feed, closeFeed, err := gladefeed.New(gladefeed.Config{
+		VM: s.VM, Address: address, Peers: func() []string { return f.nearPeers(feedPort) },
+		First: f.reads, Read: f.read, OnUpdate: f.hearUpdate, Log: f.log.Named("feed"),
+	})
+	if err != nil {
+		return err
+	}
+	f.feed = feed
+	f.cleanup(closeFeed)
 	return nil
 }
 
-// shareAddress is the port after the one for calls, on the same VM.
-func shareAddress(peer string) (string, error) {
+// reads reports whether this VM is the one that reads the servers for its failure domain.
+func (f *Front) reads() bool {
+	s := f.config.Settings
+	own := gladepeer.Rendezvous(gladeplatform.KindServers, s.VM)
+	for _, m := range f.node.Members() {
+		if m.FailureDomain == s.FailureDomain && !m.Leaving && gladepeer.Rendezvous(gladeplatform.KindServers, m.Name) > own {
+			return false
+		}
+	}
+	return !f.stop.Load()
+}
+
+// read returns how far this VM has read the store, and whether it still does.
+func (f *Front) read() (gladefeed.Update, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u := gladefeed.Update{Before: f.revision, Revision: f.revision}
+	if r := f.release.Load(); r != nil {
+		u.Release = r.Version
+	}
+	return u, f.listed && f.reading && !f.lost[gladeplatform.KindServers]
+}
+
+// hearUpdate takes in what the reader tells, or asks it for what was missed.
+func (f *Front) hearUpdate(u gladefeed.Update) {
+	f.mu.Lock()
+	known, listed := f.revision, f.listed
+	if listed && u.Before <= known && u.Revision > known {
+		f.revision = u.Revision
+	}
+	f.mu.Unlock()
+	if r := f.release.Load(); r == nil || r.Version < u.Release {
+		time.AfterFunc(releasePatience, func() { f.askRelease(u) })
+	}
+	switch {
+	case listed && u.Revision <= known:
+	case listed && u.Before <= known:
+		now := time.Now()
+		for _, c := range u.Changes {
+			if c.Server != nil {
+				f.list(*c.Server, now)
+			} else {
+				f.remove(c.Gone, now, false)
+			}
+		}
+	default:
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		f.relay.AskServers(ctx, u.VM)
+	}
+}
+
+// releasePatience is how long this VM's own watch may still bring a release that the reader has.
+const releasePatience = 100 * time.Millisecond
+
+// askRelease asks the reader for its release unless this VM has it by now.
+func (f *Front) askRelease(u gladefeed.Update) {
+	if r := f.release.Load(); r != nil && r.Version >= u.Release {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	f.relay.AskRelease(ctx, u.VM)
+}
+
+const (
+	// sharePort and feedPort are the distances of their ports from the one for calls.
+	sharePort = 1
+	feedPort  = 2
+)
+
+// after returns the address on the same VM whose port is some ports further on.
+func after(peer string, distance int) (string, error) {
 	host, port, err := net.SplitHostPort(peer)
 	if err != nil {
 		return "", err
@@ -70,17 +165,17 @@
 	if err != nil {
 		return "", err
 	}
-	return net.JoinHostPort(host, strconv.Itoa(n+1)), nil
+	return net.JoinHostPort(host, strconv.Itoa(n+distance)), nil
 }
 
-// nearPeers returns where the other VMs of this failure domain take shares.
-func (f *Front) nearPeers() []string {
+// nearPeers returns addresses of the other VMs of this failure domain, some ports after the one for calls.
+func (f *Front) nearPeers(distance int) []string {
 	var near []string
 	for _, m := range f.node.Members() {
 		if m.FailureDomain != f.config.Settings.FailureDomain {
 			continue
 		}
-		if address, err := shareAddress(m.PeerAddress); err == nil { // an address that is none gets nothing
+		if address, err := after(m.PeerAddress, distance); err == nil { // an address that is none gets nothing
 			near = append(near, address)
 		}
 	}
@@ -94,7 +189,7 @@
 func (f *Front) state() gladerelay.State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := gladerelay.State{Servers: f.revision, Lost: f.lost}
+	s := gladerelay.State{Servers: f.revision, Lost: f.lost[gladeplatform.KindConfig] || f.lost[gladeplatform.KindServers]}
 	if r := f.release.Load(); r != nil {
 		s.Release = r.Version
 	}
@@ -117,7 +212,7 @@
 // takeServers takes over the list of a peer that still reaches the store.
 func (f *Front) takeServers(s gladerelay.Servers, from string) {
 	f.mu.Lock()
-	if !f.lost && f.listed || s.Revision <= f.revision || len(s.Servers) == 0 {
+	if f.listed && s.Revision <= f.revision || len(s.Servers) == 0 {
 		f.mu.Unlock()
 		return
 	}
--- /dev/null
+++ b/internal/state/gladefeed/feed.go
@@ -0,0 +1,167 @@
+package gladefeed
+
+import (
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
+)
+
+const (
+	// beat is how often the reader says how far it has read.
+	beat = 250 * time.Millisecond
+	// silence is the time without a reader after which a VM reads itself: three beats, well below the bound on
+	// leaving servers.
+	silence = 800 * time.Millisecond
+	// trust is how long a reader is heard before a VM stops reading itself.
+	trust = time.Second
+	// maxDatagram bounds a datagram, in bytes; what does not fit is asked for.
+	maxDatagram = 48 << 10
+)
+
+// Change is a server that is listed, or the identifier of one that is no longer.
+type Change struct {
+	Server *gladefleet.Server `json:"server,omitempty"`
+	Gone   string             `json:"gone,omitempty"`
+}
+
+// Update is what a reader tells: the changes after one revision of the store up to another, or none.
+type Update struct {
+	VM       string   `json:"vm"`
+	Before   int64    `json:"before"`
+	Revision int64    `json:"revision"`
+	Changes  []Change `json:"changes,omitempty"`
+	// Release is the version that the reader has in force.
+	Release int64 `json:"release"`
+}
+
+// Config configures a Feed.
+type Config struct {
+	// VM names this VM, Address is where it listens.
+	VM, Address string
+	// Peers returns the addresses of the failure domain's other VMs.
+	Peers func() []string
+	// First reports whether this VM should read for the others.
+	First func() bool
+	// Read returns an update without changes: how far this VM has read the store, and whether it reaches it.
+	Read func() (Update, bool)
+	// OnUpdate receives what a reader tells.
+	OnUpdate func(Update)
+	Log      hclog.Logger
+}
+
+// Feed tells and hears updates.
+type Feed struct {
+	config Config
+	socket net.PacketConn
+
+	mu sync.Mutex
+	// heard is when a reader was last heard, since is when it was first heard without a silence.
+	heard, since time.Time
+}
+
+// New opens the socket, starts telling and hearing, and returns the clean-up function.
+func New(c Config) (*Feed, func(), error) {
+	socket, err := net.ListenPacket("udp", c.Address)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "socket of the feed")
+	}
+	f := &Feed{config: c, socket: socket}
+	done := make(chan struct{})
+	var tasks sync.WaitGroup
+	tasks.Go(f.receive)
+	tasks.Go(func() {
+		ticker := time.NewTicker(beat)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+				if u, ok := c.Read(); ok {
+					f.Tell(u)
+				}
+			}
+		}
+	})
+	return f, func() {
+		close(done)
+		_ = socket.Close()
+		tasks.Wait()
+	}, nil
+}
+
+// Tell sends an update to the neighbours if this VM reads for them.
+func (f *Feed) Tell(u Update) {
+	if !f.config.First() {
+		return
+	}
+	u.VM = f.config.VM
+	raw, err := json.Marshal(u)
+	if err == nil && len(raw) > maxDatagram {
+		u.Before, u.Changes = u.Revision, nil
+		raw, err = json.Marshal(u)
+	}
+	if err != nil {
+		f.config.Log.Error("Update not told.", "revision", u.Revision, "reason", err)
+		return
+	}
+	for _, address := range f.config.Peers() {
+		to, err := net.ResolveUDPAddr("udp", address)
+		if err != nil {
+			f.config.Log.Error("Update not told.", "peer", address, "reason", err)
+			continue
+		}
+		// The next beat shows the receiver what it has missed.
+		if _, err := f.socket.WriteTo(raw, to); err != nil {
+			f.config.Log.Debug("Update not told.", "peer", address, "reason", err)
+		}
+	}
+}
+
+func (f *Feed) receive() {
+	b := make([]byte, maxDatagram+1)
+	for {
+		n, _, err := f.socket.ReadFrom(b)
+		if err != nil {
+			if eris.Is(err, net.ErrClosed) {
+				return
+			}
+			continue
+		}
+		var u Update
+		if err := json.Unmarshal(b[:n], &u); err != nil {
+			f.config.Log.Warn("Update cannot be read.", "reason", err)
+			continue
+		}
+		f.hear(time.Now())
+		f.config.OnUpdate(u)
+	}
+}
+
+func (f *Feed) hear(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Sub(f.heard) > silence {
+		f.since = now
+	}
+	f.heard = now
+}
+
+// Wanted reports whether this VM should read the store itself; reading tells whether it does.
+func (f *Feed) Wanted(reading bool, now time.Time) bool {
+	if f.config.First() {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Sub(f.heard) > silence {
+		return true
+	}
+	return reading && now.Sub(f.since) < trust
+}
--- a/internal/state/gladerelay/relay.go
+++ b/internal/state/gladerelay/relay.go
@@ -27,6 +27,8 @@
 	// serversEvery is how often a VM without the store asks for the servers.
 	serversEvery = 700 * time.Millisecond
 	callTimeout  = time.Second
+	// publishEvery bounds how often the progress of the servers' revision alone is published.
+	publishEvery = 2 * time.Second
 )
 
 // State is how new a VM's knowledge is.
@@ -58,23 +60,25 @@
 	Log       hclog.Logger
 }
 
-// relay is a running relay.
-type relay struct {
-	Config
+// Relay is a running relay.
+type Relay struct {
+	config  Config
 	newer   time.Time
 	asked   time.Time
+	told    time.Time
+	last    State
 	waiting int64
 }
 
 // New registers the calls, starts looking at the peers' states and returns the clean-up function.
-func New(c Config) func() {
+func New(c Config) (*Relay, func()) {
 	gladepeer.Handle(c.Node, methodRelease, func(context.Context, string, struct{}) (*gladerelease.Release, error) {
 		return c.Release(), nil
 	})
 	gladepeer.Handle(c.Node, methodServers, func(context.Context, string, struct{}) (Servers, error) {
 		return c.Servers(), nil
 	})
-	r := &relay{Config: c}
+	r := &Relay{config: c}
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	tasks.Go(func() {
@@ -89,30 +93,39 @@
 			}
 		}
 	})
-	return func() {
+	return r, func() {
 		cancel()
 		tasks.Wait()
 	}
 }
 
 // look publishes this VM's state and asks a peer that knows more.
-func (r *relay) look(ctx context.Context, now time.Time) {
-	own := r.State()
-	if err := r.Node.Publish(Fact, own); err != nil {
-		r.Log.Error("State not published.", "reason", err)
-	}
+func (r *Relay) look(ctx context.Context, now time.Time) {
+	own := r.config.State()
+	r.publish(own, now)
 	release, servers := r.newest()
 	if release.state.Release > own.Release && r.due(release.state.Release, own, now) {
-		r.askRelease(ctx, release.vm)
+		r.AskRelease(ctx, release.vm)
 	}
-	if own.Lost && servers.state.Servers > own.Servers && now.Sub(r.asked) > serversEvery {
+	if (own.Lost || own.Servers == 0) && servers.state.Servers > own.Servers && now.Sub(r.asked) > serversEvery {
 		r.asked = now
-		r.askServers(ctx, servers.vm)
+		r.AskServers(ctx, servers.vm)
+	}
+}
+
+// publish tells the peers this VM's state: at once if it matters to them, else seldom.
+func (r *Relay) publish(own State, now time.Time) {
+	if own.Release == r.last.Release && own.Lost == r.last.Lost && now.Sub(r.told) < publishEvery {
+		return
+	}
+	r.last, r.told = own, now
+	if err := r.config.Node.Publish(Fact, own); err != nil {
+		r.config.Log.Error("State not published.", "reason", err)
 	}
 }
 
 // due reports whether the own watch has had its time to bring a release.
-func (r *relay) due(version int64, own State, now time.Time) bool {
+func (r *Relay) due(version int64, own State, now time.Time) bool {
 	if r.waiting != version {
 		r.waiting, r.newer = version, now
 	}
@@ -126,8 +139,8 @@
 }
 
 // newest returns the peers that know the newest release and the newest servers.
-func (r *relay) newest() (release, servers known) {
-	for _, m := range r.Node.Members() {
+func (r *Relay) newest() (release, servers known) {
+	for _, m := range r.config.Node.Members() {
 		var s State
 		if raw, ok := m.Facts[Fact]; !ok || json.Unmarshal(raw, &s) != nil {
 			continue // the peer has published nothing yet
@@ -142,25 +155,27 @@
 	return release, servers
 }
 
-func (r *relay) askRelease(ctx context.Context, vm string) {
+// AskRelease asks a peer for the release that it has in force.
+func (r *Relay) AskRelease(ctx context.Context, vm string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	release, err := gladepeer.Call[struct{}, *gladerelease.Release](ctx, r.Node, vm, methodRelease, struct{}{})
+	release, err := gladepeer.Call[struct{}, *gladerelease.Release](ctx, r.config.Node, vm, methodRelease, struct{}{})
 	if err != nil || release == nil {
-		r.Log.Warn("Peer did not tell its release.", "peer", vm, "reason", err)
+		r.config.Log.Warn("Peer did not tell its release.", "peer", vm, "reason", err)
 		return
 	}
 	release.Index()
-	r.OnRelease(release, vm)
+	r.config.OnRelease(release, vm)
 }
 
-func (r *relay) askServers(ctx context.Context, vm string) {
+// AskServers asks a peer for the servers that it knows.
+func (r *Relay) AskServers(ctx context.Context, vm string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	servers, err := gladepeer.Call[struct{}, Servers](ctx, r.Node, vm, methodServers, struct{}{})
+	servers, err := gladepeer.Call[struct{}, Servers](ctx, r.config.Node, vm, methodServers, struct{}{})
 	if err != nil {
-		r.Log.Warn("Peer did not tell its backend servers.", "peer", vm, "reason", err)
+		r.config.Log.Warn("Peer did not tell its backend servers.", "peer", vm, "reason", err)
 		return
 	}
-	r.OnServers(servers, vm)
+	r.config.OnServers(servers, vm)
 }
