--- /dev/null
+++ b/internal/proxy/gladeserve/conn_test.go
@@ -0,0 +1,194 @@
+package gladeserve
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrassglade/eelgrassglade/gladewire"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
+)
+
+// caller is one connection of a caller.
+type caller struct {
+	*qt.C
+	net.Conn
+	reader *bufio.Reader
+}
+
+// talk calls f in virtual time with a connection to a server whose requests h answers.
+func talk(t *testing.T, h func(context.Context, *Exchange), f func(c *caller, s *Server)) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &gladewire.Network{}
+		l, err := network.Host("vm").Listen("tcp", "vm:80")
+		qt.Assert(t, err, qt.IsNil)
+		s, closeServer := New(Config{
+			Listener: l, Handle: h, Refused: func(int, error) {},
+			Limits: func() gladerelease.Limits {
+				return gladerelease.Limits{HeaderBytes: 1 << 10, BodyBytes: 100, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second}
+			},
+		})
+		defer closeServer()
+		conn, err := network.Host("caller").Dial(t.Context(), "tcp", "vm:80")
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = conn.Close() }()
+		f(&caller{C: qt.New(t), Conn: conn, reader: bufio.NewReader(conn)}, s)
+	})
+}
+
+func (c *caller) say(text string) {
+	_, err := io.WriteString(c.Conn, text)
+	c.Assert(err, qt.IsNil)
+}
+
+// answer reads one answer with its body.
+func (c *caller) answer() (*http.Response, string, error) {
+	r, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(r.Body)
+	return r, string(body), err
+}
+
+func echo(_ context.Context, x *Exchange) {
+	x.Reply(http.StatusOK, http.Header{}, []byte(x.Request.RequestURI+" "+string(x.Body)))
+}
+
+const get = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+
+func TestRequestsOfOneConnection(t *testing.T) {
+	talk(t, echo, func(c *caller, _ *Server) {
+		requests := []string{
+			get, post + "Content-Length: 3\r\n\r\nabc", post + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", get,
+		}
+		for i, want := range []string{"/a ", "/a/b abc", "/a/b abc", "/a "} {
+			c.say(requests[i])
+			_, body, err := c.answer()
+			c.Assert(err, qt.IsNil)
+			c.Assert(body, qt.Equals, want)
+		}
+		c.say(get + get) // sent ahead, answered in turn
+		for range 2 {
+			_, _, err := c.answer()
+			c.Assert(err, qt.IsNil)
+		}
+	})
+}
+
+func TestRefusedRequestClosesItsConnection(t *testing.T) {
+	tests := map[string]struct {
+		request string
+		status  int
+	}{
+		"smuggled":  {post + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + get, http.StatusBadRequest},
+		"header":    {post + "X: " + strings.Repeat("a", 2000) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		"body":      {post + "Content-Length: 1000\r\n\r\n", http.StatusRequestEntityTooLarge},
+		"slow":      {post + "Content-Length: 10\r\n\r\nabc", http.StatusRequestTimeout},
+		"slow head": {"GET /a HTT", http.StatusRequestTimeout},
+	}
+	for name, x := range tests {
+		t.Run(name, func(t *testing.T) {
+			handled := func(context.Context, *Exchange) { t.Error("the request reached the handler") }
+			talk(t, handled, func(c *caller, _ *Server) {
+				go func() { _, _ = io.WriteString(c.Conn, x.request) }()
+				r, _, err := c.answer()
+				c.Assert(err, qt.IsNil)
+				c.Assert(r.StatusCode, qt.Equals, x.status)
+				c.Assert(r.Close, qt.IsTrue)
+				_, _, err = c.answer()
+				c.Assert(err, qt.IsNotNil)
+			})
+		})
+	}
+}
+
+func TestExpectedContinue(t *testing.T) {
+	talk(t, echo, func(c *caller, _ *Server) {
+		c.say(post + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+		line, err := c.reader.ReadString('\n')
+		c.Assert(err, qt.IsNil)
+		c.Assert(line, qt.Equals, "HTTP/1.1 100 Continue\r\n")
+		_, err = c.reader.ReadString('\n')
+		c.Assert(err, qt.IsNil)
+		c.say("ab")
+		_, body, err := c.answer()
+		c.Assert(err, qt.IsNil)
+		c.Assert(body, qt.Equals, "/a/b ab")
+	})
+}
+
+func TestIdleConnectionIsClosedAtItsLimit(t *testing.T) {
+	talk(t, echo, func(c *caller, _ *Server) {
+		for _, pause := range []time.Duration{4 * time.Second, 4900 * time.Millisecond} {
+			time.Sleep(pause)
+			c.say(get)
+			_, _, err := c.answer()
+			c.Assert(err, qt.IsNil)
+		}
+		began := time.Now()
+		_, err := c.reader.ReadByte()
+		c.Assert(err, qt.IsNotNil)
+		c.Assert(time.Since(began), qt.Equals, 5*time.Second)
+	})
+}
+
+// An answer that the handler leaves unfinished must not look whole.
+func TestAnswerBrokenOffIsNotWhole(t *testing.T) {
+	half := func(_ context.Context, x *Exchange) {
+		_ = x.Begin(http.StatusOK, http.Header{}, -1)
+		_ = x.Write([]byte("half"))
+	}
+	talk(t, half, func(c *caller, _ *Server) {
+		c.say(get)
+		_, body, err := c.answer()
+		c.Assert(body, qt.Equals, "half")
+		c.Assert(err, qt.IsNotNil)
+	})
+}
+
+func TestHandlerIsToldThatItsCallerLeft(t *testing.T) {
+	left := make(chan struct{})
+	wait := func(ctx context.Context, _ *Exchange) { <-ctx.Done(); close(left) }
+	talk(t, wait, func(c *caller, _ *Server) {
+		c.say(get)
+		synctest.Wait()
+		c.Assert(c.Close(), qt.IsNil)
+		<-left
+	})
+}
+
+// A stopping server says so in each answer, closes what is idle, and cuts no request.
+func TestStopClosesBetweenRequests(t *testing.T) {
+	slow := func(ctx context.Context, x *Exchange) { time.Sleep(time.Second); echo(ctx, x) }
+	talk(t, slow, func(c *caller, s *Server) {
+		c.say(get)
+		synctest.Wait()
+		c.Assert(s.Busy(), qt.Equals, 1)
+		s.Close()
+		s.CloseIdle()
+		r, body, err := c.answer()
+		c.Assert(err, qt.IsNil)
+		c.Assert(body, qt.Equals, "/a ")
+		c.Assert(r.Close, qt.IsTrue)
+		synctest.Wait()
+		c.Assert(s.Busy(), qt.Equals, 0)
+	})
+	talk(t, echo, func(c *caller, s *Server) {
+		c.say(get)
+		_, _, err := c.answer()
+		c.Assert(err, qt.IsNil)
+		synctest.Wait()
+		s.CloseIdle()
+		_, err = c.reader.ReadByte()
+		c.Assert(err, qt.IsNotNil)
+	})
+}
