--- a/internal/fleet/gladeshare/share.go
+++ b/internal/fleet/gladeshare/share.go
@@ -36,6 +36,7 @@
 // Sharer exchanges shares.
 type Sharer struct {
 	config  Config
+	socket  net.PacketConn
 	changed chan struct{}
 
 	mu    sync.Mutex
@@ -62,10 +63,10 @@
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "socket of shares")
 	}
-	s := &Sharer{config: c, changed: make(chan struct{}, 1), peers: map[string]*peer{}}
+	s := &Sharer{config: c, socket: socket, changed: make(chan struct{}, 1), peers: map[string]*peer{}}
 	done := make(chan struct{})
 	var tasks sync.WaitGroup
-	tasks.Go(func() { s.receive(socket) })
+	tasks.Go(s.receive)
 	tasks.Go(func() {
 		ticker := time.NewTicker(interval)
 		defer ticker.Stop()
@@ -81,7 +82,7 @@
 			}
 			out.Sequence++
 			out.Shares = c.Table.Shares()
-			s.send(socket, out)
+			s.send(out)
 		}
 	})
 	return s, func() {
@@ -99,7 +100,7 @@
 	}
 }
 
-func (s *Sharer) send(socket net.PacketConn, out datagram) {
+func (s *Sharer) send(out datagram) {
 	raw, err := json.Marshal(out)
 	if err != nil || len(raw) > maxDatagram {
 		s.config.Log.Error("Shares not told.", "bytes", len(raw), "reason", err)
@@ -112,16 +113,16 @@
 			continue
 		}
 		// A lost datagram is made good by the next one, so the error needs no more than a line.
-		if _, err := socket.WriteTo(raw, to); err != nil {
+		if _, err := s.socket.WriteTo(raw, to); err != nil {
 			s.config.Log.Debug("Shares not told.", "peer", address, "reason", err)
 		}
 	}
 }
 
-func (s *Sharer) receive(socket net.PacketConn) {
+func (s *Sharer) receive() {
 	b := make([]byte, maxDatagram)
 	for {
-		n, _, err := socket.ReadFrom(b)
+		n, _, err := s.socket.ReadFrom(b)
 		if err != nil {
 			if eris.Is(err, net.ErrClosed) {
 				return
--- /dev/null
+++ b/internal/observe/gladelog/writer_test.go
@@ -0,0 +1,67 @@
+package gladelog
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+)
+
+// blocked is an output that takes nothing until it is opened.
+type blocked struct {
+	gate chan struct{}
+	mu   sync.Mutex
+	got  bytes.Buffer
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.gate
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.got.Write(p)
+}
+
+// A standard output that nobody reads must not hold up requests; what is left out is counted in the next line.
+func TestBlockedOutputHoldsNothingUp(t *testing.T) {
+	c := qt.New(t)
+	out := &blocked{gate: make(chan struct{})}
+	w, closeWriter := NewWriter(out)
+	log := New("gladed", w, hclog.Info)
+	const lines = queueLines + 500
+	for i := range lines {
+		log.Info("Sent.", "request", i)
+	}
+	close(out.gate)
+	closeWriter()
+	text := out.got.String()
+	written := strings.Count(text, `"Sent."`)
+	c.Assert(written < lines, qt.IsTrue)
+	c.Assert(w.Lost(), qt.Equals, int64(lines-written))
+	c.Assert(strings.Contains(text, `"Lines left out."`), qt.IsTrue)
+}
+
+func TestLinesAreWrittenAtTheEnd(t *testing.T) {
+	var out bytes.Buffer
+	w, closeWriter := NewWriter(&out)
+	log := New("gladed", w, hclog.Info)
+	log.Info("Stopped.", "reason", "signal")
+	log.Debug("Not written.")
+	closeWriter()
+	qt.Assert(t, strings.Count(out.String(), "\n"), qt.Equals, 1)
+	qt.Assert(t, w.Lost(), qt.Equals, int64(0))
+}
+
+func BenchmarkLine(b *testing.B) {
+	w, closeWriter := NewWriter(io.Discard)
+	defer closeWriter()
+	log := New("gladed", w, hclog.Info).Named("proxy")
+	b.ReportAllocs()
+	for i := range b.N {
+		log.Info("Sent.", "request", "9c41d07be2a35f68", "route", "r-1", "release", 7, "ageMs", i, "server", "i-7f3a91c2",
+			"reason", "least loaded in the failure domain", "send", 1, "leftMs", 2400)
+	}
+}
--- /dev/null
+++ b/internal/proxy/gladefront/front_test.go
@@ -0,0 +1,310 @@
+package gladefront
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	gladeplatform "github.com/eelgrassglade/eelgrassglade/platform"
+)
+
+// standIn takes the place of the platform's store and of one backend server.
+type standIn struct {
+	mu       sync.Mutex
+	objects  map[string]map[string]json.RawMessage
+	changed  chan struct{}
+	revision int64
+	changes  []change
+	away     map[string]bool // by the caller's host
+	watches  map[string]int  // of servers, by the caller's host
+}
+
+type change struct {
+	revision   int64
+	kind, name string
+}
+
+func (s *standIn) put(kind, name, spec string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]json.RawMessage{}
+	}
+	s.objects[kind][name] = json.RawMessage(spec)
+	s.revision++
+	s.changes = append(s.changes, change{s.revision, kind, name})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *standIn) object(kind, name string) map[string]any {
+	return map[string]any{"meta": map[string]any{"name": name, "revision": s.revision}, "spec": s.objects[kind][name]}
+}
+
+// ServeHTTP answers lists and watches.
+func (s *standIn) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+	kind := strings.TrimPrefix(r.URL.Path, "/v1/objects/")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away[host] {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	watch := r.URL.Query().Get("watch")
+	if watch == "" {
+		items := []any{}
+		for name := range s.objects[kind] {
+			items = append(items, s.object(kind, name))
+		}
+		_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "at": s.revision})
+		return
+	}
+	if kind == gladeplatform.KindServers {
+		s.watches[host]++
+	}
+	after, _ := strconv.ParseInt(watch, 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	events := s.after(kind, after)
+	if len(events) == 0 {
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-time.After(time.Duration(wait) * time.Millisecond):
+		case <-r.Context().Done():
+		}
+		s.mu.Lock()
+		events = s.after(kind, after)
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "at": s.revision})
+}
+
+func (s *standIn) after(kind string, revision int64) []any {
+	events := []any{}
+	for _, c := range s.changes {
+		if c.kind == kind && c.revision > revision {
+			events = append(events, map[string]any{"object": s.object(kind, c.name)})
+		}
+	}
+	return events
+}
+
+// fleet is the stand-ins and the VMs of one failure domain on loopback addresses of their own.
+type fleet struct {
+	*qt.C
+	store *standIn
+	net   string
+	seeds []string
+	// grace is the time that VMs have for a stop; without a stop in the test it is short.
+	grace time.Duration
+}
+
+const config = `{"version":%d,"routes":[{"name":"r","hostname":"h","path_prefix":"%s","type":"safe","service":"app","attempts":2,"timeout_ms":5000}],
+"services":[{"name":"app"}],"limits":{"max_header_bytes":16384,"max_body_bytes":4096,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{
+		C: qt.New(t), grace: 500 * time.Millisecond, net: fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(250)),
+		store: &standIn{objects: map[string]map[string]json.RawMessage{}, changed: make(chan struct{}), away: map[string]bool{}, watches: map[string]int{}},
+	}
+	f.listen(200, f.store)
+	f.listen(201, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		w.Header().Set("Server-Seal", "seal")
+		_, _ = io.WriteString(w, r.URL.Path)
+	}))
+	return f
+}
+
+func (f *fleet) address(host, port int) string {
+	return f.net + strconv.Itoa(host) + ":" + strconv.Itoa(port)
+}
+
+func (f *fleet) listen(host int, h http.Handler) {
+	l, err := net.Listen("tcp", f.address(host, 8000))
+	f.Assert(err, qt.IsNil)
+	s := &http.Server{Handler: h}
+	go func() { _ = s.Serve(l) }()
+	f.Cleanup(func() { _ = s.Close() })
+}
+
+// publish writes a release and the backend server to the store.
+func (f *fleet) publish(version int, prefix string) {
+	f.store.put(gladeplatform.KindConfig, gladeplatform.MainConfig, fmt.Sprintf(config, version, prefix))
+	f.store.put(gladeplatform.KindServers, "i-1", fmt.Sprintf(
+		`{"service":"app","addr":%q,"zone":"shubra","slots":6,"state":"ready","cold_left_ms":0,"seq":1,"born":1}`, f.address(201, 8000)))
+}
+
+// vm starts a VM and returns it with a function that stops it and waits for its end.
+func (f *fleet) vm(host int) (*Front, func()) {
+	front, closeFront, err := New(Config{
+		Settings: gladeplatform.Settings{
+			VM: "vm-" + strconv.Itoa(host), FailureDomain: "shubra", EntryAddress: f.address(host, 8000), ReadyAddress: f.address(host, 8001),
+			PeerAddress: f.address(host, 7200), Seeds: f.seeds, StoreAddress: f.address(200, 8000), StopGrace: f.grace,
+			RetryShare: 1, RetryReserve: 100, RetryWindow: 10 * time.Second,
+		},
+		MetricsAddress: f.address(host, 9464), Log: hclog.NewNullLogger(),
+	})
+	f.Assert(err, qt.IsNil)
+	f.seeds = append(f.seeds, f.address(host, 7200))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = front.Run(ctx)
+	}()
+	stop := sync.OnceFunc(func() {
+		cancel()
+		<-done
+		closeFront()
+	})
+	f.Cleanup(stop)
+	return front, stop
+}
+
+// eventually waits until a condition holds.
+func (f *fleet) eventually(what string, holds func() bool) {
+	f.Helper()
+	for range 1000 {
+		if holds() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.Fatalf("never: %s", what)
+}
+
+func (f *fleet) get(host, port int, path string) (int, http.Header, string) {
+	r, err := http.NewRequest(http.MethodGet, "http://"+f.address(host, port)+path, nil)
+	f.Assert(err, qt.IsNil)
+	r.Host = "h"
+	r.Header.Set("Attempt-Id", "a1")
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, nil, ""
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, _ := io.ReadAll(answer.Body)
+	return answer.StatusCode, answer.Header, string(body)
+}
+
+func (f *fleet) serves(host int, path string) bool {
+	status, _, body := f.get(host, 8000, path)
+	return status == http.StatusOK && body == path
+}
+
+func TestReadyOnlyWithReleaseAndServers(t *testing.T) {
+	f := newFleet(t)
+	f.vm(1)
+	status, header, _ := f.get(1, 8000, "/a/x")
+	f.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+	f.Assert(header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	status, _, _ = f.get(1, 8001, gladeplatform.ReadyPath)
+	f.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+	f.publish(3, "/a/")
+	f.eventually("ready", func() bool { status, _, _ := f.get(1, 8001, gladeplatform.ReadyPath); return status == http.StatusOK })
+	f.eventually("served", func() bool { return f.serves(1, "/a/x") })
+	f.publish(5, "/b/")
+	f.eventually("newer release", func() bool { return f.serves(1, "/b/x") })
+	f.publish(4, "/c/") // a stale read brings nothing back
+	time.Sleep(200 * time.Millisecond)
+	f.Assert(f.serves(1, "/b/x"), qt.IsTrue)
+	status, _, _ = f.get(1, 8000, "/c/x")
+	f.Assert(status, qt.Equals, http.StatusNotFound)
+	_, _, text := f.get(1, 9464, "/metrics")
+	f.Assert(strings.Contains(text, "requests.safe"), qt.IsTrue)
+}
+
+// Pattern: the store turns some VMs away, also as they start; their neighbours tell them what they know.
+func TestVMWithoutTheStoreLearnsFromItsPeers(t *testing.T) {
+	f := newFleet(t)
+	f.publish(3, "/a/")
+	first, _ := f.vm(1)
+	f.eventually("first ready", first.Ready)
+	f.store.mu.Lock()
+	f.store.away[f.net+"2"] = true
+	f.store.mu.Unlock()
+	second, _ := f.vm(2)
+	f.eventually("second ready", second.Ready)
+	f.Assert(f.serves(2, "/a/x"), qt.IsTrue)
+	f.publish(5, "/b/")
+	began := time.Now()
+	f.eventually("newer release", func() bool { return f.serves(2, "/b/x") })
+	f.Assert(time.Since(began) < 2*time.Second, qt.IsTrue)
+}
+
+// Pattern: many VMs in a failure domain; one reads the servers, and another takes over when it ends.
+func TestOneVMReadsForItsDomain(t *testing.T) {
+	f := newFleet(t)
+	f.publish(3, "/a/")
+	fronts, stops := map[int]*Front{}, map[int]func(){}
+	for host := 1; host <= 4; host++ {
+		fronts[host], stops[host] = f.vm(host)
+	}
+	readers := func() (readers []int) {
+		for host, front := range fronts {
+			front.mu.Lock()
+			if front.reading {
+				readers = append(readers, host)
+			}
+			front.mu.Unlock()
+		}
+		return readers
+	}
+	f.eventually("one reader", func() bool { return len(readers()) == 1 && fronts[1].vms() == 4 })
+	reader := readers()[0]
+	f.store.put(gladeplatform.KindServers, "i-2", `{"service":"app","addr":"127.0.0.1:1","zone":"giza","slots":6,"state":"draining","cold_left_ms":0,"born":1}`)
+	for _, front := range fronts {
+		f.eventually("the change is told", func() bool { return len(front.fleet.Statuses()) == 2 })
+	}
+	f.Assert(readers(), qt.DeepEquals, []int{reader})
+	stops[reader]()
+	delete(fronts, reader)
+	f.eventually("another reader", func() bool { return len(readers()) == 1 })
+}
+
+// A planned stop cuts no request: it says so in each answer and ends when none is under way.
+func TestStopCutsNoRequest(t *testing.T) {
+	f := newFleet(t)
+	f.grace = 4 * time.Second
+	f.publish(3, "/a/")
+	front, stop := f.vm(1)
+	f.eventually("ready", front.Ready)
+	var served, failed int
+	stopped := make(chan struct{})
+	time.AfterFunc(300*time.Millisecond, func() { stop(); close(stopped) })
+	for {
+		status, _, _ := f.get(1, 8000, "/a/x")
+		if status == 0 { // the listener is closed: the request was not read
+			break
+		}
+		served++
+		if status != http.StatusOK {
+			failed++
+		}
+	}
+	<-stopped
+	f.Assert(failed, qt.Equals, 0)
+	f.Assert(served > 50, qt.IsTrue)
+}
+
+func TestReloadKeepsSettingsThatCannotBeRead(t *testing.T) {
+	f := newFleet(t)
+	front, _ := f.vm(1)
+	front.Reload("missing.toml")
+	f.Assert(front.grace(), qt.Equals, f.grace)
+}
