Watch the release on readers only

Cause: each VM watched the release for itself; 92 VMs woke at each change. Change: VMs that do not read hear the version in the readers' beats and ask the reader; after a silence the next VM in rendezvous order reads, staggered.

--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -17,10 +17,8 @@
 )
 
 const (
-	// releaseWait is how long a watch of the release waits: peers tell of a newer one if its connection is silent.
-	releaseWait = 10 * time.Second
-	// readerWait is the same where a VM reads for others: a watch that hears nothing any more is noticed in time for
-	// the bounds on releases and leaving servers.
+	// readerWait is how long a watch waits for a change: one that hears nothing any more is noticed in time for the
+	// bounds on releases and leaving servers.
 	readerWait = 900 * time.Millisecond
 	// watchSlack is how much longer an answer may take; a slow store needs a quarter of a second.
 	watchSlack = 400 * time.Millisecond
@@ -43,19 +41,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	transport := &http.Transport{MaxIdleConnsPerHost: storeIdle}
 	store := &gladeplatform.Store{Address: f.config.Settings.StoreAddress, Client: &http.Client{Transport: transport}}
-	done := make(chan struct{}, 2)
-	go func() {
-		gladeview.Follow(ctx, followConfig(f, store, gladeplatform.KindConfig, releaseWait, decodeRelease, f.onReleases, f.onReleaseChanges))
-		done <- struct{}{}
-	}()
-	go func() {
-		f.readForDomain(ctx, store)
-		done <- struct{}{}
-	}()
+	var tasks sync.WaitGroup
+	tasks.Go(func() { f.readForDomain(ctx, store) })
 	f.cleanup(func() {
 		cancel()
-		<-done
-		<-done
+		tasks.Wait()
 		transport.CloseIdleConnections()
 	})
 }
@@ -72,7 +62,7 @@
 			}
 			continue
 		}
-		f.log.Info("Reading the store for the failure domain.", "first", f.reads())
+		f.log.Info("Reading the store for the failure domain.", "rank", f.rank())
 		f.setReading(true)
 		reading, cancel := context.WithCancel(ctx)
 		var tasks sync.WaitGroup
@@ -95,7 +85,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reading = reading
-	delete(f.lost, gladeplatform.KindServers)
+	clear(f.lost)
 }
 
 func (f *Front) setLost(kind string, lost bool) {
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -74,7 +74,7 @@
 	}
 	feed, closeFeed, err := gladefeed.New(gladefeed.Config{
 		VM: s.VM, Address: address, Peers: func() []string { return f.nearPeers(feedPort) },
-		First: f.reads, Read: f.read, OnUpdate: f.hearUpdate, Log: f.log.Named("feed"),
+		Rank: f.rank, Read: f.read, OnUpdate: f.hearUpdate, Log: f.log.Named("feed"),
 	})
 	if err != nil {
 		return err
@@ -84,18 +84,22 @@
 	return nil
 }
 
-// reads reports whether this VM is the one that reads the servers for its failure domain.
-func (f *Front) reads() bool {
+// rank returns how many live VMs of this failure domain come before this one in the order of readers.
+func (f *Front) rank() int {
 	s := f.config.Settings
-	own := gladepeer.Rendezvous(gladeplatform.KindServers, s.VM)
+	own := gladepeer.Rendezvous(readerKey, s.VM)
+	ahead := 0
 	for _, m := range f.node.Members() {
-		if m.FailureDomain == s.FailureDomain && !m.Leaving && gladepeer.Rendezvous(gladeplatform.KindServers, m.Name) > own {
-			return false
+		if m.FailureDomain == s.FailureDomain && !m.Leaving && (f.stop.Load() || gladepeer.Rendezvous(readerKey, m.Name) > own) {
+			ahead++
 		}
 	}
-	return !f.stop.Load()
+	return ahead
 }
 
+// readerKey is hashed with the VMs' names for the order in which they read the store.
+const readerKey = "reader"
+
 // read returns how far this VM has read the store, and whether it still does.
 func (f *Front) read() (gladefeed.Update, bool) {
 	f.mu.Lock()
@@ -104,7 +108,7 @@
 	if r := f.release.Load(); r != nil {
 		u.Release = r.Version
 	}
-	return u, f.listed && f.reading && !f.lost[gladeplatform.KindServers]
+	return u, f.listed && f.reading && !f.lost[gladeplatform.KindServers] && !f.lost[gladeplatform.KindConfig]
 }
 
 // hearUpdate takes in what the reader tells, or asks it for what was missed.
@@ -115,9 +119,7 @@
 		f.revision = u.Revision
 	}
 	f.mu.Unlock()
-	if r := f.release.Load(); r == nil || r.Version < u.Release {
-		time.AfterFunc(releasePatience, func() { f.askRelease(u) })
-	}
+	f.askRelease(u)
 	switch {
 	case listed && u.Revision <= known:
 	case listed && u.Before <= known:
@@ -136,9 +138,6 @@
 	}
 }
 
-// releasePatience is how long this VM's own watch may still bring a release that the reader has.
-const releasePatience = 100 * time.Millisecond
-
 // askRelease asks the reader for its release unless this VM has it by now.
 func (f *Front) askRelease(u gladefeed.Update) {
 	if r := f.release.Load(); r != nil && r.Version >= u.Release {
--- a/internal/state/gladefeed/feed.go
+++ b/internal/state/gladefeed/feed.go
@@ -15,9 +15,14 @@
 const (
 	// beat is how often the reader says how far it has read.
 	beat = 250 * time.Millisecond
-	// silence is the time without a reader after which a VM reads itself: three beats, well below the bound on
+	// silence is the time without a reader after which the next VM reads: nearly three beats, well below the bound on
 	// leaving servers.
-	silence = 800 * time.Millisecond
+	silence = 700 * time.Millisecond
+	// stagger is how much longer each further VM waits, so that one reader is enough; maxRank bounds the wait.
+	stagger = 80 * time.Millisecond
+	maxRank = 6
+	// tellers is the number of VMs that tell what they read, so that a new reader is heard before it is known as one.
+	tellers = 3
 	// trust is how long a reader is heard before a VM stops reading itself.
 	trust = time.Second
 	// maxDatagram bounds a datagram, in bytes; what does not fit is asked for.
@@ -46,8 +51,8 @@
 	VM, Address string
 	// Peers returns the addresses of the failure domain's other VMs.
 	Peers func() []string
-	// First reports whether this VM should read for the others.
-	First func() bool
+	// Rank returns how many live VMs come before this one in the order in which they should read.
+	Rank func() int
 	// Read returns an update without changes: how far this VM has read the store, and whether it reaches it.
 	Read func() (Update, bool)
 	// OnUpdate receives what a reader tells.
@@ -96,9 +101,9 @@
 	}, nil
 }
 
-// Tell sends an update to the neighbours if this VM reads for them.
+// Tell sends an update to the neighbours if this VM is one of the first readers.
 func (f *Feed) Tell(u Update) {
-	if !f.config.First() {
+	if f.config.Rank() >= tellers {
 		return
 	}
 	u.VM = f.config.VM
@@ -155,12 +160,13 @@
 
 // Wanted reports whether this VM should read the store itself; reading tells whether it does.
 func (f *Feed) Wanted(reading bool, now time.Time) bool {
-	if f.config.First() {
+	rank := min(f.config.Rank(), maxRank)
+	if rank == 0 {
 		return true
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if now.Sub(f.heard) > silence {
+	if now.Sub(f.heard) > silence+time.Duration(rank)*stagger {
 		return true
 	}
 	return reading && now.Sub(f.since) < trust
