--- a/internal/admit/gladebudget/budget.go
+++ b/internal/admit/gladebudget/budget.go
@@ -21,12 +21,20 @@
 	VMs func() int
 }
 
+// Counts are the requests and repeats of one service at one VM in the window.
+type Counts struct {
+	Requests int `json:"requests"`
+	Repeats  int `json:"repeats,omitempty"`
+}
+
 // Budget counts the requests and repeats of each service.
 type Budget struct {
 	config Config
 
 	mu       sync.Mutex
 	services map[string]*window
+	// peers are the counts that other VMs told, by VM and service.
+	peers map[string]map[string]Counts
 }
 
 // window counts one service's requests and repeats in the buckets of a sliding window.
@@ -37,7 +45,7 @@
 
 // New returns an empty budget.
 func New(c Config) *Budget {
-	return &Budget{config: c, services: map[string]*window{}}
+	return &Budget{config: c, services: map[string]*window{}, peers: map[string]map[string]Counts{}}
 }
 
 // Request counts a request for a service.
@@ -53,7 +61,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, now)
-	if float64(sum(&w.repeats)) >= b.allowed(w) {
+	if b.left(service, w) < 1 {
 		return false
 	}
 	w.repeats[w.newest%buckets]++
@@ -64,12 +72,44 @@
 func (b *Budget) Left(service string, now time.Time) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.window(service, now)
-	return b.allowed(w) - float64(sum(&w.repeats))
+	return b.left(service, b.window(service, now))
+}
+
+// left is what this VM and the peers that it hears have left together: their part of the reserve and of their requests.
+func (b *Budget) left(service string, w *window) float64 {
+	requests, repeats := sum(&w.requests), sum(&w.repeats)
+	for _, counts := range b.peers {
+		requests += counts[service].Requests
+		repeats += counts[service].Repeats
+	}
+	vms := 1 + len(b.peers)
+	part := b.config.Reserve * float64(vms) / float64(max(vms, b.config.VMs()))
+	return margin*(b.config.Share*float64(requests)+part) - float64(repeats)
+}
+
+// Counts returns this VM's counts by service.
+func (b *Budget) Counts(now time.Time) map[string]Counts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	counts := map[string]Counts{}
+	for service := range b.services {
+		w := b.window(service, now)
+		if c := (Counts{Requests: sum(&w.requests), Repeats: sum(&w.repeats)}); c != (Counts{}) {
+			counts[service] = c
+		}
+	}
+	return counts
 }
 
-func (b *Budget) allowed(w *window) float64 {
-	return margin * (b.config.Share*float64(sum(&w.requests)) + b.config.Reserve/float64(max(1, b.config.VMs())))
+// SetPeer takes in what another VM has counted; nil forgets it.
+func (b *Budget) SetPeer(vm string, counts map[string]Counts) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if counts == nil {
+		delete(b.peers, vm)
+		return
+	}
+	b.peers[vm] = counts
 }
 
 func (b *Budget) window(service string, now time.Time) *window {
--- a/internal/admit/gladebudget/budget_test.go
+++ b/internal/admit/gladebudget/budget_test.go
@@ -1,6 +1,7 @@
 package gladebudget
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -50,6 +51,33 @@
 	return n
 }
 
+// Pattern: a failure domain's VMs are few and one of them gets most of the broken streams: it may use the others' share.
+func TestVMsThatHearEachOtherPoolTheirShares(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	vms := make([]*Budget, 4)
+	for i := range vms {
+		vms[i] = New(Config{Reserve: 80, Window: 10 * time.Second, VMs: func() int { return len(vms) }})
+	}
+	repeats := func(b *Budget) int {
+		n := 0
+		for b.Repeat(service, now) {
+			n++
+		}
+		return n
+	}
+	c.Assert(repeats(vms[0]), qt.Equals, 16)
+	for _, other := range vms[1:] {
+		vms[0].SetPeer(fmt.Sprintf("%p", other), other.Counts(now))
+		other.SetPeer("0", vms[0].Counts(now))
+	}
+	c.Assert(repeats(vms[0]), qt.Equals, 48)
+	vms[1].SetPeer("0", vms[0].Counts(now))
+	c.Assert(repeats(vms[1]), qt.Equals, 0)
+	vms[1].SetPeer("0", nil)
+	c.Assert(repeats(vms[1]), qt.Equals, 16)
+}
+
 func TestServicesDoNotShareABudget(t *testing.T) {
 	c := qt.New(t)
 	b := New(Config{Share: 1, Window: 10 * time.Second, VMs: func() int { return 1 }})
--- a/internal/fleet/gladeshare/share.go
+++ b/internal/fleet/gladeshare/share.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
+	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladebudget"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 )
 
@@ -30,7 +31,9 @@
 	// Peers returns the addresses of the other VMs to tell.
 	Peers func() []string
 	Table *gladefleet.Table
-	Log   hclog.Logger
+	// Budget is pooled with the peers that are heard.
+	Budget *gladebudget.Budget
+	Log    hclog.Logger
 }
 
 // Sharer exchanges shares.
@@ -55,6 +58,8 @@
 	Began    int64                       `json:"began"`
 	Sequence int64                       `json:"sequence"`
 	Shares   map[string]gladefleet.Share `json:"shares"`
+	// Counts are the requests and repeats by service.
+	Counts map[string]gladebudget.Counts `json:"counts"`
 }
 
 // New opens the socket, starts exchanging and returns the clean-up function.
@@ -81,7 +86,7 @@
 				s.forget(time.Now())
 			}
 			out.Sequence++
-			out.Shares = c.Table.Shares()
+			out.Shares, out.Counts = c.Table.Shares(), c.Budget.Counts(time.Now())
 			s.send(out)
 		}
 	})
@@ -148,6 +153,7 @@
 	}
 	s.peers[in.VM] = &peer{began: in.Began, sequence: in.Sequence, heard: now}
 	s.config.Table.SetPeer(in.VM, in.Shares)
+	s.config.Budget.SetPeer(in.VM, in.Counts)
 }
 
 // forget drops the shares of VMs that have fallen silent.
@@ -158,6 +164,7 @@
 		if now.Sub(p.heard) > forgetAfter {
 			delete(s.peers, vm)
 			s.config.Table.SetPeer(vm, nil)
+			s.config.Budget.SetPeer(vm, nil)
 		}
 	}
 }
--- a/internal/fleet/gladeshare/share_test.go
+++ b/internal/fleet/gladeshare/share_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladebudget"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 )
 
@@ -16,12 +17,16 @@
 	return t
 }
 
+func budget() *gladebudget.Budget {
+	return gladebudget.New(gladebudget.Config{Share: 1, Window: time.Minute, VMs: func() int { return 2 }})
+}
+
 func load(t *gladefleet.Table) float64 { return t.Statuses()[0].Load }
 
 // Datagrams cross, repeat and get lost, and their sender restarts: only the newest counts.
 func TestNewestDatagramCounts(t *testing.T) {
 	c := qt.New(t)
-	s := &Sharer{config: Config{Table: table()}, peers: map[string]*peer{}}
+	s := &Sharer{config: Config{Table: table(), Budget: budget()}, peers: map[string]*peer{}}
 	now := time.Now()
 	tell := func(began, sequence int64, prompt int) {
 		s.take(&datagram{VM: "b", Began: began, Sequence: sequence, Shares: map[string]gladefleet.Share{"a": {Prompt: prompt}}}, now)
@@ -45,7 +50,7 @@
 	var address string
 	open := func(vm string, own *gladefleet.Table, peers ...string) *Sharer {
 		s, closeSharer, err := New(Config{
-			VM: vm, Address: "127.0.0.1:0", Table: own, Log: hclog.NewNullLogger(), Peers: func() []string { return peers },
+			VM: vm, Address: "127.0.0.1:0", Table: own, Budget: budget(), Log: hclog.NewNullLogger(), Peers: func() []string { return peers },
 		})
 		c.Assert(err, qt.IsNil)
 		c.Cleanup(closeSharer)
--- a/internal/proxy/gladeforward/copies.go
+++ b/internal/proxy/gladeforward/copies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,7 +50,7 @@
 	if lost {
 		a.copy.Release()
 		a.copy, a.from = nil, ""
-		target = a.config.Fleet.ChooseCopy(a.place.Server, a.call.PromptTokens, a.avoid, now)
+		target = a.config.Fleet.ChooseCopy(a.place.Server, a.call.PromptTokens, slices.Concat(a.avoid, a.refused), now)
 	}
 	a.nextCopy = now.Add(copyEvery)
 	if target == nil {
@@ -76,6 +77,7 @@
 	a.copying = false
 	if c.err != nil {
 		a.log("Copy failed.", "server", a.place.ID, "target", c.copy.ID, "reason", c.err)
+		a.refused = append(a.refused, c.copy.ID)
 		if c.copy != a.copy {
 			c.copy.Release()
 		}
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -262,7 +262,9 @@
 	// made by call and has to be brought up to date, next at nextCopy.
 	copies, copying, called bool
 	nextCopy                time.Time
-	done                    chan copied
+	// refused are the servers that took no copy.
+	refused []string
+	done    chan copied
 }
 
 func (a *attempt) silence() time.Duration { return time.Since(a.heard) }
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -59,6 +59,7 @@
 	server  *gladeserve.Server
 	node    *gladepeer.Node
 	sharer  *gladeshare.Sharer
+	budget  *gladebudget.Budget
 	relay   *gladerelay.Relay
 	feed    *gladefeed.Feed
 	stop    atomic.Bool
@@ -100,6 +101,9 @@
 
 func (f *Front) open() error {
 	s := f.config.Settings
+	f.budget = gladebudget.New(gladebudget.Config{
+		Share: s.RetryShare, Reserve: s.RetryReserve, Window: s.RetryWindow, VMs: f.vms,
+	})
 	if err := f.joinPeers(); err != nil {
 		return err
 	}
@@ -111,11 +115,9 @@
 	engine := &gladeplatform.Engine{Client: &http.Client{Transport: engines}}
 	forwarder, closeForwarder := gladeforward.New(gladeforward.Config{
 		Release: f.release.Load, Fleet: f.fleet,
-		Client: &gladesend.Client{Pool: pool, Encode: gladeplatform.EncodeSend, Decode: gladeplatform.DecodeAnswer},
-		Engine: gladeforward.Engine{Copy: engine.Copy, Held: engine.Held},
-		Budget: gladebudget.New(gladebudget.Config{
-			Share: s.RetryShare, Reserve: s.RetryReserve, Window: s.RetryWindow, VMs: f.vms,
-		}),
+		Client:  &gladesend.Client{Pool: pool, Encode: gladeplatform.EncodeSend, Decode: gladeplatform.DecodeAnswer},
+		Engine:  gladeforward.Engine{Copy: engine.Copy, Held: engine.Held},
+		Budget:  f.budget,
 		StopsAt: f.stopsAt,
 		Decode:  gladeplatform.DecodeCall, AnswerID: gladeplatform.AnswerID, CopyOf: gladeplatform.CopyOf,
 		Changed: f.sharer.Changed, Log: f.log.Named("proxy"), Metrics: f.metrics,
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -47,7 +47,8 @@
 		return err
 	}
 	sharer, closeSharer, err := gladeshare.New(gladeshare.Config{
-		VM: s.VM, Address: share, Peers: func() []string { return f.nearPeers(sharePort) }, Table: f.fleet, Log: f.log.Named("shares"),
+		VM: s.VM, Address: share, Peers: func() []string { return f.nearPeers(sharePort) }, Table: f.fleet, Budget: f.budget,
+		Log: f.log.Named("shares"),
 	})
 	if err != nil {
 		return err
