Stop requests that crash their servers; tell a request's story from the logs

Cause: a request that crashes what runs it was sent on until its attempts or its caller ended; a failed request could be traced by hand only; a server that stayed down wrote a line at each probe.

--- a/cmd/gladectl/client.go
+++ b/cmd/gladectl/client.go
@@ -17,6 +17,7 @@
 	flagKey        = "key"
 	flagServerName = "serverName"
 	flagToken      = "token"
+	flagLog        = "log"
 
 	maxErrorBytes = 16 << 10
 )
--- a/cmd/gladectl/main.go
+++ b/cmd/gladectl/main.go
@@ -26,7 +26,12 @@
 			&cli.StringFlag{Name: flagToken, Usage: "bearer `TOKEN` to show", Sources: cli.EnvVars("GLADE_TOKEN")},
 		},
 		Commands: []*cli.Command{
-			{Name: "explain", Usage: "print what happened to a request and why", ArgsUsage: "REQUEST", Action: explain},
+			{
+				Name: "explain", Usage: "print what happened to a request and why", ArgsUsage: "REQUEST", Action: explain,
+				Flags: []cli.Flag{&cli.StringSliceFlag{
+					Name: flagLog, Usage: "read the decision logs in `FILE`, or standard input for -, instead of asking a VM",
+				}},
+			},
 			noteCommand(),
 			{Name: "dump", Usage: "print the state of a VM", Action: dump},
 		},
@@ -41,6 +46,9 @@
 	if c.Args().Len() != 1 {
 		return cli.Exit("explain wants one request id", 2)
 	}
+	if files := c.StringSlice(flagLog); len(files) > 0 {
+		return explainLogs(files, c.Args().First())
+	}
 	return get(ctx, c, "/explain/"+url.PathEscape(c.Args().First()))
 }
 
--- /dev/null
+++ b/cmd/gladectl/story.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrassglade/eelgrassglade/internal/observe/gladelog"
+)
+
+// errNoStory means that no line of the logs names the request.
+var errNoStory = eris.New("the logs do not name the request")
+
+// explainLogs prints one request's story from the decision logs of VMs.
+func explainLogs(files []string, request string) error {
+	var logs []io.Reader
+	for _, name := range files {
+		if name == "-" {
+			logs = append(logs, os.Stdin)
+			continue
+		}
+		f, err := os.Open(name)
+		if err != nil {
+			return eris.Wrap(err, "decision log")
+		}
+		defer func() { _ = f.Close() }()
+		logs = append(logs, f)
+	}
+	lines, err := gladelog.Story(io.MultiReader(logs...), request)
+	if err != nil {
+		return err
+	}
+	if len(lines) == 0 {
+		return eris.Wrap(errNoStory, request)
+	}
+	for _, line := range lines {
+		fmt.Println(line)
+	}
+	return nil
+}
--- a/gladesuspect/tracker.go
+++ b/gladesuspect/tracker.go
@@ -165,6 +165,22 @@
 	t.blame(d, v)
 }
 
+// DiedElsewhere notes that a server died while it ran a request of another VM.
+func (t *Tracker) DiedElsewhere(fingerprint uint64, server gladeapi.BackendServer) {
+	if t == nil || fingerprint == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire()
+	for _, d := range t.deaths {
+		if d.server.ID == server.ID && d.server.Incarnation == server.Incarnation && d.requests[fingerprint] {
+			return
+		}
+	}
+	t.blame(t.newDeath(server), &Visit{tracker: t, fingerprint: fingerprint, server: server})
+}
+
 func (t *Tracker) remove(v *Visit) {
 	rest := slices.DeleteFunc(slices.Clone(t.visits[v.server.ID]), func(o *Visit) bool { return o == v })
 	if len(rest) == 0 {
--- a/gladesuspect/tracker_test.go
+++ b/gladesuspect/tracker_test.go
@@ -59,6 +59,24 @@
 	})
 }
 
+// A request that may not be repeated kills one server at each VM that its caller comes back to.
+func TestDeathsAtOtherVMsCount(t *testing.T) {
+	virtual(t, func(c *qt.C) {
+		tracker := New(Config{MaxKills: 3})
+		for i := range 3 {
+			_, err := judge(tracker, 1)
+			c.Assert(err, qt.IsNil)
+			tracker.DiedElsewhere(1, server(i))
+			tracker.DiedElsewhere(1, server(i)) // told twice
+			time.Sleep(5 * time.Second)
+		}
+		_, err := judge(tracker, 1)
+		c.Assert(err, qt.ErrorIs, ErrPoison)
+		_, err = judge(tracker, 2)
+		c.Assert(err, qt.IsNil)
+	})
+}
+
 func TestOneEngineDyingTwiceUnderTheSameTwoRequests(t *testing.T) {
 	virtual(t, func(c *qt.C) {
 		tracker := New(Config{})
--- a/internal/fleet/gladefleet/server.go
+++ b/internal/fleet/gladefleet/server.go
@@ -109,9 +109,11 @@
 	e.down = make(chan struct{})
 }
 
-func (e *entry) recover(now time.Time) {
+func (e *entry) recover(now time.Time) bool {
 	e.heard = now
-	if e.failed {
+	failed := e.failed
+	if failed {
 		e.failed, e.failures = false, 0
 	}
+	return failed
 }
--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -153,13 +153,12 @@
 	}
 }
 
-// Heard notes that a server answered, sent or accepted something.
-func (t *Table) Heard(id string, now time.Time) {
+// Heard notes that a server answered, sent or accepted something, and reports whether it was thought to be down.
+func (t *Table) Heard(id string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.servers[id]; e != nil {
-		e.recover(now)
-	}
+	e := t.servers[id]
+	return e != nil && e.recover(now)
 }
 
 // Quiet returns how long a server has been silent to this VM.
@@ -183,18 +182,19 @@
 
 // Fail notes that a server is down.
 //
-// It returns other servers of its failure domain that are in doubt, because several failed there at about the same time.
-func (t *Table) Fail(id string, now time.Time) []Server {
+// It reports whether that is new, and returns other servers of its failure domain that are in doubt, because several
+// failed there at about the same time.
+func (t *Table) Fail(id string, now time.Time) (fresh bool, doubtful []Server) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.servers[id]
 	if e == nil || e.failed && now.Before(e.outage) {
-		return nil
+		return false, nil
 	}
 	again := e.failed
 	e.fail(now)
 	if again {
-		return nil
+		return false, nil
 	}
 	d := t.domains[e.Service+e.FailureDomain]
 	if !d.recent(now) {
@@ -204,15 +204,14 @@
 	d.last = now
 	d.count++
 	if !d.doubtful(now) {
-		return nil
+		return true, nil
 	}
-	var doubtful []Server
 	for _, o := range t.services[e.Service] {
 		if o.FailureDomain == e.FailureDomain && o.runs > 0 && !o.failed && !o.replaced && o.heard.Before(now.Add(-aliveFor)) {
 			doubtful = append(doubtful, o.Server)
 		}
 	}
-	return doubtful
+	return true, doubtful
 }
 
 // Due returns the servers that failed and should be tried again; it defers their next trial.
@@ -237,6 +236,13 @@
 	return e == nil || e.failed || e.replaced || !e.gone.IsZero() && now.After(e.gone)
 }
 
+// Doubtful reports whether servers beside a server failed at about the same time.
+func (t *Table) Doubtful(s Server, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.domains[s.Service+s.FailureDomain].doubtful(now)
+}
+
 // out reports whether a server is thought to be down, because of its own failure or of its failure domain's.
 func (t *Table) out(e *entry, now time.Time) bool {
 	if e.failed {
--- a/internal/fleet/gladefleet/table_test.go
+++ b/internal/fleet/gladefleet/table_test.go
@@ -98,15 +98,20 @@
 		choose(c, table, Need{Prompt: 5000}, start)
 	}
 	now := start.Add(time.Second)
-	c.Assert(table.Fail("shubra-0", now), qt.HasLen, 0)
+	fresh, doubtful := table.Fail("shubra-0", now)
+	c.Assert(fresh, qt.IsTrue)
+	c.Assert(doubtful, qt.HasLen, 0)
 	table.Heard("shubra-3", now)
-	doubtful := table.Fail("shubra-1", now.Add(time.Millisecond))
+	_, doubtful = table.Fail("shubra-1", now.Add(time.Millisecond))
 	ids := make([]string, 0, len(doubtful))
 	for _, s := range doubtful {
 		ids = append(ids, s.ID)
 	}
 	c.Assert(ids, qt.DeepEquals, []string{"shubra-2"})
-	c.Assert(table.Fail("giza-0", now), qt.HasLen, 0)
+	_, doubtful = table.Fail("giza-0", now)
+	c.Assert(doubtful, qt.HasLen, 0)
+	fresh, _ = table.Fail("giza-0", now.Add(time.Millisecond))
+	c.Assert(fresh, qt.IsFalse)
 }
 
 // Pattern: a failure domain is cut off; either the run or its copy has to be on this VM's side.
--- a/internal/proxy/gladeforward/forward_test.go
+++ b/internal/proxy/gladeforward/forward_test.go
@@ -18,6 +18,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
 	"github.com/eelgrassglade/eelgrassglade/gladewire"
 	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladebudget"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
@@ -82,6 +83,8 @@
 	runs []run
 	held map[string]map[string]int
 	made []string
+	// deaths are the crashes that other VMs would be told of.
+	deaths []Death
 }
 
 // run is what a server saw of a request.
@@ -143,7 +146,8 @@
 		Engine: Engine{Copy: w.copyRun, Held: w.heldAt},
 		Budget: gladebudget.New(gladebudget.Config{Share: 1, Reserve: 100, Window: 10 * time.Second, VMs: func() int { return 1 }}),
 		Decode: decodeCall, AnswerID: func(h http.Header, id string) { h.Set(testID, id) },
-		CopyOf:  func(address, id string) string { return address + "/" + id },
+		CopyOf:   func(address, id string) string { return address + "/" + id },
+		Suspects: gladesuspect.New(gladesuspect.Config{MaxKills: 3}), OnDeath: w.died,
 		StopsAt: func() time.Time { return w.stopsAt },
 		Changed: func() {}, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
 	})
@@ -168,6 +172,12 @@
 	return source + "/handle-" + id, nil
 }
 
+func (w *world) died(d Death) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.deaths = append(w.deaths, d)
+}
+
 func (w *world) heldAt(_ context.Context, address string) (map[string]int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -12,6 +12,8 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
 	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladebudget"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladesend"
@@ -41,6 +43,9 @@
 	Engine  Engine
 	// Budget bounds what is sent once more.
 	Budget *gladebudget.Budget
+	// Suspects refuses requests that crash the servers which run them; OnDeath is told of each such crash.
+	Suspects *gladesuspect.Tracker
+	OnDeath  func(Death)
 	// StopsAt returns when this process ends, the zero time unless it is stopping.
 	StopsAt func() time.Time
 	// Decode takes a call out of a request's header, AnswerID names the request on an own answer and CopyOf names
@@ -54,6 +59,12 @@
 	Metrics metrics.Registry
 }
 
+// Death is the crash of a server under a request.
+type Death struct {
+	Fingerprint uint64                 `json:"fingerprint"`
+	Server      gladeapi.BackendServer `json:"server"`
+}
+
 // Forwarder answers requests.
 type Forwarder struct {
 	config Config
@@ -110,6 +121,8 @@
 	sends int
 	// ran tells that a server may have run it.
 	ran bool
+	// fingerprint is the same whenever the caller sends the request again.
+	fingerprint uint64
 }
 
 // Handle answers one request; the context ends when the caller leaves.
@@ -149,6 +162,7 @@
 		return false
 	}
 	j.tenant = organisation.Name
+	j.fingerprint = j.fingerprintOf()
 	j.service = j.route.Service(j.call.ID)
 	if j.route.Timeout > 0 {
 		j.limit(j.x.Received.Add(j.route.Timeout))
@@ -230,6 +244,64 @@
 	j.fail(http.StatusGatewayTimeout, "time limit")
 }
 
+// fingerprintOf hashes what a request has in common with its repeats, also at other VMs.
+func (j *job) fingerprintOf() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range []string{j.call.Method, j.call.Host, j.call.Target, j.call.Key} {
+		_, _ = d.WriteString(part + "\x00") // a hash takes all
+	}
+	_, _ = d.Write(j.call.Body)
+	return d.Sum64()
+}
+
+// allowed ends a request that has crashed several servers, and reports whether it may be sent.
+func (j *job) allowed() bool {
+	if _, err := j.config.Suspects.Judge(j.ctx, j.fingerprint); err != nil {
+		j.log("Not sent again.", "reason", err)
+		j.fail(http.StatusBadGateway, "it crashes the servers that run it")
+		return false
+	}
+	return true
+}
+
+// visit notes that a server runs the request and returns the function that notes how that ended.
+func (j *job) visit(s gladefleet.Server) func(end runEnd) {
+	server := gladeapi.BackendServer{ID: s.ID, Incarnation: strconv.FormatInt(s.Started, 10), FailureDomain: s.FailureDomain}
+	visit, ok := j.config.Suspects.Enter(j.fingerprint, server, false)
+	if !ok { // two suspects at once; the server is the fleet's choice all the same
+		return func(runEnd) {}
+	}
+	return func(end runEnd) {
+		if end != runLost {
+			visit.Leave(end == runWhole)
+			return
+		}
+		// A crash shows within a probe's time, and whether it was the whole failure domain's.
+		time.AfterFunc(deathPatience, func() {
+			if !j.config.Fleet.Out(s.ID, time.Now()) || j.config.Fleet.Doubtful(s, time.Now()) {
+				visit.Leave(false)
+				return
+			}
+			visit.Died()
+			j.log("Server crashed under it.", "server", s.ID, "fingerprint", j.fingerprint)
+			j.config.OnDeath(Death{Fingerprint: j.fingerprint, Server: server})
+		})
+	}
+}
+
+// runEnd is how the run of a request on one server ended.
+type runEnd int
+
+const (
+	runWhole runEnd = iota // with a whole answer
+	runOther               // in a way that tells nothing against the request
+	runLost                // without any of its answer
+)
+
+// deathPatience is how long after a lost run its server's state is looked at: above the time of two probes.
+const deathPatience = 400 * time.Millisecond
+
 // session returns the hash that leads requests of one session to one server.
 func (j *job) session() uint64 {
 	if j.call.Session == "" {
@@ -240,10 +312,14 @@
 
 // failed takes note of a server that accepts no connections, and probes others that are in doubt with it.
 func (f *Forwarder) failed(s gladefleet.Server, reason string) {
-	f.config.Log.Warn("Backend server is down.", "server", s.ID, "address", s.Address, "domain", s.FailureDomain, "reason", reason)
-	f.count("servers.down")
 	f.config.Client.Pool.Forget(s.Address)
-	for _, o := range f.config.Fleet.Fail(s.ID, time.Now()) {
+	fresh, doubtful := f.config.Fleet.Fail(s.ID, time.Now())
+	if fresh {
+		f.count("servers.down")
+		f.config.Log.Warn("Backend server is down.", "server", s.ID, "address", s.Address, "domain", s.FailureDomain,
+			"doubtful", len(doubtful), "reason", reason)
+	}
+	for _, o := range doubtful {
 		f.probe(o)
 	}
 }
@@ -274,8 +350,8 @@
 		defer cancel()
 		if err := f.config.Client.Pool.Probe(ctx, s.Address); err != nil {
 			f.failed(s, "no connection: "+err.Error())
-		} else {
-			f.config.Fleet.Heard(s.ID, time.Now())
+		} else if f.config.Fleet.Heard(s.ID, time.Now()) {
+			f.config.Log.Info("Backend server is back.", "server", s.ID, "domain", s.FailureDomain)
 		}
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/internal/proxy/gladeforward/plain.go
+++ b/internal/proxy/gladeforward/plain.go
@@ -48,7 +48,7 @@
 	running := 0
 	var kept *answer
 	hedge := j.hedge()
-	if !j.start(ctx, answers, &running) {
+	if !j.allowed() || !j.start(ctx, answers, &running) {
 		return
 	}
 	for {
@@ -116,9 +116,18 @@
 	s := j.send(place.Server)
 	j.avoid = append(j.avoid, place.ID)
 	j.log("Sent.", "server", place.ID, "reason", place.Reason, "send", j.sends, "leftMs", s.Left.Milliseconds())
+	ended := j.visit(place.Server)
 	go func() {
 		defer place.Release()
 		a := j.exchange(ctx, s)
+		switch {
+		case a.err == nil:
+			ended(runWhole)
+		case ctx.Err() != nil || errors.Is(a.err, gladesend.ErrNotSent):
+			ended(runOther)
+		default:
+			ended(runLost)
+		}
 		a.server = place.Server
 		answers <- a
 	}()
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -59,6 +59,9 @@
 	}
 	defer s.dropCopy()
 	for {
+		if !s.allowed() {
+			return
+		}
 		place, from := s.next()
 		if place == nil {
 			return
@@ -160,7 +163,17 @@
 	a := &attempt{
 		stream: s, place: place, heard: time.Now(), attemptContext: ctx, copies: s.copies(), done: make(chan copied),
 	}
-	return a.follow(items)
+	ended := s.visit(place.Server)
+	end := a.follow(items)
+	switch {
+	case end == finished:
+		ended(runWhole)
+	case end == broken && a.got == 0:
+		ended(runLost)
+	default:
+		ended(runOther)
+	}
+	return end
 }
 
 // copies reports whether the stream's engines keep copies of each other's runs.
--- a/internal/proxy/gladeforward/stream_test.go
+++ b/internal/proxy/gladeforward/stream_test.go
@@ -168,6 +168,29 @@
 	})
 }
 
+// Pattern: one request crashes each engine that begins to run it, and its caller sends it again.
+func TestRequestThatCrashesItsServersIsStopped(t *testing.T) {
+	play(t, func(w *world) {
+		for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+			domain := map[bool]string{true: "shubra", false: "giza"}[id < "d"]
+			w.serve("llm", domain, id, func(rw http.ResponseWriter, r *http.Request) {
+				time.Sleep(time.Second)
+				go w.network.Kill(id)
+				cut(rw, r)
+			})
+		}
+		header := map[string]string{testID: "poison"}
+		for range 3 {
+			w.call(http.MethodPost, "/stream/x", header)
+			time.Sleep(2 * time.Second)
+		}
+		w.Assert(len(w.ran()) <= 4, qt.IsTrue, qt.Commentf("%v", w.ran()))
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.Assert(len(w.deaths) >= 3, qt.IsTrue)
+	})
+}
+
 func TestStoppingVMRefusesStreamsThatItCannotEnd(t *testing.T) {
 	play(t, func(w *world) {
 		w.serve("llm", "shubra", "a", events(20, eventPause, nil))
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/eelgrassglade/eelgrassglade/gladepeer"
+	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
 	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladebudget"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladeshare"
@@ -37,6 +38,11 @@
 	stopPoll = 50 * time.Millisecond
 	// storeIdle is how many idle connections to the store are kept: one for each kind and one for reads.
 	storeIdle = 3
+	// poisonKills is the number of servers that may crash under a request before it is refused, for poisonMemory.
+	poisonKills  = 3
+	poisonMemory = 5 * time.Minute
+	// poisonWindow is the wait before a verdict; whether a whole failure domain crashed is known before.
+	poisonWindow = 100 * time.Millisecond
 	// engineIdle is below the shortest idle time-out of a backend server.
 	engineIdle = 800 * time.Millisecond
 )
@@ -60,9 +66,11 @@
 	node    *gladepeer.Node
 	sharer  *gladeshare.Sharer
 	budget  *gladebudget.Budget
-	relay   *gladerelay.Relay
-	feed    *gladefeed.Feed
-	stop    atomic.Bool
+
+	suspects *gladesuspect.Tracker
+	relay    *gladerelay.Relay
+	feed     *gladefeed.Feed
+	stop     atomic.Bool
 	// stopAt is when the process is killed, once it is stopping.
 	stopAt atomic.Pointer[time.Time]
 	group  run.Group
@@ -104,6 +112,9 @@
 	f.budget = gladebudget.New(gladebudget.Config{
 		Share: s.RetryShare, Reserve: s.RetryReserve, Window: s.RetryWindow, VMs: f.vms,
 	})
+	f.suspects = gladesuspect.New(gladesuspect.Config{
+		MaxKills: poisonKills, Memory: poisonMemory, Window: poisonWindow, Log: f.log.Named("suspects"),
+	})
 	if err := f.joinPeers(); err != nil {
 		return err
 	}
@@ -115,9 +126,10 @@
 	engine := &gladeplatform.Engine{Client: &http.Client{Transport: engines}}
 	forwarder, closeForwarder := gladeforward.New(gladeforward.Config{
 		Release: f.release.Load, Fleet: f.fleet,
-		Client:  &gladesend.Client{Pool: pool, Encode: gladeplatform.EncodeSend, Decode: gladeplatform.DecodeAnswer},
-		Engine:  gladeforward.Engine{Copy: engine.Copy, Held: engine.Held},
-		Budget:  f.budget,
+		Client:   &gladesend.Client{Pool: pool, Encode: gladeplatform.EncodeSend, Decode: gladeplatform.DecodeAnswer},
+		Engine:   gladeforward.Engine{Copy: engine.Copy, Held: engine.Held},
+		Budget:   f.budget,
+		Suspects: f.suspects, OnDeath: f.tellDeath,
 		StopsAt: f.stopsAt,
 		Decode:  gladeplatform.DecodeCall, AnswerID: gladeplatform.AnswerID, CopyOf: gladeplatform.CopyOf,
 		Changed: f.sharer.Changed, Log: f.log.Named("proxy"), Metrics: f.metrics,
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -11,6 +11,7 @@
 	"github.com/eelgrassglade/eelgrassglade/gladepeer"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladeshare"
+	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladeforward"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladefeed"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelay"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
@@ -42,12 +43,15 @@
 	}
 	f.cleanup(closeNode)
 	f.node = node
+	gladepeer.HandleNotice(node, noticeDeath, func(_ string, d gladeforward.Death) {
+		f.suspects.DiedElsewhere(d.Fingerprint, d.Server)
+	})
 	share, err := after(s.PeerAddress, sharePort)
 	if err != nil {
 		return err
 	}
 	sharer, closeSharer, err := gladeshare.New(gladeshare.Config{
-		VM: s.VM, Address: share, Peers: func() []string { return f.nearPeers(sharePort) }, Table: f.fleet, Budget: f.budget,
+		VM: s.VM, Address: share, Peers: f.sharePeers, Table: f.fleet, Budget: f.budget,
 		Log: f.log.Named("shares"),
 	})
 	if err != nil {
@@ -85,6 +89,24 @@
 	return nil
 }
 
+// noticeDeath tells other VMs of a server that crashed under a request.
+const noticeDeath = "death"
+
+func (f *Front) tellDeath(d gladeforward.Death) {
+	if err := gladepeer.Notify(f.node, noticeDeath, d); err != nil {
+		f.log.Warn("Crash not told to the other VMs.", "fingerprint", d.Fingerprint, "reason", err)
+	}
+}
+
+// wideVMs is the number of VMs up to which shares go to all of them; beyond it they stay in the failure domain, since
+// the bytes between failure domains grow with the square of the VMs.
+const wideVMs = 40
+
+// sharePeers returns where shares go.
+func (f *Front) sharePeers() []string {
+	return f.peerAddresses(sharePort, f.vms() <= wideVMs)
+}
+
 // rank returns how many live VMs of this failure domain come before this one in the order of readers.
 func (f *Front) rank() int {
 	s := f.config.Settings
@@ -169,10 +191,12 @@
 }
 
 // nearPeers returns addresses of the other VMs of this failure domain, some ports after the one for calls.
-func (f *Front) nearPeers(distance int) []string {
+func (f *Front) nearPeers(distance int) []string { return f.peerAddresses(distance, false) }
+
+func (f *Front) peerAddresses(distance int, all bool) []string {
 	var near []string
 	for _, m := range f.node.Members() {
-		if m.FailureDomain != f.config.Settings.FailureDomain {
+		if !all && m.FailureDomain != f.config.Settings.FailureDomain {
 			continue
 		}
 		if address, err := after(m.PeerAddress, distance); err == nil { // an address that is none gets nothing
