Soak real processes under seeded faults

Change: four gladed processes on loopback, stand-ins of store and workers that keep books, callers on open connections; kills, stops, pauses, outages for all and for some, crashes, silent, flaky and leaving workers, releases.

--- /dev/null
+++ b/internal/proxy/gladesoak/soak_test.go
@@ -0,0 +1,408 @@
+package gladesoak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var (
+	seeds    = flag.String("soak.seeds", "1", "comma-separated seeds to play; the regression cases are played as well")
+	duration = flag.Duration("soak.duration", 8*time.Second, "time for which faults come, for each seed")
+)
+
+// regressions are seeds that once failed, with the cause.
+var regressions = []uint64{}
+
+// vm is one process of the entry role.
+type vm struct {
+	host     int
+	settings string
+	program  string
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// disturbed is when something last befell the process, killed when it was last ended without notice.
+	disturbed, killed time.Time
+	done              chan struct{}
+}
+
+func (v *vm) start() error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	log, err := os.OpenFile(v.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	v.cmd = exec.Command(v.program, "run")
+	v.cmd.Env = append(os.Environ(), "EELGRASSGLADE_SETTINGS="+v.settings)
+	v.cmd.Stdout, v.cmd.Stderr = log, log
+	if err := v.cmd.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	v.done = done
+	go func(c *exec.Cmd) {
+		_ = c.Wait() // the exit status of a killed process says nothing
+		_ = log.Close()
+		close(done)
+	}(v.cmd)
+	v.disturbed = time.Now()
+	return nil
+}
+
+// signal sends a signal to the process, which this test started.
+func (v *vm) signal(s syscall.Signal) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.disturbed = time.Now()
+	if s != syscall.SIGTERM {
+		v.killed = v.disturbed
+	}
+	_ = v.cmd.Process.Signal(s) // it may have ended already
+}
+
+// calmSince reports whether nothing befell the process since a time, and whether at most a stop did.
+func (v *vm) calmSince(t time.Time) (calm, graceful bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.disturbed.Before(t), v.killed.Before(t)
+}
+
+// restart stops the process by a signal and starts it again when it has ended.
+func (v *vm) restart(s syscall.Signal) error {
+	v.signal(s)
+	<-v.done
+	return v.start()
+}
+
+// soak is one seed's play.
+type soak struct {
+	*qt.C
+	random  *rand.Rand
+	net     string
+	books   *books
+	store   *store
+	vms     []*vm
+	workers []*worker
+	version int
+	attempt atomic.Int64
+}
+
+func (s *soak) address(host, port int) string {
+	return s.net + strconv.Itoa(host) + ":" + strconv.Itoa(port)
+}
+
+const settingsFormat = `node = "vm-%[1]d"
+ip = "%[2]s%[1]d"
+zone = "%[3]s"
+port_range = [7200, 7215]
+seeds = ["%[2]s1:8748", "%[2]s2:8748"]
+[zones]
+a = "r"
+b = "r"
+[listen]
+front = "%[2]s%[1]d:8740"
+ready = "%[2]s%[1]d:8749"
+[bounds]
+drain_ms = 2000
+grace_s = 4
+retry_ratio = 0.8
+retry_window_s = 10
+retry_burst = 300
+[platform]
+addr = "%[2]s200:8742"
+`
+
+func newSoak(t *testing.T, program string, seed uint64) *soak {
+	s := &soak{
+		C: qt.New(t), random: rand.New(rand.NewPCG(seed, 1)), books: newBooks(), store: newStore(),
+		net: fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(250)),
+	}
+	l, err := net.Listen("tcp", s.address(200, 8742))
+	s.Assert(err, qt.IsNil)
+	server := &http.Server{Handler: s.store}
+	go func() { _ = server.Serve(l) }()
+	s.Cleanup(func() { _ = server.Close() })
+	s.release(true)
+	held := &copies{held: map[string]bool{}}
+	for i, service := range []string{"llm", "llm", "llm", "llm", "app", "app"} {
+		k := &worker{
+			address: s.address(100+i, 8080), service: service, domain: []string{"a", "b"}[i%2], books: s.books, store: s.store, copies: held,
+		}
+		k.start()
+		s.workers = append(s.workers, k)
+		s.Cleanup(func() { _ = k.server.Close() })
+	}
+	directory := s.TempDir()
+	for host := 1; host <= 4; host++ {
+		v := &vm{host: host, program: program, settings: filepath.Join(directory, fmt.Sprintf("vm-%d.toml", host))}
+		text := fmt.Sprintf(settingsFormat, host, s.net, []string{"a", "b"}[host%2])
+		s.Assert(os.WriteFile(v.settings, []byte(text), 0o600), qt.IsNil)
+		s.Assert(v.start(), qt.IsNil)
+		s.vms = append(s.vms, v)
+		s.Cleanup(func() {
+			v.signal(syscall.SIGKILL)
+			<-v.done
+		})
+	}
+	return s
+}
+
+// release writes the next version, with or without one more route.
+func (s *soak) release(more bool) {
+	s.version += 1 + s.random.IntN(3)
+	routes := []map[string]any{
+		{"name": "u", "hostname": "h", "path_prefix": "/unsafe/", "type": "unsafe", "service": "app", "attempts": 1, "timeout_ms": 1500, "slo_ms": 150},
+		{"name": "s", "hostname": "h", "path_prefix": "/safe/", "type": "safe", "service": "app", "attempts": 2, "timeout_ms": 1500, "slo_ms": 150},
+		{"name": "g", "hostname": "h", "path_prefix": "/stream/", "type": "streaming", "service": "llm", "attempts": 5, "timeout_ms": 8000,
+			"slo_ms": 2000, "itl_target_ms": 700, "resumable": true},
+	}
+	if more {
+		routes = append(routes, map[string]any{"name": "m", "hostname": "h", "path_prefix": "/more/", "type": "safe", "service": "app", "attempts": 1})
+	}
+	s.store.put("config", "main", map[string]any{
+		"version": s.version, "routes": routes,
+		"services": []map[string]any{{"name": "app"}, {"name": "llm", "engine": map[string]any{"slots": 12, "backups": true, "handle_s": 4}}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4096, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+}
+
+// ready waits until a VM takes connections.
+func (s *soak) ready(v *vm) bool {
+	for range 500 {
+		r, err := http.Get("http://" + s.address(v.host, 8749) + "/v1/readyz")
+		if err == nil {
+			_ = r.Body.Close()
+			if r.StatusCode == http.StatusOK {
+				return true
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return false
+}
+
+// call sends requests of one kind until the context ends; it uses open connections until they are closed.
+func (s *soak) call(ctx context.Context, kind, method string, limit time.Duration) {
+	transport := &http.Transport{MaxIdleConnsPerHost: 1}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	for i := 0; ctx.Err() == nil; i++ {
+		v := s.vms[i%len(s.vms)]
+		id := fmt.Sprintf("%s-%d", kind, s.attempt.Add(1))
+		// A body that cannot be sent again keeps the transport from repeating the request by itself.
+		r, err := http.NewRequest(method, "http://"+s.address(v.host, 8740)+"/"+kind+"/x", io.NopCloser(strings.NewReader("body")))
+		s.Check(err, qt.IsNil)
+		r.Host = "h"
+		r.Header.Set("Attempt-Id", id)
+		r.Header.Set("Deadline-Ms", strconv.FormatInt(limit.Milliseconds(), 10))
+		a := answer{id: id, kind: kind, limit: limit, sent: time.Now()}
+		response, err := client.Do(r)
+		if err == nil {
+			body, readErr := io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			a.status, a.owner, a.body, a.whole = response.StatusCode, response.Header.Get("Attempt-Id"), string(body), readErr == nil
+		}
+		a.took = time.Since(a.sent)
+		a.calm, a.graceful = v.calmSince(a.sent)
+		s.books.answered(a)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// fault brings about one fault, drawn from the seed; some overlap with the next.
+func (s *soak) fault(tasks *sync.WaitGroup) {
+	v, k := s.vms[s.random.IntN(len(s.vms))], s.workers[s.random.IntN(len(s.workers))]
+	length := time.Duration(200+s.random.IntN(800)) * time.Millisecond
+	during := func(begin, end func()) {
+		begin()
+		tasks.Go(func() { time.Sleep(length); end() })
+	}
+	switch s.random.IntN(10) {
+	case 0:
+		tasks.Go(func() { s.Check(v.restart(syscall.SIGKILL), qt.IsNil) })
+	case 1:
+		tasks.Go(func() { s.Check(v.restart(syscall.SIGTERM), qt.IsNil) })
+	case 2:
+		during(func() { v.signal(syscall.SIGSTOP) }, func() { v.signal(syscall.SIGCONT) })
+	case 3:
+		during(func() { s.store.setAway("*", true) }, func() { s.store.setAway("*", false) })
+	case 4:
+		host := s.net + strconv.Itoa(v.host)
+		during(func() { s.store.setAway(host, true) }, func() { s.store.setAway(host, false) })
+	case 5:
+		tasks.Go(func() { k.crash(); time.Sleep(length); k.start() })
+	case 6:
+		during(func() { k.set(true, 0) }, func() { k.set(false, 0) })
+	case 7:
+		during(func() { k.set(false, 0.4) }, func() { k.set(false, 0) })
+	case 8:
+		s.release(s.random.IntN(2) == 0)
+	case 9:
+		tasks.Go(func() { k.leave(); k.start() })
+	}
+}
+
+func (k *worker) set(silent bool, flaky float64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.silent, k.flaky = silent, flaky
+}
+
+// play lets callers and faults run, and returns what the books show.
+func (s *soak) play() []string {
+	for _, v := range s.vms {
+		s.Assert(s.ready(v), qt.IsTrue)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var callers, faults sync.WaitGroup
+	for range 2 {
+		callers.Go(func() { s.call(ctx, "unsafe", http.MethodPost, time.Second) })
+		callers.Go(func() { s.call(ctx, "safe", http.MethodPost, time.Second) })
+		callers.Go(func() { s.call(ctx, "stream", http.MethodPost, 6*time.Second) })
+	}
+	for began := time.Now(); time.Since(began) < *duration; {
+		s.fault(&faults)
+		time.Sleep(time.Duration(100+s.random.IntN(500)) * time.Millisecond)
+	}
+	faults.Wait()
+	s.settle()
+	cancel()
+	callers.Wait()
+	return s.books.check()
+}
+
+// settle shows that all VMs come back to the newest release and serve.
+func (s *soak) settle() {
+	s.release(true)
+	for _, v := range s.vms {
+		s.Check(s.ready(v), qt.IsTrue, qt.Commentf("VM %d is not ready", v.host))
+	}
+	time.Sleep(2 * time.Second)
+	for _, v := range s.vms {
+		r, err := http.NewRequest(http.MethodGet, "http://"+s.address(v.host, 8740)+"/more/x", nil)
+		s.Assert(err, qt.IsNil)
+		r.Host = "h"
+		r.Header.Set("Attempt-Id", "settled")
+		response, err := http.DefaultClient.Do(r)
+		if s.Check(err, qt.IsNil) {
+			s.Check(response.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("VM %d", v.host))
+			_ = response.Body.Close()
+		}
+	}
+}
+
+func TestSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	program := filepath.Join(t.TempDir(), "gladed")
+	out, err := exec.Command("go", "build", "-o", program, "../../../cmd/gladed").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	all := slices.Clone(regressions)
+	for text := range strings.SplitSeq(*seeds, ",") {
+		seed, err := strconv.ParseUint(text, 10, 64)
+		qt.Assert(t, err, qt.IsNil)
+		all = append(all, seed)
+	}
+	for _, seed := range all {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			s := newSoak(t, program, seed)
+			broken := s.play()
+			s.Check(broken, qt.HasLen, 0)
+			s.report()
+			if s.Failed() {
+				s.keepLogs(seed)
+			}
+		})
+	}
+}
+
+// report prints how much was asked and served.
+func (s *soak) report() {
+	s.books.mu.Lock()
+	defer s.books.mu.Unlock()
+	asked, served := map[string]int{}, map[string]int{}
+	for _, a := range s.books.answers {
+		asked[a.kind]++
+		if a.status == http.StatusOK && a.whole {
+			served[a.kind]++
+		}
+	}
+	s.Logf("asked %v, served %v", asked, served)
+	for kind, n := range asked {
+		s.Check(2*served[kind] > n, qt.IsTrue, qt.Commentf("%s: %d of %d served", kind, served[kind], n))
+	}
+}
+
+// keepLogs copies the VMs' logs beside the test, for the trace of a failed seed.
+func (s *soak) keepLogs(seed uint64) {
+	for _, v := range s.vms {
+		text, err := os.ReadFile(v.settings + ".log")
+		if err == nil {
+			err = os.WriteFile(filepath.Join(os.TempDir(), fmt.Sprintf("glade-soak-%d-vm-%d.log", seed, v.host)), text, 0o600)
+		}
+		s.Check(err, qt.IsNil)
+	}
+}
+
+// The books must catch what they are kept for.
+func TestBooksCatchWhatMustNotBe(t *testing.T) {
+	whole := answer{id: "unsafe-1", kind: "unsafe", owner: "unsafe-1", status: http.StatusOK, whole: true, body: "answer to unsafe-1", limit: time.Second}
+	stream := answer{id: "stream-1", kind: "stream", owner: "stream-1", status: http.StatusOK, whole: true, body: streamOf("stream-1"), limit: time.Second}
+	tests := map[string]struct {
+		base   answer
+		change func(*answer)
+		runs   int
+		broken int
+	}{
+		"whole":          {whole, func(*answer) {}, 1, 0},
+		"stream":         {stream, func(*answer) {}, 3, 0},
+		"twice":          {whole, func(*answer) {}, 2, 1},
+		"refused":        {whole, func(a *answer) { a.status = http.StatusServiceUnavailable }, 0, 0},
+		"refused, ran":   {whole, func(a *answer) { a.status = http.StatusServiceUnavailable }, 1, 1},
+		"other's answer": {whole, func(a *answer) { a.owner = "unsafe-2" }, 1, 1},
+		"other's body":   {whole, func(a *answer) { a.body = "answer to unsafe-2" }, 1, 1},
+		"late":           {whole, func(a *answer) { a.calm, a.took = true, 3*time.Second }, 1, 1},
+		"late, paused":   {whole, func(a *answer) { a.took = 3 * time.Second }, 1, 0},
+		"cut by a stop":  {whole, func(a *answer) { a.graceful, a.whole, a.status = true, false, 0 }, 1, 1},
+		"event lacks":    {stream, func(a *answer) { a.body = strings.Replace(a.body, eventOf(a.id, 7), "", 1) }, 1, 1},
+		"event twice": {stream, func(a *answer) {
+			a.body = strings.Replace(a.body, eventOf(a.id, 7), eventOf(a.id, 7)+eventOf(a.id, 7), 1)
+		}, 1, 1},
+		"looks whole": {stream, func(a *answer) { a.body = a.body[:len(a.body)/2] }, 1, 1},
+		"broken off":  {stream, func(a *answer) { a.body, a.whole = a.body[:len(a.body)/2], false }, 1, 0},
+		"joined":      {stream, func(a *answer) { a.body, a.whole = eventOf(a.id, 1)+eventOf(a.id, 3), false }, 1, 1},
+	}
+	for name, x := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBooks()
+			a := x.base
+			x.change(&a)
+			b.runs[a.id], b.ended[a.id] = x.runs, true
+			b.answered(a)
+			qt.Assert(t, b.check(), qt.HasLen, x.broken)
+		})
+	}
+	b := newBooks()
+	b.late = append(b.late, "unsafe-1")
+	qt.Assert(t, b.check(), qt.HasLen, 1)
+}
