Read the store and probe servers less often

Change: at the first start VMs wait to know each other before one reads; a reader's watch is as long as the bounds allow; a stream's server is probed after 210 ms of silence, or 400 ms while it reads the prompt.

--- a/internal/fleet/gladeshare/share.go
+++ b/internal/fleet/gladeshare/share.go
@@ -1,6 +1,7 @@
 package gladeshare
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"sync"
@@ -64,7 +65,7 @@
 
 // New opens the socket, starts exchanging and returns the clean-up function.
 func New(c Config) (*Sharer, func(), error) {
-	socket, err := net.ListenPacket("udp", c.Address)
+	socket, err := (&net.ListenConfig{}).ListenPacket(context.Background(), "udp", c.Address)
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "socket of shares")
 	}
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -15,9 +15,9 @@
 	// checkEvery is how often a quiet stream is looked at; well below the allowed pause.
 	checkEvery = 50 * time.Millisecond
 	// probeAfter is the silence of a stream that has begun after which its server is probed.
-	probeAfter = 130 * time.Millisecond
+	probeAfter = 210 * time.Millisecond
 	// probeReading is the same while the prompt is read, when no events are due.
-	probeReading = 250 * time.Millisecond
+	probeReading = 400 * time.Millisecond
 	// moveShare is the share of the allowed pause after which a silent run goes on from its copy.
 	moveShare = 0.6
 	// defaultGap stands for a route that names no allowed pause.
@@ -36,8 +36,9 @@
 	from string
 	// events is the number that the caller got from this VM.
 	events int
-	// worst is the longest pause after the first event.
+	// worst is the longest pause after the first event, given when the caller last got one.
 	worst time.Duration
+	given time.Time
 }
 
 // result is how one attempt of a stream ended.
@@ -285,10 +286,12 @@
 // stalled probes a silent server and reports whether its run should go on elsewhere.
 func (a *attempt) stalled() bool {
 	silence := a.silence()
-	if a.got == 0 && silence > probeReading || a.got > 0 && silence > probeAfter {
-		if a.config.Fleet.Quiet(a.place.ID, time.Now()) > probeAfter {
-			a.probe(a.place.Server)
-		}
+	patience := probeAfter
+	if a.got == 0 {
+		patience = probeReading
+	}
+	if silence > patience && a.config.Fleet.Quiet(a.place.ID, time.Now()) > patience {
+		a.probe(a.place.Server)
 	}
 	gap := a.route.EventGap
 	if gap <= 0 {
@@ -357,9 +360,6 @@
 // pass sends an event to the caller unless it has it.
 func (a *attempt) pass(e event) (result, bool) {
 	now := time.Now()
-	if a.events > 0 {
-		a.worst = max(a.worst, now.Sub(a.heard))
-	}
 	a.heard = now
 	a.config.Fleet.Heard(a.place.ID, now)
 	if a.got++; a.got == 1 {
@@ -381,7 +381,10 @@
 	if a.x.Write(e.bytes) != nil {
 		return left, true
 	}
-	a.events++
+	if a.events++; a.events > 1 {
+		a.worst = max(a.worst, now.Sub(a.given))
+	}
+	a.given = now
 	if e.id != gladesend.NoEvent {
 		a.last = e.id
 	}
--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -17,9 +17,11 @@
 )
 
 const (
-	// readerWait is how long a watch waits for a change: one that hears nothing any more is noticed in time for the
-	// bounds on releases and leaving servers.
-	readerWait = 900 * time.Millisecond
+	// minWait bounds how long a watch waits for a change, whatever the bounds say.
+	minWait = 500 * time.Millisecond
+	// noticeTime is what is left of a bound when a watch that hears nothing any more has been noticed: for its slack, a
+	// list, and the way to the other VMs.
+	noticeTime = 1100 * time.Millisecond
 	// watchSlack is how much longer an answer may take; a slow store needs a quarter of a second.
 	watchSlack = 400 * time.Millisecond
 	// wantedEvery is how often a VM looks whether it has to read the servers itself.
@@ -50,10 +52,18 @@
 	})
 }
 
+// watchWait is how long a watch waits for a change: one that hears nothing any more is noticed in time for the bounds on
+// releases and leaving servers.
+func (f *Front) watchWait() time.Duration {
+	s := f.config.Settings
+	return max(minWait, min(s.ReleaseBound, s.DrainBound)-noticeTime)
+}
+
 // readForDomain follows the release and the servers closely while this VM reads them for its failure domain.
 func (f *Front) readForDomain(ctx context.Context, store *gladeplatform.Store) {
-	servers := followConfig(f, store, gladeplatform.KindServers, readerWait, gladeplatform.DecodeServer, f.onServers, f.onServerChanges)
-	releases := followConfig(f, store, gladeplatform.KindConfig, readerWait, decodeRelease, f.onReleases, f.onReleaseChanges)
+	wait := f.watchWait()
+	servers := followConfig(f, store, gladeplatform.KindServers, wait, gladeplatform.DecodeServer, f.onServers, f.onServerChanges)
+	releases := followConfig(f, store, gladeplatform.KindConfig, wait, decodeRelease, f.onReleases, f.onReleaseChanges)
 	for ctx.Err() == nil {
 		if !f.feed.Wanted(false, time.Now()) {
 			select {
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -135,7 +135,7 @@
 		Changed: f.sharer.Changed, Log: f.log.Named("proxy"), Metrics: f.metrics,
 	})
 	f.cleanup(closeForwarder)
-	listener, err := net.Listen("tcp", s.EntryAddress)
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", s.EntryAddress)
 	if err != nil {
 		return eris.Wrap(err, "entry listener")
 	}
@@ -175,7 +175,7 @@
 	if address == "" {
 		return nil
 	}
-	l, err := net.Listen("tcp", address)
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return eris.Wrapf(err, "listener of %s", path)
 	}
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -77,9 +77,13 @@
 	if err != nil {
 		return err
 	}
+	patience := time.Duration(0)
+	if s.FirstStart {
+		patience = firstPatience
+	}
 	feed, closeFeed, err := gladefeed.New(gladefeed.Config{
 		VM: s.VM, Address: address, Peers: func() []string { return f.nearPeers(feedPort) },
-		Rank: f.rank, Read: f.read, OnUpdate: f.hearUpdate, Log: f.log.Named("feed"),
+		Patience: patience, Rank: f.rank, Read: f.read, OnUpdate: f.hearUpdate, Log: f.log.Named("feed"),
 	})
 	if err != nil {
 		return err
@@ -107,6 +111,9 @@
 	return f.peerAddresses(sharePort, f.vms() <= wideVMs)
 }
 
+// firstPatience lets VMs that start together know each other before one of them reads; callers come seconds later.
+const firstPatience = 2 * time.Second
+
 // rank returns how many live VMs of this failure domain come before this one in the order of readers.
 func (f *Front) rank() int {
 	s := f.config.Settings
--- a/internal/proxy/gladesend/pool.go
+++ b/internal/proxy/gladesend/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,7 +33,7 @@
 	// defaultKeep is how long a connection is kept if the server does not say; below the shortest time-out seen.
 	defaultKeep = 800 * time.Millisecond
 	// keepShare is the share of the server's own idle time-out for which a connection is used again.
-	keepShare = 0.5
+	keepShare = 0.8
 	// userTimeout bounds how long sent bytes stay unacknowledged; above the longest harmless loss of packets.
 	userTimeout = 3 * time.Second
 	readBytes   = 4 << 10
@@ -128,7 +129,7 @@
 		return
 	}
 	p.mu.Lock()
-	list := append(p.idle[c.address], c)
+	list := slices.Concat(p.idle[c.address], []*conn{c})
 	var old []*conn
 	for len(list) > maxIdle || len(list) > 0 && c.since.Sub(list[0].since) > list[0].keep {
 		old = append(old, list[0])
--- a/internal/state/gladefeed/feed.go
+++ b/internal/state/gladefeed/feed.go
@@ -1,6 +1,7 @@
 package gladefeed
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"sync"
@@ -51,6 +52,8 @@
 	VM, Address string
 	// Peers returns the addresses of the failure domain's other VMs.
 	Peers func() []string
+	// Patience is how long this VM waits for a reader before it reads itself for the first time.
+	Patience time.Duration
 	// Rank returns how many live VMs come before this one in the order in which they should read.
 	Rank func() int
 	// Read returns an update without changes: how far this VM has read the store, and whether it reaches it.
@@ -62,8 +65,9 @@
 
 // Feed tells and hears updates.
 type Feed struct {
-	config Config
-	socket net.PacketConn
+	config  Config
+	socket  net.PacketConn
+	patient time.Time
 
 	mu sync.Mutex
 	// heard is when a reader was last heard, since is when it was first heard without a silence.
@@ -72,11 +76,11 @@
 
 // New opens the socket, starts telling and hearing, and returns the clean-up function.
 func New(c Config) (*Feed, func(), error) {
-	socket, err := net.ListenPacket("udp", c.Address)
+	socket, err := (&net.ListenConfig{}).ListenPacket(context.Background(), "udp", c.Address)
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "socket of the feed")
 	}
-	f := &Feed{config: c, socket: socket}
+	f := &Feed{config: c, socket: socket, patient: time.Now().Add(c.Patience)}
 	done := make(chan struct{})
 	var tasks sync.WaitGroup
 	tasks.Go(f.receive)
@@ -160,6 +164,9 @@
 
 // Wanted reports whether this VM should read the store itself; reading tells whether it does.
 func (f *Feed) Wanted(reading bool, now time.Time) bool {
+	if now.Before(f.patient) {
+		return false
+	}
 	rank := min(f.config.Rank(), maxRank)
 	if rank == 0 {
 		return true
--- a/internal/state/gladeview/follow.go
+++ b/internal/state/gladeview/follow.go
@@ -17,7 +17,7 @@
 	firstBackoff = 150 * time.Millisecond
 	maxBackoff   = time.Second
 	// settle is the pause after changes, so that several that come together cost one call.
-	settle = 100 * time.Millisecond
+	settle = 200 * time.Millisecond
 )
 
 // Item is one object.
