--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -334,6 +334,9 @@
 		a.log("Server did not run it.", "server", a.place.ID, "status", x.Status)
 		a.declined(a.place.Server, x.Status)
 		a.shun(a.place.ID)
+		if x.Status == http.StatusMisdirectedRequest {
+			a.sends-- // while the store is away all of a crashed domain's entries may be outdated
+		}
 		return declined, true
 	}
 	a.config.Fleet.Heard(a.place.ID, time.Now())
--- a/internal/proxy/gladeforward/stream_test.go
+++ b/internal/proxy/gladeforward/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -232,3 +233,16 @@
 	s.in = s.in[n:]
 	return n, nil
 }
+
+// Pattern: a failure domain crashes while the store is away; all its entries name servers that are no more.
+func TestOutdatedEntriesDoNotUseUpTheAttempts(t *testing.T) {
+	play(t, func(w *world) {
+		for i := range maxStreamSends + 2 {
+			w.serve("llm", "shubra", fmt.Sprintf("old-%d", i), answerWith(http.StatusMisdirectedRequest, ""))
+		}
+		w.serve("llm", "giza", "z", events(20, eventPause, nil))
+		r := w.call(http.MethodPost, "/stream/x", nil)
+		w.Assert(r.err, qt.IsNil)
+		w.Assert(r.body, qt.Equals, whole(1, 20))
+	})
+}
