--- a/internal/proxy/gladesoak/soak_test.go
+++ b/internal/proxy/gladesoak/soak_test.go
@@ -311,9 +311,6 @@
 }
 
 func TestSoak(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts processes")
-	}
 	program := filepath.Join(t.TempDir(), "gladed")
 	out, err := exec.Command("go", "build", "-o", program, "../../../cmd/gladed").CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
