--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -112,7 +112,8 @@
 	release *gladerelease.Release
 	route   *gladerelease.Route
 	service string
-	tenant  string
+	// organisation is the holder of the caller's key.
+	organisation string
 	// deadline ends the request, if limited; client is the caller's own limit.
 	deadline time.Time
 	limited  bool
@@ -161,7 +162,7 @@
 		j.refuse(http.StatusUnauthorized, "unknown key", 0)
 		return false
 	}
-	j.tenant = organisation.Name
+	j.organisation = organisation.Name
 	j.fingerprint = j.fingerprintOf()
 	j.service = j.route.Service(j.call.ID)
 	if j.route.Timeout > 0 {
@@ -201,7 +202,7 @@
 func (j *job) send(s gladefleet.Server) *gladesend.Send {
 	j.sends++
 	return &gladesend.Send{
-		Server: s.ID, Address: s.Address, Organisation: j.tenant, LastEvent: j.call.LastEvent,
+		Server: s.ID, Address: s.Address, Organisation: j.organisation, LastEvent: j.call.LastEvent,
 		Limited: j.limited, Left: time.Until(j.deadline),
 	}
 }
--- a/internal/proxy/gladesend/call.go
+++ b/internal/proxy/gladesend/call.go
@@ -19,8 +19,8 @@
 	Limited  bool
 	// LastEvent is the last event that the client has, or NoEvent.
 	LastEvent int64
-	// PromptTokens and OutputTokens are the sizes that the client gives, zero for plain services.
-	PromptTokens, OutputTokens int
+	// PromptTokens is the size of the prompt that the client gives, zero for plain services.
+	PromptTokens int
 	// Session identifies the last part of the prompt.
 	Session string
 	// Header holds what goes on unchanged.
@@ -55,11 +55,6 @@
 	Fresh bool
 }
 
-// Load is what a server tells of its load.
-type Load struct {
-	Running, Waiting, Slots int
-}
-
 // Mark is what an answer says of itself.
 type Mark struct {
 	// ID is the request that the answer belongs to.
@@ -70,5 +65,4 @@
 	NotRun bool
 	// Encoded tells that the body is not in the server's own encoding.
 	Encoded bool
-	Load    *Load
 }
--- a/internal/proxy/gladeserve/conn.go
+++ b/internal/proxy/gladeserve/conn.go
@@ -39,6 +39,14 @@
 	idle bool
 }
 
+// newConn returns the state of an accepted connection.
+func newConn(s *Server, n net.Conn) *conn {
+	return &conn{
+		server: s, net: n, reader: bufio.NewReaderSize(n, readBytes), writer: bufio.NewWriterSize(n, readBytes),
+		parser: bufio.NewReaderSize(nil, readBytes), idle: true,
+	}
+}
+
 // serve reads requests until the connection ends.
 func (c *conn) serve() {
 	defer func() { _ = c.net.Close() }()
--- a/internal/proxy/gladeserve/exchange.go
+++ b/internal/proxy/gladeserve/exchange.go
@@ -1,7 +1,6 @@
 package gladeserve
 
 import (
-	"bufio"
 	"net/http"
 	"strconv"
 	"time"
@@ -83,9 +82,6 @@
 	return nil
 }
 
-// Flush sends on what has been written.
-func (x *Exchange) Flush() error { return x.flush() }
-
 func (x *Exchange) flush() error { return x.conn.writer.Flush() }
 
 // End ends an answer; one that is not ended is broken off with its connection.
@@ -97,10 +93,3 @@
 	x.ended = err == nil
 	return err
 }
-
-func newConn(s *Server, n writerConn) *conn {
-	return &conn{
-		server: s, net: n, reader: bufio.NewReaderSize(n, readBytes), writer: bufio.NewWriterSize(n, readBytes),
-		parser: bufio.NewReaderSize(nil, readBytes), idle: true,
-	}
-}
--- a/internal/proxy/gladeserve/server.go
+++ b/internal/proxy/gladeserve/server.go
@@ -33,8 +33,6 @@
 	tasks sync.WaitGroup
 }
 
-type writerConn = net.Conn
-
 // acceptPause keeps a lack of descriptors from turning into a busy loop.
 const acceptPause = 50 * time.Millisecond
 
