--- a/internal/proxy/gladeforward/forward_test.go
+++ b/internal/proxy/gladeforward/forward_test.go
@@ -136,9 +136,11 @@
 			{Name: "notes", Host: "h", PathPrefix: "/stream/", Kind: gladerelease.Stream, Attempts: 5, Resumable: true, Shares: []gladerelease.Share{{Service: "llm", Weight: 1}}},
 		},
 	}
+	unlimited := gladerelease.Route{Name: "unlimited", Host: "h", PathPrefix: "/unlimited/", Shares: []gladerelease.Share{{Service: "app", Weight: 1}}}
 	for i := range release.Routes {
 		release.Routes[i].Target, release.Routes[i].EventGap, release.Routes[i].Timeout = testTarget, testGap, testTimeout
 	}
+	release.Routes = append(release.Routes, unlimited)
 	release.Index()
 	forwarder, closeForwarder := New(Config{
 		Release: func() *gladerelease.Release { return release }, Fleet: w.fleet,
--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -30,6 +30,8 @@
 	streamTime = 7 * time.Second
 	// elsewhereRetryAfter is told by a stopping VM: other VMs can take the request at once.
 	elsewhereRetryAfter = 20 * time.Millisecond
+	// defaultLimit ends a request for which neither its route nor its caller sets a limit; generations run for minutes.
+	defaultLimit = 5 * time.Minute
 	// probeTimeout bounds the connection that shows whether a silent server lives; a live one accepts in a few ms.
 	probeTimeout = 120 * time.Millisecond
 )
@@ -114,7 +116,7 @@
 	service string
 	// organisation is the holder of the caller's key.
 	organisation string
-	// deadline ends the request, if limited; client is the caller's own limit.
+	// deadline ends the request, once limited.
 	deadline time.Time
 	limited  bool
 	// avoid are the servers that this request failed on, sends the times it was sent.
@@ -171,6 +173,9 @@
 	if j.call.Limited {
 		j.limit(j.x.Received.Add(j.call.TimeLeft))
 	}
+	if !j.limited {
+		j.limit(j.x.Received.Add(defaultLimit))
+	}
 	return true
 }
 
@@ -191,9 +196,6 @@
 
 // expired returns a channel that fires at the time limit, and its clean-up function.
 func (j *job) expired() (<-chan time.Time, func()) {
-	if !j.limited {
-		return nil, func() {}
-	}
 	t := time.NewTimer(time.Until(j.deadline))
 	return t.C, func() { t.Stop() }
 }
@@ -203,7 +205,7 @@
 	j.sends++
 	return &gladesend.Send{
 		Server: s.ID, Address: s.Address, Organisation: j.organisation, LastEvent: j.call.LastEvent,
-		Limited: j.limited, Left: time.Until(j.deadline),
+		Limited: true, Left: time.Until(j.deadline),
 	}
 }
 
--- a/internal/proxy/gladeforward/plain_test.go
+++ b/internal/proxy/gladeforward/plain_test.go
@@ -128,6 +128,9 @@
 		r = w.call(http.MethodPost, "/unsafe/x", map[string]string{testDeadline: "90000"})
 		w.Assert(r.status, qt.Equals, http.StatusGatewayTimeout)
 		w.Assert(r.took, qt.Equals, testTimeout)
+		r = w.call(http.MethodPost, "/unlimited/x", nil)
+		w.Assert(r.status, qt.Equals, http.StatusGatewayTimeout)
+		w.Assert(r.took, qt.Equals, defaultLimit)
 	})
 }
 
