Let restarts in the soak take turns

Cause: two restarts of one VM at once started two processes, and the soak ended only the last; six were left behind.

--- a/internal/proxy/gladesoak/soak_test.go
+++ b/internal/proxy/gladesoak/soak_test.go
@@ -37,6 +37,9 @@
 	settings string
 	program  string
 
+	// turn lets one restart after the other come about, so that each process that is started is ended.
+	turn sync.Mutex
+
 	mu  sync.Mutex
 	cmd *exec.Cmd
 	// disturbed is when something last befell the process, killed when it was last ended without notice.
@@ -88,6 +91,8 @@
 
 // restart stops the process by a signal and starts it again when it has ended.
 func (v *vm) restart(s syscall.Signal) error {
+	v.turn.Lock()
+	defer v.turn.Unlock()
 	v.signal(s)
 	<-v.done
 	return v.start()
