Admit generations by the room that engines have

Every VM sent what came, copies were asked for where there was no room, and after each crash all VMs chose the same empty engines.

Change: a server takes a run or a copy only while its memory, its slots and its unread prompts have room, as known from the own and the other VMs' runs. What finds no room waits an eighth of the target in a line (gladeline: rank, organisations in turns, arrival), then is refused with the time to come back. Once crashes were seen, a run is admitted with its copy only. Claims made while waiting are shown to the other VMs first and given up when crowded. After a crash VMs blur the loads that they choose by. Engines are told the priority of a request.

--- a/internal/fleet/gladefleet/choose.go
+++ b/internal/fleet/gladefleet/choose.go
@@ -13,6 +13,10 @@
 	Service string
 	// Prompt is the number of tokens to read, zero for a plain request.
 	Prompt int
+	// Tokens is the room that the run takes up at its end.
+	Tokens int
+	// Room bounds what a server may hold to get the request.
+	Room Room
 	// Session is the hash of what the prompt shares with others of its session, zero for none.
 	Session uint64
 	// Avoid are the identifiers of servers that this request has failed on.
@@ -24,10 +28,14 @@
 	Server
 	// Reason tells why it was chosen.
 	Reason string
+	// Load is what the server held when the place was taken, this run included.
+	Load Load
 
 	table  *Table
 	entry  *entry
 	prompt int
+	tokens int
+	taken  time.Time
 	down   <-chan struct{}
 }
 
@@ -40,15 +48,18 @@
 	reasonCopy    = "holds the copy"
 )
 
-// Choose picks a server and takes a place on it.
+// Choose picks a server and takes a place on it; ErrFull tells that no sound server has room.
 func (t *Table) Choose(n Need, now time.Time) (*Taken, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	best, reason := t.pick(n, now)
-	if best == nil {
+	best, reason, full := t.pick(n, now)
+	switch {
+	case full:
+		return nil, eris.Wrap(ErrFull, n.Service)
+	case best == nil:
 		return nil, eris.Wrap(ErrNoServer, n.Service)
 	}
-	return t.take(best, n.Prompt, reason), nil
+	return t.take(best, n.Prompt, n.Tokens, reason, now), nil
 }
 
 // standing ranks what a server is thought to be; a lower one is chosen only if no better is left.
@@ -76,18 +87,24 @@
 	return sound, true
 }
 
-func (t *Table) pick(n Need, now time.Time) (*entry, string) {
+// pick returns the best server and why; full tells that there are sound ones and none has room.
+func (t *Table) pick(n Need, now time.Time) (_ *entry, reason string, full bool) {
 	var best, favourite *entry
 	bestLoad, favouriteLoad, bestStanding := 0.0, 0.0, failing+1
+	spread := t.spread(n.Service, n.Prompt, now)
 	for _, e := range t.services[n.Service] {
 		rank, ok := t.standing(e, now)
 		if !ok || rank > bestStanding || slices.Contains(n.Avoid, e.ID) {
 			continue
 		}
 		if rank < bestStanding {
-			best, favourite, bestStanding = nil, nil, rank
+			best, favourite, bestStanding, full = nil, nil, rank, false
+		}
+		if !n.Room.fits(e, n) {
+			full = full || rank == sound
+			continue
 		}
-		load := t.cost(e)
+		load := t.cost(e) + spread*rand.Float64()
 		if best == nil || load < bestLoad {
 			best, bestLoad = e, load
 		}
@@ -96,14 +113,16 @@
 		}
 	}
 	switch {
-	case best == nil || bestStanding > sound:
-		return best, reasonDown
+	case best == nil:
+		return nil, "", full
+	case bestStanding > sound:
+		return best, reasonDown, false
 	case favourite != nil && favouriteLoad <= bestLoad+sessionTokens:
-		return favourite, reasonSession
+		return favourite, reasonSession, false
 	case best.FailureDomain == t.config.FailureDomain:
-		return best, reasonNear
+		return best, reasonNear, false
 	}
-	return best, reasonFar
+	return best, reasonFar, false
 }
 
 // prefers reports whether a session belongs to a server rather than to the favourite so far, the own domain first.
@@ -121,9 +140,9 @@
 // sessionTokens is how much more load the server that has read a session may have than the least loaded one.
 const sessionTokens = 600
 
-// cost is a server's load as this VM weighs it; the random part spreads VMs that see the same loads.
+// cost is a server's load as this VM weighs it.
 func (t *Table) cost(e *entry) float64 {
-	cost := e.load() + 100*rand.Float64()
+	cost := e.load()
 	if e.FailureDomain != t.config.FailureDomain {
 		cost += farTokens
 	}
@@ -154,37 +173,50 @@
 	return near
 }
 
-// Take takes a place on the server that holds a request's copy; it fails if that server is gone or down.
-func (t *Table) Take(id string, now time.Time) (*Taken, error) {
+// Take takes a place and room on the server that holds a request's copy; it fails if that server is gone or down.
+func (t *Table) Take(id string, tokens int, now time.Time) (*Taken, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.servers[id]
 	if e == nil || !e.open(now) || e.failed {
 		return nil, eris.Wrap(ErrNoServer, id)
 	}
-	return t.take(e, 0, reasonCopy), nil
+	return t.take(e, 0, tokens, reasonCopy, now), nil
 }
 
-func (t *Table) take(e *entry, prompt int, reason string) *Taken {
+func (t *Table) take(e *entry, prompt, tokens int, reason string, now time.Time) *Taken {
 	e.runs++
 	e.prompt += prompt
-	return &Taken{Server: e.Server, Reason: reason, table: t, entry: e, prompt: prompt, down: e.down}
+	e.memory += tokens
+	return &Taken{
+		Server: e.Server, Reason: reason, table: t, entry: e, prompt: prompt, tokens: tokens,
+		Load: Load{Runs: e.held(), Unread: e.unread(), Filled: e.filled()}, taken: now, down: e.down,
+	}
 }
 
-// Read notes that the prompt has been read.
-func (k *Taken) Read() {
+// Read notes that the prompt has been read, which tells how fast servers read.
+func (k *Taken) Read(now time.Time) {
 	k.table.mu.Lock()
 	defer k.table.mu.Unlock()
+	if k.prompt > 0 && k.Reason != reasonSession {
+		k.table.measure(k.Service, k.Load.Unread, now.Sub(k.taken))
+	}
+	k.read()
+}
+
+func (k *Taken) read() {
 	k.entry.prompt -= k.prompt
 	k.prompt = 0
 }
 
 // Release gives the place back.
 func (k *Taken) Release() {
-	k.Read()
 	k.table.mu.Lock()
 	defer k.table.mu.Unlock()
+	k.read()
 	k.entry.runs--
+	k.entry.memory -= k.tokens
+	k.tokens = 0
 }
 
 // Down returns a channel that is closed when the server is found down after the place was taken.
@@ -204,16 +236,18 @@
 // ChooseCopy picks a server for the copy of a run, in another failure domain than the run's; nil if there is none.
 //
 // Of a run outside this VM's failure domain the copy is kept inside, so that one of both is reached when it is cut off.
-func (t *Table) ChooseCopy(run Server, tokens int, avoid []string, now time.Time) *Copy {
+// A server without room gets none: there it would push out a run.
+func (t *Table) ChooseCopy(run Server, tokens int, room Room, avoid []string, now time.Time) *Copy {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var best *entry
 	bestCost := 0.0
+	spread := t.spread(run.Service, int(copyShare*float64(tokens)), now)
 	for _, e := range t.services[run.Service] {
-		if e.ID == run.ID || !e.open(now) || t.out(e, now) || slices.Contains(avoid, e.ID) {
+		if !t.keepsCopy(e, run, avoid, now) || !room.remembers(e) {
 			continue
 		}
-		cost := e.load() + 100*rand.Float64()
+		cost := e.load() + spread*rand.Float64()
 		if e.FailureDomain == run.FailureDomain {
 			cost += sameDomainTokens
 		}
--- a/internal/fleet/gladefleet/server.go
+++ b/internal/fleet/gladefleet/server.go
@@ -41,8 +41,9 @@
 	hash uint64
 	// gone tells since when the store no longer lists the server.
 	gone time.Time
-	// runs, prompt and copies are what this VM has there: requests, tokens of prompts not yet read, tokens of copies.
-	runs, prompt, copies int
+	// runs, prompt, memory and copies are what this VM has there: requests, tokens of prompts not yet read, tokens that
+	// its runs and copies of other runs take up.
+	runs, prompt, memory, copies int
 	// peers are the loads that other VMs told, by VM.
 	peers map[string]Share
 	// failed tells that the server accepted no connection and has not been heard since; outage is when to try it.
@@ -62,6 +63,7 @@
 type Share struct {
 	Runs   int `json:"runs,omitempty"`
 	Prompt int `json:"prompt,omitempty"`
+	Memory int `json:"memory,omitempty"`
 	Copies int `json:"copies,omitempty"`
 }
 
--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -40,6 +40,9 @@
 	services map[string][]*entry
 	// domains holds the failures of late by failure domain.
 	domains map[string]*domain
+	// crashed is when a server failed last, and speeds how many tokens servers read in a second, by service.
+	crashed map[string]time.Time
+	speeds  map[string]float64
 }
 
 // domain is what this VM knows of one service's servers in one failure domain.
@@ -61,7 +64,10 @@
 
 // New returns an empty table.
 func New(c Config) *Table {
-	return &Table{config: c, servers: map[string]*entry{}, services: map[string][]*entry{}, domains: map[string]*domain{}}
+	return &Table{
+		config: c, servers: map[string]*entry{}, services: map[string][]*entry{}, domains: map[string]*domain{},
+		crashed: map[string]time.Time{}, speeds: map[string]float64{},
+	}
 }
 
 // Put takes in a listed server and reports whether that changes anything.
@@ -203,6 +209,7 @@
 	}
 	d.last = now
 	d.count++
+	t.crashed[e.Service] = now
 	if !d.doubtful(now) {
 		return true, nil
 	}
@@ -276,7 +283,7 @@
 	shares := map[string]Share{}
 	for id, e := range t.servers {
 		if e.runs > 0 || e.copies > 0 {
-			shares[id] = Share{Runs: e.runs, Prompt: e.prompt, Copies: e.copies}
+			shares[id] = Share{Runs: e.runs, Prompt: e.prompt, Memory: e.memory, Copies: e.copies}
 		}
 	}
 	return shares
--- a/internal/fleet/gladefleet/table_test.go
+++ b/internal/fleet/gladefleet/table_test.go
@@ -79,7 +79,7 @@
 	for i := range 20 {
 		k := choose(c, table, Need{Prompt: 5000, Session: uint64(i)}, now)
 		c.Assert(k.FailureDomain, qt.Not(qt.Equals), "shubra")
-		copied := table.ChooseCopy(k.Server, 5000, nil, now)
+		copied := table.ChooseCopy(k.Server, 5000, Room{}, nil, now)
 		c.Assert(copied.FailureDomain, qt.Not(qt.Equals), "shubra")
 		c.Assert(copied.FailureDomain, qt.Not(qt.Equals), k.FailureDomain)
 	}
@@ -120,7 +120,7 @@
 	table := pool(6)
 	for i := range 40 {
 		k := choose(c, table, Need{Prompt: 5000, Session: uint64(i)}, start)
-		copied := table.ChooseCopy(k.Server, 5000, nil, start)
+		copied := table.ChooseCopy(k.Server, 5000, Room{}, nil, start)
 		c.Assert(copied.FailureDomain, qt.Not(qt.Equals), k.FailureDomain)
 		c.Assert(slices.Contains([]string{k.FailureDomain, copied.FailureDomain}, "shubra"), qt.IsTrue)
 	}
@@ -131,7 +131,7 @@
 		}
 	}
 	k := choose(c, table, Need{Prompt: 5000}, start)
-	copied := table.ChooseCopy(k.Server, 5000, nil, start)
+	copied := table.ChooseCopy(k.Server, 5000, Room{}, nil, start)
 	c.Assert(k.FailureDomain, qt.Equals, "shubra")
 	c.Assert(copied.FailureDomain, qt.Equals, "shubra")
 	c.Assert(copied.ID, qt.Not(qt.Equals), k.ID)
@@ -148,7 +148,7 @@
 	table.Put(s, start) // a stale entry does not bring it back
 	_, err := table.Choose(Need{Service: engines}, start)
 	c.Assert(err, qt.ErrorIs, ErrNoServer)
-	_, err = table.Take(s.ID, start)
+	_, err = table.Take(s.ID, 0, start)
 	c.Assert(err, qt.ErrorIs, ErrNoServer)
 	s.Started = 2 // a new life does
 	table.Put(s, start)
@@ -232,9 +232,9 @@
 	c := qt.New(t)
 	table := pool(1)
 	k := choose(c, table, Need{Prompt: 5000}, start)
-	copied := table.ChooseCopy(k.Server, 5000, nil, start)
+	copied := table.ChooseCopy(k.Server, 5000, Room{}, nil, start)
 	c.Assert(table.Shares(), qt.HasLen, 2)
-	k.Read()
+	k.Read(start)
 	c.Assert(table.Shares()[k.ID], qt.Equals, Share{Runs: 1})
 	k.Release()
 	copied.Release()
--- a/internal/proxy/gladeforward/copies.go
+++ b/internal/proxy/gladeforward/copies.go
@@ -50,7 +50,7 @@
 	if lost {
 		a.copy.Release()
 		a.copy, a.from = nil, ""
-		target = a.config.Fleet.ChooseCopy(a.place.Server, a.call.PromptTokens, slices.Concat(a.avoid, a.refused), now)
+		target = a.config.Fleet.ChooseCopy(a.place.Server, a.tokens(), a.room(), slices.Concat(a.avoid, a.refused), now)
 	}
 	a.nextCopy = now.Add(copyEvery)
 	if target == nil {
@@ -123,7 +123,7 @@
 	if best == "" {
 		return nil
 	}
-	place, err := s.config.Fleet.Take(best, now)
+	place, err := s.config.Fleet.Take(best, s.tokens(), now)
 	if err != nil {
 		return nil // it went down meanwhile; the best server will do
 	}
--- a/internal/proxy/gladeforward/forward_test.go
+++ b/internal/proxy/gladeforward/forward_test.go
@@ -74,6 +74,7 @@
 	network   *gladewire.Network
 	fleet     *gladefleet.Table
 	forwarder *Forwarder
+	engine    *gladerelease.Engine
 	client    *http.Client
 	stopsAt   time.Time
 	closers   []func()
@@ -126,9 +127,10 @@
 	}
 	pool, closePool := gladesend.NewPool(gladesend.PoolConfig{Dial: dial})
 	w.closers = append(w.closers, closePool)
+	w.engine = &gladerelease.Engine{Copies: true}
 	release := &gladerelease.Release{
 		Version: 1, Limits: gladerelease.DefaultLimits, Restricted: true,
-		Services:      map[string]gladerelease.Service{"llm": {Engine: &gladerelease.Engine{Copies: true}}, "app": {}},
+		Services:      map[string]gladerelease.Service{"llm": {Engine: w.engine}, "app": {}},
 		Organisations: map[string]gladerelease.Organisation{"key": {Name: "lab"}},
 		Routes: []gladerelease.Route{
 			{Name: "credits", Host: "h", PathPrefix: "/unsafe/", Kind: gladerelease.Unsafe, Attempts: 1, Shares: []gladerelease.Share{{Service: "app", Weight: 1}}},
--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
 	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladebudget"
+	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladeline"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladesend"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladeserve"
@@ -75,12 +76,17 @@
 
 	mu      sync.Mutex
 	probing map[string]bool
-	tasks   sync.WaitGroup
+	// lines hold the requests that wait for room, by service.
+	lines map[string]*gladeline.Line
+	tasks sync.WaitGroup
 }
 
 // New returns a forwarder and its clean-up function, which ends its probes.
 func New(c Config) (*Forwarder, func()) {
-	f := &Forwarder{config: c, began: time.Now(), held: held{answers: map[string]heldAnswer{}}, probing: map[string]bool{}}
+	f := &Forwarder{
+		config: c, began: time.Now(), held: held{answers: map[string]heldAnswer{}}, probing: map[string]bool{},
+		lines: map[string]*gladeline.Line{},
+	}
 	done := make(chan struct{})
 	f.tasks.Go(func() {
 		ticker := time.NewTicker(dueEvery)
@@ -205,7 +211,7 @@
 	j.sends++
 	return &gladesend.Send{
 		Server: s.ID, Address: s.Address, Organisation: j.organisation, LastEvent: j.call.LastEvent,
-		Limited: true, Left: time.Until(j.deadline),
+		Limited: true, Left: time.Until(j.deadline), Urgency: j.urgency(), Ranked: j.release.Services[j.service].Engine != nil,
 	}
 }
 
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -67,7 +67,6 @@
 		if place == nil {
 			return
 		}
-		s.dropCopy()
 		end := s.attempt(place, from)
 		place.Release()
 		j.config.Changed()
@@ -108,29 +107,41 @@
 	return false
 }
 
-// next takes a place for the next attempt: at the copy of the run, or at the best server.
+// next takes a place for the next attempt, at the copy of the run or at the best server, and one for the run's new copy.
 func (s *stream) next() (*gladefleet.Taken, string) {
-	now := time.Now()
+	room := s.room()
 	if s.copy != nil {
-		if place, err := s.config.Fleet.Take(s.copy.ID, now); err == nil {
-			return place, s.from
+		place, err := s.config.Fleet.Take(s.copy.ID, s.tokens(), time.Now())
+		from := s.from
+		s.dropCopy()
+		if err == nil {
+			s.copyFor(place, room)
+			return place, from
 		}
 	}
 	if place := s.holder(); place != nil {
+		s.copyFor(place, room)
 		return place, ""
 	}
-	need := gladefleet.Need{Service: s.service, Prompt: max(1, s.call.PromptTokens), Session: s.session(), Avoid: s.avoid}
-	place, err := s.config.Fleet.Choose(need, now)
-	if err != nil && len(s.avoid) > 0 {
-		s.avoid = nil // all have failed once; the first may be back
-		need.Avoid = nil
-		place, err = s.config.Fleet.Choose(need, now)
+	need := gladefleet.Need{
+		Service: s.service, Prompt: max(1, s.call.PromptTokens), Tokens: s.tokens(), Session: s.session(), Avoid: s.avoid, Room: room,
 	}
-	if err != nil {
+	place, err := s.place(need)
+	if errors.Is(err, gladefleet.ErrNoServer) && len(s.avoid) > 0 {
+		s.avoid, need.Avoid = nil, nil // all have failed once; the first may be back
+		place, err = s.place(need)
+	}
+	switch {
+	case err == nil:
+		return place, ""
+	case s.ctx.Err() != nil:
+		s.log("Caller left.", "sends", s.sends, "last", s.last)
+	case errors.Is(err, gladefleet.ErrFull) && !s.ran:
+		s.refuse(http.StatusServiceUnavailable, "no room", s.returnAfter())
+	default:
 		s.unserved("no backend server")
-		return nil, ""
 	}
-	return place, ""
+	return nil, ""
 }
 
 // item is what the reader of an attempt passes on: the answer's header, an event, or the end.
@@ -147,16 +158,12 @@
 	send := s.send(place.Server)
 	send.LastEvent, send.From = s.last, from
 	copyID := ""
-	if s.copies() {
-		s.copy = s.config.Fleet.ChooseCopy(place.Server, s.call.PromptTokens, s.avoid, time.Now())
-	}
 	if s.copy != nil {
 		send.Copy, copyID = s.copy.Address, s.copy.ID
-		s.from = s.config.CopyOf(s.copy.Address, s.call.ID)
 	}
 	s.config.Changed()
 	s.log("Sent.", "server", place.ID, "reason", place.Reason, "send", s.sends, "copy", copyID, "from", from, "last", s.last,
-		"leftMs", send.Left.Milliseconds())
+		"leftMs", send.Left.Milliseconds(), "runs", place.Load.Runs, "unread", place.Load.Unread, "filled", place.Load.Filled)
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	items := make(chan item)
@@ -366,7 +373,7 @@
 	a.heard = now
 	a.config.Fleet.Heard(a.place.ID, now)
 	if a.got++; a.got == 1 {
-		a.place.Read()
+		a.place.Read(now)
 		a.config.Changed()
 	}
 	if e.id != gladesend.NoEvent && e.id <= a.last {
--- a/internal/proxy/gladesend/call.go
+++ b/internal/proxy/gladesend/call.go
@@ -21,6 +21,8 @@
 	LastEvent int64
 	// PromptTokens is the size of the prompt that the client gives, zero for plain services.
 	PromptTokens int
+	// OutputTokens is the most that the client lets the answer have, OutputHint what it expects, zero if it does not.
+	OutputTokens, OutputHint int
 	// Session identifies the last part of the prompt.
 	Session string
 	// Header holds what goes on unchanged.
@@ -47,6 +49,9 @@
 	Left      time.Duration
 	Limited   bool
 	LastEvent int64
+	// Urgency tells which requests go first on a server, zero before all others, if Ranked.
+	Urgency int
+	Ranked  bool
 	// Copy is the address of the server that receives a copy of the run's memory, if any.
 	Copy string
 	// From names the copy to go on from, if any.
--- a/internal/state/gladerelease/release.go
+++ b/internal/state/gladerelease/release.go
@@ -106,8 +106,10 @@
 
 // Organisation is the holder of an API key.
 type Organisation struct {
-	Name     string `json:"name"`
-	Priority int    `json:"priority"`
+	Name string `json:"name"`
+	// Priority holds for the organisation's requests in place of their routes', if Prioritised.
+	Priority    int  `json:"priority"`
+	Prioritised bool `json:"prioritised"`
 }
 
 // Release is one version of the configuration.
