Tell each failure domain what the others have on its servers

Cause: beyond 40 VMs shares stay in the failure domain, so nobody knew of the runs and copies that other failure domains place there, and room was counted from a part of the load. Shares and the feed also had the same twenty lines for datagrams, and a release told by a peer in the instant before the feed is open would have met a nil feed.

Change: the first reader of each failure domain sends the sum of its domain's shares to the first readers of the others twice a second; these pass it on at home. Bytes between failure domains grow with the domains, not the VMs. gladedatagram serves both users of datagrams.

--- a/internal/fleet/gladefleet/server.go
+++ b/internal/fleet/gladefleet/server.go
@@ -67,6 +67,11 @@
 	Copies int `json:"copies,omitempty"`
 }
 
+// Plus returns the sum of two shares.
+func (s Share) Plus(o Share) Share {
+	return Share{Runs: s.Runs + o.Runs, Prompt: s.Prompt + o.Prompt, Memory: s.Memory + o.Memory, Copies: s.Copies + o.Copies}
+}
+
 // due reports whether a failed server should be tried again.
 func (e *entry) due(now time.Time) bool {
 	return e.failed && !now.Before(e.outage)
--- a/internal/fleet/gladeshare/share.go
+++ b/internal/fleet/gladeshare/share.go
@@ -1,9 +1,6 @@
 package gladeshare
 
 import (
-	"context"
-	"encoding/json"
-	"net"
 	"sync"
 	"time"
 
@@ -12,6 +9,7 @@
 
 	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladebudget"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladedatagram"
 )
 
 const (
@@ -21,17 +19,22 @@
 	settle = 15 * time.Millisecond
 	// forgetAfter is the silence after which a VM counts for nothing.
 	forgetAfter = 3 * time.Second
-	// maxDatagram bounds a datagram, in bytes; some hundred servers fit.
-	maxDatagram = 60 << 10
+	// totalsEvery is how often the sum of a failure domain's shares goes to the others: runs last for seconds, and the
+	// bytes between failure domains are few.
+	totalsEvery = 500 * time.Millisecond
 )
 
 // Config configures a Sharer.
 type Config struct {
 	// VM names this VM, Address is where it listens.
 	VM, Address string
+	// FailureDomain is where this VM is.
+	FailureDomain string
 	// Peers returns the addresses of the other VMs to tell.
 	Peers func() []string
-	Table *gladefleet.Table
+	// Bridges returns, at one VM of each failure domain, the addresses of such VMs of the others that Peers leaves out.
+	Bridges func() []string
+	Table   *gladefleet.Table
 	// Budget is pooled with the peers that are heard.
 	Budget *gladebudget.Budget
 	Log    hclog.Logger
@@ -40,17 +43,20 @@
 // Sharer exchanges shares.
 type Sharer struct {
 	config  Config
-	socket  net.PacketConn
+	socket  *gladedatagram.Socket[datagram]
 	changed chan struct{}
 
 	mu    sync.Mutex
 	peers map[string]*peer
 }
 
-// peer is a VM that was heard; sequence is that of its newest datagram.
+// peer is a VM, or a whole failure domain, that was heard.
 type peer struct {
+	// vm told it; began and sequence are those of its newest datagram.
+	vm              string
 	began, sequence int64
 	heard           time.Time
+	shares          map[string]gladefleet.Share
 }
 
 // datagram is what one VM tells; Began tells its starts apart.
@@ -59,24 +65,44 @@
 	Began    int64                       `json:"began"`
 	Sequence int64                       `json:"sequence"`
 	Shares   map[string]gladefleet.Share `json:"shares"`
+	// FailureDomain is set if the shares are the sum of all VMs there, Relayed if another VM passed that on.
+	FailureDomain string `json:"failureDomain,omitempty"`
+	Relayed       bool   `json:"relayed,omitempty"`
 	// Counts are the requests and repeats by service.
-	Counts map[string]gladebudget.Counts `json:"counts"`
+	Counts map[string]gladebudget.Counts `json:"counts,omitempty"`
+}
+
+// from names whose shares a datagram holds.
+func (d *datagram) from() string {
+	if d.FailureDomain != "" {
+		return "all of " + d.FailureDomain
+	}
+	return d.VM
 }
 
 // New opens the socket, starts exchanging and returns the clean-up function.
 func New(c Config) (*Sharer, func(), error) {
-	socket, err := (&net.ListenConfig{}).ListenPacket(context.Background(), "udp", c.Address)
+	s := &Sharer{config: c, changed: make(chan struct{}, 1), peers: map[string]*peer{}}
+	ready := make(chan struct{})
+	socket, closeSocket, err := gladedatagram.Open(gladedatagram.Config[datagram]{
+		Address: c.Address, Log: c.Log,
+		OnReceive: func(in datagram) {
+			<-ready
+			s.receive(&in)
+		},
+	})
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "socket of shares")
 	}
-	s := &Sharer{config: c, socket: socket, changed: make(chan struct{}, 1), peers: map[string]*peer{}}
+	s.socket = socket
+	close(ready)
 	done := make(chan struct{})
 	var tasks sync.WaitGroup
-	tasks.Go(s.receive)
+	began := time.Now().UnixNano()
 	tasks.Go(func() {
 		ticker := time.NewTicker(interval)
 		defer ticker.Stop()
-		out := datagram{VM: c.VM, Began: time.Now().UnixNano()}
+		out := datagram{VM: c.VM, Began: began}
 		for {
 			select {
 			case <-done:
@@ -88,13 +114,30 @@
 			}
 			out.Sequence++
 			out.Shares, out.Counts = c.Table.Shares(), c.Budget.Counts(time.Now())
-			s.send(out)
+			s.send(out, c.Peers())
+		}
+	})
+	tasks.Go(func() {
+		ticker := time.NewTicker(totalsEvery)
+		defer ticker.Stop()
+		out := datagram{VM: c.VM, Began: began, FailureDomain: c.FailureDomain}
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+			}
+			if bridges := c.Bridges(); len(bridges) > 0 {
+				out.Sequence++
+				out.Shares = s.total()
+				s.send(out, bridges)
+			}
 		}
 	})
 	return s, func() {
 		close(done)
-		_ = socket.Close()
 		tasks.Wait()
+		closeSocket()
 	}, nil
 }
 
@@ -106,66 +149,67 @@
 	}
 }
 
-func (s *Sharer) send(out datagram) {
-	raw, err := json.Marshal(out)
-	if err != nil || len(raw) > maxDatagram {
-		s.config.Log.Error("Shares not told.", "bytes", len(raw), "reason", err)
-		return
+func (s *Sharer) send(out datagram, addresses []string) {
+	if err := s.socket.Send(out, addresses); err != nil {
+		s.config.Log.Error("Shares not told.", "servers", len(out.Shares), "reason", err)
 	}
-	for _, address := range s.config.Peers() {
-		to, err := net.ResolveUDPAddr("udp", address)
-		if err != nil {
-			s.config.Log.Error("Shares not told.", "peer", address, "reason", err)
-			continue
-		}
-		// A lost datagram is made good by the next one, so the error needs no more than a line.
-		if _, err := s.socket.WriteTo(raw, to); err != nil {
-			s.config.Log.Debug("Shares not told.", "peer", address, "reason", err)
-		}
+}
+
+// receive takes in a datagram, and passes the sum of another failure domain on to the own one.
+func (s *Sharer) receive(in *datagram) {
+	if !s.take(in, time.Now()) || in.FailureDomain == "" || in.Relayed {
+		return
 	}
+	relayed := *in
+	relayed.Relayed = true
+	s.send(relayed, s.config.Peers())
 }
 
-func (s *Sharer) receive() {
-	b := make([]byte, maxDatagram)
-	for {
-		n, _, err := s.socket.ReadFrom(b)
-		if err != nil {
-			if eris.Is(err, net.ErrClosed) {
-				return
-			}
-			continue
-		}
-		var in datagram
-		if err := json.Unmarshal(b[:n], &in); err != nil {
-			s.config.Log.Warn("Shares cannot be read.", "reason", err)
-			continue
-		}
-		s.take(&in, time.Now())
+// take takes in a datagram unless a newer one of its VM is known, and reports whether it did.
+func (s *Sharer) take(in *datagram, now time.Time) bool {
+	if in.FailureDomain != "" && in.FailureDomain == s.config.FailureDomain {
+		return false // its VMs tell more
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from := in.from()
+	p := s.peers[from]
+	if p != nil && p.vm == in.VM && (in.Began < p.began || in.Began == p.began && in.Sequence <= p.sequence) {
+		return false
 	}
+	s.peers[from] = &peer{vm: in.VM, began: in.Began, sequence: in.Sequence, heard: now, shares: in.Shares}
+	s.config.Table.SetPeer(from, in.Shares)
+	if in.FailureDomain == "" {
+		s.config.Budget.SetPeer(from, in.Counts)
+	}
+	return true
 }
 
-// take takes in a datagram unless a newer one of its VM is known.
-func (s *Sharer) take(in *datagram, now time.Time) {
+// total returns what all VMs of this failure domain have on the servers.
+func (s *Sharer) total() map[string]gladefleet.Share {
+	total := s.config.Table.Shares()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.peers[in.VM]
-	if p != nil && (in.Began < p.began || in.Began == p.began && in.Sequence <= p.sequence) {
-		return
+	for from, p := range s.peers {
+		if from != p.vm {
+			continue // another failure domain's sum
+		}
+		for id, share := range p.shares {
+			total[id] = total[id].Plus(share)
+		}
 	}
-	s.peers[in.VM] = &peer{began: in.Began, sequence: in.Sequence, heard: now}
-	s.config.Table.SetPeer(in.VM, in.Shares)
-	s.config.Budget.SetPeer(in.VM, in.Counts)
+	return total
 }
 
 // forget drops the shares of VMs that have fallen silent.
 func (s *Sharer) forget(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for vm, p := range s.peers {
+	for from, p := range s.peers {
 		if now.Sub(p.heard) > forgetAfter {
-			delete(s.peers, vm)
-			s.config.Table.SetPeer(vm, nil)
-			s.config.Budget.SetPeer(vm, nil)
+			delete(s.peers, from)
+			s.config.Table.SetPeer(from, nil)
+			s.config.Budget.SetPeer(from, nil)
 		}
 	}
 }
--- a/internal/fleet/gladeshare/share_test.go
+++ b/internal/fleet/gladeshare/share_test.go
@@ -1,6 +1,7 @@
 package gladeshare
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -51,10 +52,11 @@
 	open := func(vm string, own *gladefleet.Table, peers ...string) *Sharer {
 		s, closeSharer, err := New(Config{
 			VM: vm, Address: "127.0.0.1:0", Table: own, Budget: budget(), Log: hclog.NewNullLogger(), Peers: func() []string { return peers },
+			Bridges: func() []string { return nil },
 		})
 		c.Assert(err, qt.IsNil)
 		c.Cleanup(closeSharer)
-		address = s.socket.LocalAddr().String()
+		address = s.socket.Address()
 		return s
 	}
 	open("b", heard)
@@ -68,3 +70,64 @@
 	}
 	c.Assert(load(heard), qt.Equals, load(own))
 }
+
+// Pattern: a fleet so large that VMs hear only those of their own failure domain.  What the others place on its servers,
+// copies above all, has to count there too.
+func TestOtherDomainsCountByTheirSum(t *testing.T) {
+	c := qt.New(t)
+	var addresses []string
+	var mutex sync.Mutex
+	peers, bridges := map[string][]string{}, map[string][]string{}
+	of := func(m map[string][]string, vm string) []string {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return m[vm]
+	}
+	open := func(vm, domain string, own *gladefleet.Table) *Sharer {
+		s, closeSharer, err := New(Config{
+			VM: vm, FailureDomain: domain, Address: "127.0.0.1:0", Table: own, Budget: budget(), Log: hclog.NewNullLogger(),
+			Peers: func() []string { return of(peers, vm) }, Bridges: func() []string { return of(bridges, vm) },
+		})
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(closeSharer)
+		addresses = append(addresses, s.socket.Address())
+		return s
+	}
+	tables := map[string]*gladefleet.Table{}
+	sharers := map[string]*Sharer{}
+	for _, vm := range []string{"giza-1", "giza-2", "shubra-1", "shubra-2"} {
+		tables[vm] = table()
+		sharers[vm] = open(vm, vm[:len(vm)-2], tables[vm])
+	}
+	mutex.Lock()
+	peers["giza-1"], peers["giza-2"] = addresses[1:2], addresses[0:1]
+	peers["shubra-1"], peers["shubra-2"] = addresses[3:4], addresses[2:3]
+	bridges["giza-1"], bridges["shubra-1"] = addresses[2:3], addresses[0:1]
+	mutex.Unlock()
+	for _, vm := range []string{"giza-1", "giza-2"} {
+		_, err := tables[vm].Choose(gladefleet.Need{Service: "llm", Prompt: 5000}, time.Now())
+		c.Assert(err, qt.IsNil)
+	}
+	want := 2 * load(tables["giza-1"])
+	for i := 0; load(tables["shubra-2"]) != want && i < 300; i++ {
+		sharers["giza-2"].Changed()
+		time.Sleep(settle)
+	}
+	c.Assert(load(tables["shubra-2"]), qt.Equals, want)
+	c.Assert(load(tables["giza-1"]), qt.Equals, want) // nothing comes back
+}
+
+// Failure domains change the VM that tells their sum; the sum counts once.
+func TestSumsOfOneDomainReplaceEachOther(t *testing.T) {
+	c := qt.New(t)
+	s := &Sharer{config: Config{FailureDomain: "shubra", Table: table(), Budget: budget()}, peers: map[string]*peer{}}
+	tell := func(vm, domain string, began int64, prompt int) bool {
+		return s.take(&datagram{VM: vm, FailureDomain: domain, Began: began, Sequence: 1, Shares: map[string]gladefleet.Share{"a": {Prompt: prompt}}}, time.Now())
+	}
+	c.Assert(tell("g1", "giza", 5, 500), qt.IsTrue)
+	c.Assert(tell("g2", "giza", 3, 600), qt.IsTrue)
+	c.Assert(tell("s2", "shubra", 9, 900), qt.IsFalse)
+	c.Assert(load(s.config.Table), qt.Equals, 600.0)
+	tell("s3", "", 1, 50)
+	c.Assert(s.total()["a"].Prompt, qt.Equals, 50)
+}
--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -208,7 +208,9 @@
 	}
 	f.release.Store(r)
 	f.inForce = time.Now()
-	go f.feed.Tell(gladefeed.Update{Before: f.revision, Revision: f.revision, Release: r.Version})
+	if f.feed != nil { // a peer may tell a release before the feed is open
+		go f.feed.Tell(gladefeed.Update{Before: f.revision, Revision: f.revision, Release: r.Version})
+	}
 	f.log.Info("Release in force.", "release", r.Version, "from", from, "routes", len(r.Routes), "organisationKeys", len(r.Organisations))
 }
 
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -51,8 +51,8 @@
 		return err
 	}
 	sharer, closeSharer, err := gladeshare.New(gladeshare.Config{
-		VM: s.VM, Address: share, Peers: f.sharePeers, Table: f.fleet, Budget: f.budget,
-		Log: f.log.Named("shares"),
+		VM: s.VM, Address: share, FailureDomain: s.FailureDomain, Peers: f.sharePeers, Bridges: f.bridges,
+		Table: f.fleet, Budget: f.budget, Log: f.log.Named("shares"),
 	})
 	if err != nil {
 		return err
@@ -88,7 +88,9 @@
 	if err != nil {
 		return err
 	}
+	f.mu.Lock()
 	f.feed = feed
+	f.mu.Unlock()
 	f.cleanup(closeFeed)
 	return nil
 }
@@ -102,8 +104,8 @@
 	}
 }
 
-// wideVMs is the number of VMs up to which shares go to all of them; beyond it they stay in the failure domain, since
-// the bytes between failure domains grow with the square of the VMs.
+// wideVMs is the number of VMs up to which shares go to all of them; beyond it they stay in the failure domain, and their
+// sum goes to the others, since the bytes between failure domains would grow with the square of the VMs.
 const wideVMs = 40
 
 // sharePeers returns where shares go.
@@ -111,6 +113,30 @@
 	return f.peerAddresses(sharePort, f.vms() <= wideVMs)
 }
 
+// bridges returns where the sum of this failure domain's shares goes: to the first reader of each other one.
+func (f *Front) bridges() []string {
+	if f.vms() <= wideVMs || f.rank() > 0 {
+		return nil
+	}
+	first := map[string]gladepeer.Member{}
+	for _, m := range f.node.Members() {
+		if m.FailureDomain == f.config.Settings.FailureDomain || m.Leaving {
+			continue
+		}
+		o, ok := first[m.FailureDomain]
+		if !ok || gladepeer.Rendezvous(readerKey, m.Name) > gladepeer.Rendezvous(readerKey, o.Name) {
+			first[m.FailureDomain] = m
+		}
+	}
+	var addresses []string
+	for _, m := range first {
+		if address, err := after(m.PeerAddress, sharePort); err == nil { // an address that is none gets nothing
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 // firstPatience lets VMs that start together know each other before one of them reads; callers come seconds later.
 const firstPatience = 2 * time.Second
 
--- /dev/null
+++ b/internal/state/gladedatagram/socket.go
@@ -0,0 +1,91 @@
+package gladedatagram
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+)
+
+// ErrTooLarge means that a value does not fit into a datagram.
+var ErrTooLarge = eris.New("value does not fit into a datagram")
+
+// MaxBytes bounds a datagram: below the 64 KB of UDP; some hundred servers fit.
+const MaxBytes = 60 << 10
+
+// Config configures a Socket.
+type Config[T any] struct {
+	// Address is where this VM listens.
+	Address string
+	// OnReceive is called with each value that comes, one after the other.
+	OnReceive func(T)
+	Log       hclog.Logger
+}
+
+// Socket sends and receives values of one type.
+type Socket[T any] struct {
+	config Config[T]
+	conn   net.PacketConn
+}
+
+// Open opens a socket, starts receiving and returns the clean-up function.
+func Open[T any](c Config[T]) (*Socket[T], func(), error) {
+	conn, err := (&net.ListenConfig{}).ListenPacket(context.Background(), "udp", c.Address)
+	if err != nil {
+		return nil, nil, eris.Wrapf(err, "datagrams at %s", c.Address)
+	}
+	s := &Socket[T]{config: c, conn: conn}
+	var tasks sync.WaitGroup
+	tasks.Go(func() {
+		b := make([]byte, MaxBytes+1)
+		for {
+			n, from, err := conn.ReadFrom(b)
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err != nil {
+				continue // a datagram of before met a closed port
+			}
+			var v T
+			if err := json.Unmarshal(b[:n], &v); err != nil {
+				c.Log.Warn("Datagram cannot be read.", "peer", from, "bytes", n, "reason", err)
+				continue
+			}
+			c.OnReceive(v)
+		}
+	})
+	return s, func() {
+		_ = conn.Close()
+		tasks.Wait()
+	}, nil
+}
+
+// Address returns where the socket listens.
+func (s *Socket[T]) Address() string { return s.conn.LocalAddr().String() }
+
+// Send sends a value to each address; ErrTooLarge tells that it was sent to none.
+func (s *Socket[T]) Send(v T, addresses []string) error {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		return eris.Wrap(err, "datagram")
+	}
+	if len(raw) > MaxBytes {
+		return eris.Wrapf(ErrTooLarge, "%d bytes", len(raw))
+	}
+	for _, address := range addresses {
+		to, err := net.ResolveUDPAddr("udp", address)
+		if err != nil {
+			s.config.Log.Error("Datagram not sent.", "peer", address, "reason", err)
+			continue
+		}
+		// The next one makes up for a lost one, so the error needs no more than a line.
+		if _, err := s.conn.WriteTo(raw, to); err != nil {
+			s.config.Log.Debug("Datagram not sent.", "peer", address, "reason", err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/state/gladedatagram/socket_test.go
@@ -0,0 +1,47 @@
+package gladedatagram
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+)
+
+type value struct {
+	Text string `json:"text"`
+}
+
+func open(c *qt.C) (*Socket[value], <-chan value) {
+	got := make(chan value, 8)
+	s, closeSocket, err := Open(Config[value]{Address: "127.0.0.1:0", OnReceive: func(v value) { got <- v }, Log: hclog.NewNullLogger()})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(closeSocket)
+	return s, got
+}
+
+func TestValuesReachTheirAddresses(t *testing.T) {
+	c := qt.New(t)
+	a, _ := open(c)
+	b, got := open(c)
+	c.Assert(a.Send(value{Text: "x"}, []string{"no address", "127.0.0.1:1", b.Address()}), qt.IsNil)
+	c.Assert(<-got, qt.Equals, value{Text: "x"})
+	// What another program sends is passed over.
+	_, err := a.conn.WriteTo([]byte("{"), b.conn.LocalAddr())
+	c.Assert(err, qt.IsNil)
+	c.Assert(a.Send(value{Text: "y"}, []string{b.Address()}), qt.IsNil)
+	c.Assert(<-got, qt.Equals, value{Text: "y"})
+}
+
+func TestLargeValuesAreNotSent(t *testing.T) {
+	c := qt.New(t)
+	a, _ := open(c)
+	c.Assert(a.Send(value{Text: strings.Repeat("x", MaxBytes)}, nil), qt.ErrorIs, ErrTooLarge)
+}
+
+func TestTakenAddressIsAnError(t *testing.T) {
+	c := qt.New(t)
+	a, _ := open(c)
+	_, _, err := Open(Config[value]{Address: a.Address(), Log: hclog.NewNullLogger()})
+	c.Assert(err, qt.IsNotNil)
+}
--- a/internal/state/gladefeed/feed.go
+++ b/internal/state/gladefeed/feed.go
@@ -1,9 +1,7 @@
 package gladefeed
 
 import (
-	"context"
-	"encoding/json"
-	"net"
+	"errors"
 	"sync"
 	"time"
 
@@ -11,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladedatagram"
 )
 
 const (
@@ -26,8 +25,6 @@
 	tellers = 3
 	// trust is how long a reader is heard before a VM stops reading itself.
 	trust = time.Second
-	// maxDatagram bounds a datagram, in bytes; what does not fit is asked for.
-	maxDatagram = 48 << 10
 )
 
 // Change is a server that is listed, or the identifier of one that is no longer.
@@ -66,7 +63,7 @@
 // Feed tells and hears updates.
 type Feed struct {
 	config  Config
-	socket  net.PacketConn
+	socket  *gladedatagram.Socket[Update]
 	patient time.Time
 
 	mu sync.Mutex
@@ -76,14 +73,14 @@
 
 // New opens the socket, starts telling and hearing, and returns the clean-up function.
 func New(c Config) (*Feed, func(), error) {
-	socket, err := (&net.ListenConfig{}).ListenPacket(context.Background(), "udp", c.Address)
+	f := &Feed{config: c, patient: time.Now().Add(c.Patience)}
+	socket, closeSocket, err := gladedatagram.Open(gladedatagram.Config[Update]{Address: c.Address, OnReceive: f.receive, Log: c.Log})
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "socket of the feed")
 	}
-	f := &Feed{config: c, socket: socket, patient: time.Now().Add(c.Patience)}
+	f.socket = socket
 	done := make(chan struct{})
 	var tasks sync.WaitGroup
-	tasks.Go(f.receive)
 	tasks.Go(func() {
 		ticker := time.NewTicker(beat)
 		defer ticker.Stop()
@@ -100,8 +97,8 @@
 	})
 	return f, func() {
 		close(done)
-		_ = socket.Close()
 		tasks.Wait()
+		closeSocket()
 	}, nil
 }
 
@@ -111,46 +108,20 @@
 		return
 	}
 	u.VM = f.config.VM
-	raw, err := json.Marshal(u)
-	if err == nil && len(raw) > maxDatagram {
+	peers := f.config.Peers()
+	err := f.socket.Send(u, peers)
+	if errors.Is(err, gladedatagram.ErrTooLarge) { // the receivers ask for what they miss
 		u.Before, u.Changes = u.Revision, nil
-		raw, err = json.Marshal(u)
+		err = f.socket.Send(u, peers)
 	}
 	if err != nil {
 		f.config.Log.Error("Update not told.", "revision", u.Revision, "reason", err)
-		return
-	}
-	for _, address := range f.config.Peers() {
-		to, err := net.ResolveUDPAddr("udp", address)
-		if err != nil {
-			f.config.Log.Error("Update not told.", "peer", address, "reason", err)
-			continue
-		}
-		// The next beat shows the receiver what it has missed.
-		if _, err := f.socket.WriteTo(raw, to); err != nil {
-			f.config.Log.Debug("Update not told.", "peer", address, "reason", err)
-		}
 	}
 }
 
-func (f *Feed) receive() {
-	b := make([]byte, maxDatagram+1)
-	for {
-		n, _, err := f.socket.ReadFrom(b)
-		if err != nil {
-			if eris.Is(err, net.ErrClosed) {
-				return
-			}
-			continue
-		}
-		var u Update
-		if err := json.Unmarshal(b[:n], &u); err != nil {
-			f.config.Log.Warn("Update cannot be read.", "reason", err)
-			continue
-		}
-		f.hear(time.Now())
-		f.config.OnUpdate(u)
-	}
+func (f *Feed) receive(u Update) {
+	f.hear(time.Now())
+	f.config.OnUpdate(u)
 }
 
 func (f *Feed) hear(now time.Time) {
