Pass on no request whose connection was closed as idle

The request was read from the buffer all the same, sent to a server, and cut. Between the last look at what is busy and the end of the process the same could happen to a connection that was accepted late.

Change: a connection that was closed as idle begins no request; End decides under one lock that nothing is under way and that nothing begins any more.

Test: TestRequestThatCrossesTheCloseGoesNowhere closes in just that instant; it fails without the change.

--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -313,11 +313,8 @@
 		if time.Since(began) > grace-lastCall {
 			f.server.Close()
 		}
-		if time.Since(began) > rotationTime {
-			f.server.CloseIdle()
-			if f.server.Busy() == 0 {
-				break
-			}
+		if time.Since(began) > rotationTime && f.server.End() {
+			break
 		}
 		time.Sleep(stopPoll)
 	}
--- a/internal/proxy/gladeserve/conn.go
+++ b/internal/proxy/gladeserve/conn.go
@@ -35,8 +35,8 @@
 	parser *bufio.Reader
 
 	mu sync.Mutex
-	// idle tells that no byte of a next request has arrived.
-	idle bool
+	// idle tells that no byte of a next request has arrived, closed that the connection was closed while it was.
+	idle, closed bool
 }
 
 // newConn returns the state of an accepted connection.
@@ -65,30 +65,47 @@
 // errQuiet ends a connection on which no request has begun.
 var errQuiet = errors.New("connection ended between requests")
 
-func (c *conn) setIdle(idle bool) {
+// pause notes that no request is under way.
+func (c *conn) pause() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = idle
+	c.idle = true
 }
 
-// closeIdle closes the connection if no request has begun on it.
-func (c *conn) closeIdle() {
+// begin notes that a request has begun to arrive; it reports false if the connection was closed meanwhile, so that what
+// has arrived goes nowhere.
+func (c *conn) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle {
+	if c.closed {
+		return false
+	}
+	c.idle = false
+	return true
+}
+
+// closeIdle closes the connection if no request has begun on it, and reports whether it is closed.
+func (c *conn) closeIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle && !c.closed {
+		c.closed = true
 		_ = c.net.Close()
 	}
+	return c.closed
 }
 
 // next reads the next request with its body.
 func (c *conn) next() (*Exchange, error) {
 	limits := c.server.config.Limits()
-	c.setIdle(true)
+	c.pause()
 	_ = c.net.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, errQuiet
 	}
-	c.setIdle(false)
+	if !c.begin() {
+		return nil, errQuiet
+	}
 	began := time.Now()
 	_ = c.net.SetReadDeadline(began.Add(limits.HeaderTimeout))
 	head, err := readHead(c.reader, c.head[:0], limits.HeaderBytes)
--- a/internal/proxy/gladeserve/conn_test.go
+++ b/internal/proxy/gladeserve/conn_test.go
@@ -174,7 +174,7 @@
 		synctest.Wait()
 		c.Assert(s.Busy(), qt.Equals, 1)
 		s.Close()
-		s.CloseIdle()
+		s.End()
 		r, body, err := c.answer()
 		c.Assert(err, qt.IsNil)
 		c.Assert(body, qt.Equals, "/a ")
@@ -187,8 +187,79 @@
 		_, _, err := c.answer()
 		c.Assert(err, qt.IsNil)
 		synctest.Wait()
-		s.CloseIdle()
+		s.End()
 		_, err = c.reader.ReadByte()
 		c.Assert(err, qt.IsNotNil)
 	})
 }
+
+// crossing is a connection on which a request arrives in the instant in which the server closes its idle connections.
+type crossing struct {
+	net.Conn
+	end func()
+}
+
+// Read returns what has arrived after the server has closed the connection.
+func (c *crossing) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.end()
+	return n, err
+}
+
+// crossingListener accepts crossing connections.
+type crossingListener struct {
+	net.Listener
+	end func()
+}
+
+// Accept returns the next connection.
+func (l *crossingListener) Accept() (net.Conn, error) {
+	n, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &crossing{Conn: n, end: l.end}, nil
+}
+
+// Pattern: a VM stops under traffic.  A request whose connection is closed before it was noticed must not be passed on:
+// its caller could not know that it has run.
+func TestRequestThatCrossesTheCloseGoesNowhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := &gladewire.Network{}
+		l, err := network.Host("vm").Listen("tcp", "vm:80")
+		c.Assert(err, qt.IsNil)
+		var s *Server
+		handled := 0
+		s, closeServer := New(Config{
+			Listener: &crossingListener{Listener: l, end: func() { s.End() }},
+			Handle:   func(_ context.Context, x *Exchange) { handled++; x.Reply(http.StatusOK, http.Header{}, nil) },
+			Refused:  func(int, error) {}, Limits: func() gladerelease.Limits { return gladerelease.DefaultLimits },
+		})
+		defer closeServer()
+		conn, err := network.Host("caller").Dial(t.Context(), "tcp", "vm:80")
+		c.Assert(err, qt.IsNil)
+		_, err = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+		c.Assert(err, qt.IsNil)
+		_, err = io.ReadAll(conn)
+		c.Assert(err, qt.IsNil)
+		synctest.Wait()
+		c.Assert(handled, qt.Equals, 0)
+	})
+}
+
+// After the server has ended, a connection that was accepted late is closed and nothing is served.
+func TestEndIsFinal(t *testing.T) {
+	slow := func(ctx context.Context, x *Exchange) { time.Sleep(time.Second); echo(ctx, x) }
+	talk(t, slow, func(c *caller, s *Server) {
+		c.say(get)
+		synctest.Wait()
+		c.Assert(s.End(), qt.IsFalse)
+		_, _, err := c.answer()
+		c.Assert(err, qt.IsNil)
+		time.Sleep(time.Millisecond)
+		synctest.Wait()
+		c.Assert(s.End(), qt.IsTrue)
+		c.Assert(s.Busy(), qt.Equals, 0)
+	})
+}
--- a/internal/proxy/gladeserve/server.go
+++ b/internal/proxy/gladeserve/server.go
@@ -30,6 +30,8 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	// ended tells that nothing is served any more.
+	ended bool
 	tasks sync.WaitGroup
 }
 
@@ -58,8 +60,12 @@
 func (s *Server) serve(n net.Conn) {
 	c := newConn(s, n)
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		_ = n.Close()
+		return
+	}
 	s.conns[c] = struct{}{}
-	s.mu.Unlock()
 	s.tasks.Go(func() {
 		c.serve()
 		s.mu.Lock()
@@ -79,13 +85,18 @@
 	_ = s.config.Listener.Close()
 }
 
-// CloseIdle closes the connections on which no request has begun.
-func (s *Server) CloseIdle() {
+// End closes the connections on which no request has begun; it reports whether none is left, and then serves nothing
+// any more, so that the process can end without cutting a request.
+func (s *Server) End() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.ended = true
 	for c := range s.conns {
-		c.closeIdle()
+		if !c.closeIdle() {
+			s.ended = false
+		}
 	}
+	return s.ended
 }
 
 // Busy returns the number of connections on which a request is under way.
