Know the room of servers in wide fleets; tell only changed shares

Change: beyond 40 VMs the own domain's servers are used first; the sums name only the receiver's servers, each second, in paced parts of 1 KB; of servers elsewhere each domain has an equal part of the memory. Between two whole datagrams a VM tells only what has changed. Requests are counted by route, and the times of the store's lists have a histogram.

--- a/internal/fleet/gladefleet/choose.go
+++ b/internal/fleet/gladefleet/choose.go
@@ -1,7 +1,6 @@
 package gladefleet
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -100,11 +99,11 @@
 		if rank < bestStanding {
 			best, favourite, bestStanding, full = nil, nil, rank, false
 		}
-		if !n.Room.fits(e, n) {
+		if !n.Room.fits(e, n, t.openShare(e)) {
 			full = full || rank == sound
 			continue
 		}
-		load := t.cost(e) + spread*rand.Float64()
+		load := t.cost(e, spread, n.Prompt)
 		if best == nil || load < bestLoad {
 			best, bestLoad = e, load
 		}
@@ -141,17 +140,23 @@
 const sessionTokens = 600
 
 // cost is a server's load as this VM weighs it.
-func (t *Table) cost(e *entry) float64 {
-	cost := e.load()
+func (t *Table) cost(e *entry, spread float64, prompt int) float64 {
+	cost := t.blurred(e, spread, prompt)
 	if e.FailureDomain != t.config.FailureDomain {
 		cost += farTokens
 	}
+	if t.late(e) {
+		cost += lateTokens
+	}
 	if e.held() >= e.Slots {
 		cost += fullTokens
 	}
 	return cost
 }
 
+// lateTokens is what a server counts more whose load is known late: the own domain's are used as long as they have room.
+const lateTokens = 15000
+
 // fullTokens is what a server without a free slot counts more.
 const fullTokens = 20000
 
@@ -242,12 +247,13 @@
 	defer t.mu.Unlock()
 	var best *entry
 	bestCost := 0.0
-	spread := t.spread(run.Service, int(copyShare*float64(tokens)), now)
+	weight := int(copyShare * float64(tokens))
+	spread := t.spread(run.Service, weight, now)
 	for _, e := range t.services[run.Service] {
-		if !t.keepsCopy(e, run, avoid, now) || !room.remembers(e) {
+		if !t.keepsCopy(e, run, avoid, now) || !room.remembers(e, t.openShare(e)) {
 			continue
 		}
-		cost := e.load() + spread*rand.Float64()
+		cost := t.blurred(e, spread, weight)
 		if e.FailureDomain == run.FailureDomain {
 			cost += sameDomainTokens
 		}
--- a/internal/fleet/gladefleet/room.go
+++ b/internal/fleet/gladefleet/room.go
@@ -1,6 +1,7 @@
 package gladefleet
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -39,20 +40,53 @@
 	Unread, Filled int
 }
 
-// fits reports whether a server has room for a request.
-func (r Room) fits(e *entry, n Need) bool {
+// fits reports whether a server that is open to a share of its memory has room for a request.
+func (r Room) fits(e *entry, n Need, open float64) bool {
 	if r.Memory > 0 && e.Slots > 0 && e.held() >= e.Slots {
 		return false
 	}
 	if unread := e.unread(); r.Unread > 0 && unread > 0 && unread+n.Prompt > r.Unread {
 		return false
 	}
-	return r.remembers(e)
+	return r.remembers(e, open)
 }
 
-// remembers reports whether a server's memory has room for one more run or copy.
-func (r Room) remembers(e *entry) bool {
-	return r.Memory <= 0 || float64(e.filled()) <= openShare*float64(r.Memory)
+// remembers reports whether the memory of a server that is open to a share of it has room for one more run or copy.
+func (r Room) remembers(e *entry, open float64) bool {
+	return r.Memory <= 0 || float64(e.filled()) <= open*float64(r.Memory)
+}
+
+// SetWide tells whether the fleet is so large that of what other failure domains' VMs have on the servers only the sum on
+// the own domain's is known, and that late.
+func (t *Table) SetWide(wide bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.wide = wide
+}
+
+// KeepDomain drops the shares of servers outside a failure domain.
+func (t *Table) KeepDomain(shares map[string]Share, domain string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.DeleteFunc(shares, func(id string, _ Share) bool {
+		e := t.servers[id]
+		return e == nil || e.FailureDomain != domain
+	})
+}
+
+// late reports whether this VM does not learn what most other VMs place on a server: those of the server's own failure
+// domain.
+func (t *Table) late(e *entry) bool {
+	return t.wide && e.FailureDomain != t.config.FailureDomain
+}
+
+// openShare returns the share of its memory up to which a server takes one more run or copy; where only what the own
+// failure domain has there is known, each domain has an equal part.
+func (t *Table) openShare(e *entry) float64 {
+	if t.late(e) {
+		return openShare / float64(max(1, t.config.FailureDomains))
+	}
+	return openShare
 }
 
 // unread returns the tokens of prompts that wait to be read on a server.
@@ -119,12 +153,21 @@
 
 // spread is the largest random part of a server's load, in tokens, for a request that adds some itself.
 func (t *Table) spread(service string, tokens int, now time.Time) float64 {
-	if at, ok := t.crashed[service]; ok && now.Sub(at) < burstWindow {
+	if at, ok := t.herd[service]; ok && now.Sub(at) < burstWindow {
 		return max(minSpread, herdSpread*float64(tokens))
 	}
 	return minSpread
 }
 
+// blurred returns a server's load with a random part up to spread, so that VMs which see the same loads choose different
+// servers; where loads are known late they are blurred as after a crash.
+func (t *Table) blurred(e *entry, spread float64, tokens int) float64 {
+	if t.late(e) {
+		spread = max(spread, herdSpread*float64(tokens))
+	}
+	return e.load() + spread*rand.Float64()
+}
+
 // Crowded reports whether a place should be given up, because other VMs took room on the server at the same moment.
 //
 // Of those that took it together as many keep it as there is room for, by chance.
--- a/internal/fleet/gladefleet/room_test.go
+++ b/internal/fleet/gladefleet/room_test.go
@@ -154,3 +154,46 @@
 	k := choose(c, table, need(1, room), start)
 	c.Assert(table.Crowded(k, room), qt.IsFalse)
 }
+
+// Pattern: a fleet of a hundred VMs at full load.  What the VMs of other failure domains place at home is known half a
+// second late, so that their servers are left to them as long as the own ones have room, and a part of the memory with
+// them.
+func TestWideFleetKeepsToItsDomain(t *testing.T) {
+	c := qt.New(t)
+	room := Room{Memory: memory}
+	table := pool(2)
+	table.SetWide(true)
+	for i := range 2 * fillRuns {
+		k := choose(c, table, need(i, room), start)
+		c.Assert(k.FailureDomain, qt.Equals, "shubra")
+		k.Read(start.Add(time.Second))
+	}
+	far := 0
+	for ; ; far++ {
+		k, err := table.Choose(need(far, room), start)
+		if err != nil {
+			c.Assert(errors.Is(err, ErrFull), qt.IsTrue)
+			break
+		}
+		c.Assert(k.FailureDomain, qt.Not(qt.Equals), "shubra")
+	}
+	c.Assert(far > 0 && far < 4*fillRuns, qt.IsTrue, qt.Commentf("%d far away", far))
+}
+
+// Pattern: all VMs of a wide fleet see one engine elsewhere emptier than the others, for half a second.
+func TestWideFleetSpreadsCopies(t *testing.T) {
+	c := qt.New(t)
+	const vms, servers = 30, 12
+	copies := map[string]int{}
+	for range vms {
+		table := pool(servers)
+		table.SetWide(true)
+		for i := 1; i < servers; i++ {
+			table.SetPeer("all of giza", map[string]Share{fmt.Sprintf("giza-%d", i): {Copies: 6000}})
+		}
+		copies[table.ChooseCopy(server("shubra", 0), 6000, Room{Memory: memory}, nil, start).ID]++
+	}
+	for id, n := range copies {
+		c.Assert(n < vms/4, qt.IsTrue, qt.Commentf("%s has %d of %d copies", id, n, vms))
+	}
+}
--- a/internal/fleet/gladefleet/server.go
+++ b/internal/fleet/gladefleet/server.go
@@ -67,6 +67,18 @@
 	Copies int `json:"copies,omitempty"`
 }
 
+// setPeer takes in what another VM has on the server.
+func (e *entry) setPeer(vm string, s Share) {
+	switch {
+	case s == Share{}:
+		delete(e.peers, vm)
+	case e.peers == nil:
+		e.peers = map[string]Share{vm: s}
+	default:
+		e.peers[vm] = s
+	}
+}
+
 // Plus returns the sum of two shares.
 func (s Share) Plus(o Share) Share {
 	return Share{Runs: s.Runs + o.Runs, Prompt: s.Prompt + o.Prompt, Memory: s.Memory + o.Memory, Copies: s.Copies + o.Copies}
--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -29,6 +29,8 @@
 type Config struct {
 	// FailureDomain is where this VM is.
 	FailureDomain string
+	// FailureDomains is the number of failure domains.
+	FailureDomains int
 }
 
 // Table holds the known backend servers.
@@ -40,9 +42,12 @@
 	services map[string][]*entry
 	// domains holds the failures of late by failure domain.
 	domains map[string]*domain
-	// crashed is when a server failed last, and speeds how many tokens servers read in a second, by service.
-	crashed map[string]time.Time
-	speeds  map[string]float64
+	// crashed is when a server failed last, herd when several did together, and speeds how many tokens servers read in a
+	// second, by service.
+	crashed, herd map[string]time.Time
+	speeds        map[string]float64
+	// wide tells that what other failure domains' VMs place is known in part and late.
+	wide bool
 }
 
 // domain is what this VM knows of one service's servers in one failure domain.
@@ -66,7 +71,7 @@
 func New(c Config) *Table {
 	return &Table{
 		config: c, servers: map[string]*entry{}, services: map[string][]*entry{}, domains: map[string]*domain{},
-		crashed: map[string]time.Time{}, speeds: map[string]float64{},
+		crashed: map[string]time.Time{}, herd: map[string]time.Time{}, speeds: map[string]float64{},
 	}
 }
 
@@ -213,6 +218,7 @@
 	if !d.doubtful(now) {
 		return true, nil
 	}
+	t.herd[e.Service] = now
 	for _, o := range t.services[e.Service] {
 		if o.FailureDomain == e.FailureDomain && o.runs > 0 && !o.failed && !o.replaced && o.heard.Before(now.Add(-aliveFor)) {
 			doubtful = append(doubtful, o.Server)
@@ -264,15 +270,18 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, e := range t.servers {
-		s, ok := shares[id]
-		if !ok {
-			delete(e.peers, vm)
-			continue
-		}
-		if e.peers == nil {
-			e.peers = map[string]Share{}
+		e.setPeer(vm, shares[id])
+	}
+}
+
+// ChangePeer takes in what has changed of what another VM has on the servers.
+func (t *Table) ChangePeer(vm string, shares map[string]Share) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, s := range shares {
+		if e := t.servers[id]; e != nil {
+			e.setPeer(vm, s)
 		}
-		e.peers[vm] = s
 	}
 }
 
--- a/internal/fleet/gladeshare/share.go
+++ b/internal/fleet/gladeshare/share.go
@@ -1,6 +1,7 @@
 package gladeshare
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -13,15 +14,21 @@
 )
 
 const (
-	// interval is how often shares are told without a change, so that a lost datagram is soon made good.
+	// interval is how often all shares are told, so that a lost datagram is soon made good; in between only those that
+	// have changed are, since all of them at each change would fill a link of 10 Mbit/s under load.
 	interval = time.Second
 	// settle is the pause after a change in which further ones join it; a prompt is read in a second or more.
 	settle = 15 * time.Millisecond
 	// forgetAfter is the silence after which a VM counts for nothing.
 	forgetAfter = 3 * time.Second
-	// totalsEvery is how often the sum of a failure domain's shares goes to the others: runs last for seconds, and the
-	// bytes between failure domains are few.
-	totalsEvery = 500 * time.Millisecond
+	// totalsEvery is how often the sum of a failure domain's shares goes to the others: runs last for seconds, and the VM
+	// that passes it on at home may have a link of 10 Mbit/s.
+	totalsEvery = time.Second
+	// maxServers bounds the servers of one datagram, which then has about 1 KB: below what a link carries in one packet,
+	// since a datagram of several packets is lost with any of them.
+	maxServers = 14
+	// partPause is what a link of 10 Mbit/s needs for one part to each of some fifty neighbours, and as much again.
+	partPause = 90 * time.Millisecond
 )
 
 // Config configures a Sharer.
@@ -32,8 +39,9 @@
 	FailureDomain string
 	// Peers returns the addresses of the other VMs to tell.
 	Peers func() []string
-	// Bridges returns, at one VM of each failure domain, the addresses of such VMs of the others that Peers leaves out.
-	Bridges func() []string
+	// Bridges returns, at one VM of each failure domain, the addresses of such VMs by failure domain, if Peers leaves the
+	// others out.
+	Bridges func() map[string]string
 	Table   *gladefleet.Table
 	// Budget is pooled with the peers that are heard.
 	Budget *gladebudget.Budget
@@ -65,7 +73,10 @@
 	Began    int64                       `json:"began"`
 	Sequence int64                       `json:"sequence"`
 	Shares   map[string]gladefleet.Share `json:"shares"`
-	// FailureDomain is set if the shares are the sum of all VMs there, Relayed if another VM passed that on.
+	// Part tells that only the shares that have changed are there.
+	Part bool `json:"part,omitempty"`
+	// FailureDomain is set if the shares are the sum of all VMs there, on the receiver's servers, Relayed if another VM
+	// passed that on.
 	FailureDomain string `json:"failureDomain,omitempty"`
 	Relayed       bool   `json:"relayed,omitempty"`
 	// Counts are the requests and repeats by service.
@@ -99,41 +110,8 @@
 	done := make(chan struct{})
 	var tasks sync.WaitGroup
 	began := time.Now().UnixNano()
-	tasks.Go(func() {
-		ticker := time.NewTicker(interval)
-		defer ticker.Stop()
-		out := datagram{VM: c.VM, Began: began}
-		for {
-			select {
-			case <-done:
-				return
-			case <-s.changed:
-				time.Sleep(settle)
-			case <-ticker.C:
-				s.forget(time.Now())
-			}
-			out.Sequence++
-			out.Shares, out.Counts = c.Table.Shares(), c.Budget.Counts(time.Now())
-			s.send(out, c.Peers())
-		}
-	})
-	tasks.Go(func() {
-		ticker := time.NewTicker(totalsEvery)
-		defer ticker.Stop()
-		out := datagram{VM: c.VM, Began: began, FailureDomain: c.FailureDomain}
-		for {
-			select {
-			case <-done:
-				return
-			case <-ticker.C:
-			}
-			if bridges := c.Bridges(); len(bridges) > 0 {
-				out.Sequence++
-				out.Shares = s.total()
-				s.send(out, bridges)
-			}
-		}
-	})
+	tasks.Go(func() { s.tellShares(datagram{VM: c.VM, Began: began}, done) })
+	tasks.Go(func() { s.tellTotals(datagram{VM: c.VM, Began: began, FailureDomain: c.FailureDomain}, done) })
 	return s, func() {
 		close(done)
 		tasks.Wait()
@@ -141,6 +119,62 @@
 	}, nil
 }
 
+// tellShares tells this VM's shares until done is closed.
+func (s *Sharer) tellShares(out datagram, done <-chan struct{}) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	var told map[string]gladefleet.Share
+	for {
+		select {
+		case <-done:
+			return
+		case <-s.changed:
+			time.Sleep(settle)
+			shares := s.config.Table.Shares()
+			out.Part, out.Shares, out.Counts = true, changes(told, shares), nil
+			told = shares
+		case <-ticker.C:
+			s.forget(time.Now())
+			told = s.config.Table.Shares()
+			out.Part, out.Shares, out.Counts = false, told, s.config.Budget.Counts(time.Now())
+		}
+		out.Sequence = s.sendParts(out, s.config.Peers(), 0)
+	}
+}
+
+// tellTotals tells the sum of the failure domain's shares where this VM is its bridge, until done is closed.
+func (s *Sharer) tellTotals(out datagram, done <-chan struct{}) {
+	ticker := time.NewTicker(totalsEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+		}
+		for domain, bridge := range s.config.Bridges() {
+			out.Shares = s.total(domain)
+			out.Sequence = s.sendParts(out, []string{bridge}, partPause)
+		}
+	}
+}
+
+// changes returns the shares that differ from what was told before; what is no longer there is zero.
+func changes(told, shares map[string]gladefleet.Share) map[string]gladefleet.Share {
+	changed := map[string]gladefleet.Share{}
+	for id, share := range shares {
+		if told[id] != share {
+			changed[id] = share
+		}
+	}
+	for id := range told {
+		if _, ok := shares[id]; !ok {
+			changed[id] = gladefleet.Share{}
+		}
+	}
+	return changed
+}
+
 // Changed tells that this VM's shares have changed; it never blocks.
 func (s *Sharer) Changed() {
 	select {
@@ -149,6 +183,28 @@
 	}
 }
 
+// sendParts sends a datagram in as many as its servers need, with a pause after each, and returns the number of the last.
+func (s *Sharer) sendParts(out datagram, addresses []string, pause time.Duration) int64 {
+	shares := out.Shares
+	out.Shares = map[string]gladefleet.Share{}
+	flush := func() {
+		out.Sequence++
+		s.send(out, addresses)
+		out.Part, out.Counts, out.Shares = true, nil, map[string]gladefleet.Share{}
+		time.Sleep(pause)
+	}
+	for id, share := range shares {
+		out.Shares[id] = share
+		if len(out.Shares) == maxServers {
+			flush()
+		}
+	}
+	if len(out.Shares) > 0 || !out.Part {
+		flush()
+	}
+	return out.Sequence
+}
+
 func (s *Sharer) send(out datagram, addresses []string) {
 	if err := s.socket.Send(out, addresses); err != nil {
 		s.config.Log.Error("Shares not told.", "servers", len(out.Shares), "reason", err)
@@ -177,17 +233,26 @@
 	if p != nil && p.vm == in.VM && (in.Began < p.began || in.Began == p.began && in.Sequence <= p.sequence) {
 		return false
 	}
-	s.peers[from] = &peer{vm: in.VM, began: in.Began, sequence: in.Sequence, heard: now, shares: in.Shares}
-	s.config.Table.SetPeer(from, in.Shares)
-	if in.FailureDomain == "" {
+	shares := in.Shares
+	if in.Part && p != nil && p.began == in.Began {
+		shares = maps.Clone(p.shares)
+		maps.Copy(shares, in.Shares)
+		maps.DeleteFunc(shares, func(_ string, share gladefleet.Share) bool { return share == gladefleet.Share{} })
+		s.config.Table.ChangePeer(from, in.Shares)
+	} else {
+		s.config.Table.SetPeer(from, in.Shares)
+	}
+	s.peers[from] = &peer{vm: in.VM, began: in.Began, sequence: in.Sequence, heard: now, shares: shares}
+	if in.FailureDomain == "" && !in.Part {
 		s.config.Budget.SetPeer(from, in.Counts)
 	}
 	return true
 }
 
-// total returns what all VMs of this failure domain have on the servers.
-func (s *Sharer) total() map[string]gladefleet.Share {
+// total returns what all VMs of this failure domain have on the servers of another one, which its VMs use first.
+func (s *Sharer) total(domain string) map[string]gladefleet.Share {
 	total := s.config.Table.Shares()
+	defer s.config.Table.KeepDomain(total, domain)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for from, p := range s.peers {
--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -148,6 +148,7 @@
 		return
 	}
 	f.count("requests." + j.route.Kind.String())
+	f.count("route.requests." + j.route.Name)
 	f.config.Budget.Request(j.service, x.Received)
 	if j.route.Kind == gladerelease.Stream {
 		j.stream()
@@ -223,6 +224,7 @@
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
 	}
 	j.count("refused." + strconv.Itoa(status))
+	j.countRoute("refused")
 	j.log("Refused.", "status", status, "reason", reason, "retryAfter", after)
 	j.x.Reply(status, h, nil)
 }
@@ -230,6 +232,7 @@
 // fail answers a request that may have run, or breaks its answer off.
 func (j *job) fail(status int, reason string) {
 	j.count("failed." + strconv.Itoa(status))
+	j.countRoute("failed")
 	j.log("Failed.", "status", status, "reason", reason, "begun", j.x.Begun())
 	if j.x.Begun() {
 		return // the connection is closed without the answer's end
@@ -372,6 +375,13 @@
 	metrics.GetOrRegisterCounter(name, f.config.Metrics).Inc(1)
 }
 
+// countRoute counts an outcome by route, of requests that have one.
+func (j *job) countRoute(outcome string) {
+	if j.route != nil {
+		j.count("route." + outcome + "." + j.route.Name)
+	}
+}
+
 // sampleSize bounds the values kept for one histogram.
 const sampleSize = 256
 
--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -164,9 +164,16 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	f.count("store.list." + kind)
-	return store.List(ctx, kind, after)
+	began := time.Now()
+	page, err := store.List(ctx, kind, after)
+	h := metrics.GetOrRegisterHistogram("store.latency."+kind, f.metrics, metrics.NewUniformSample(latencySample))
+	h.Update(time.Since(began).Microseconds())
+	return page, err
 }
 
+// latencySample bounds the values kept of the times of the store's answers.
+const latencySample = 256
+
 func (f *Front) count(name string) {
 	metrics.GetOrRegisterCounter(name, f.metrics).Inc(1)
 }
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -94,7 +94,9 @@
 func New(c Config) (*Front, func(), error) {
 	f := &Front{
 		config: c, log: c.Log, metrics: metrics.NewRegistry(), lost: map[string]bool{},
-		fleet: gladefleet.New(gladefleet.Config{FailureDomain: c.Settings.FailureDomain}),
+		fleet: gladefleet.New(gladefleet.Config{
+			FailureDomain: c.Settings.FailureDomain, FailureDomains: len(c.Settings.FailureDomains),
+		}),
 	}
 	if err := f.open(); err != nil {
 		f.close()
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -110,11 +110,13 @@
 
 // sharePeers returns where shares go.
 func (f *Front) sharePeers() []string {
-	return f.peerAddresses(sharePort, f.vms() <= wideVMs)
+	wide := f.vms() > wideVMs
+	f.fleet.SetWide(wide)
+	return f.peerAddresses(sharePort, !wide)
 }
 
-// bridges returns where the sum of this failure domain's shares goes: to the first reader of each other one.
-func (f *Front) bridges() []string {
+// bridges returns where the sums of this failure domain's shares go: to the first reader of each other one.
+func (f *Front) bridges() map[string]string {
 	if f.vms() <= wideVMs || f.rank() > 0 {
 		return nil
 	}
@@ -128,10 +130,10 @@
 			first[m.FailureDomain] = m
 		}
 	}
-	var addresses []string
-	for _, m := range first {
+	addresses := map[string]string{}
+	for domain, m := range first {
 		if address, err := after(m.PeerAddress, sharePort); err == nil { // an address that is none gets nothing
-			addresses = append(addresses, address)
+			addresses[domain] = address
 		}
 	}
 	return addresses
