Start a stand-in server of the soak once

Change: a fault ends only the incarnation that it was meant for, and a start does nothing while one is running.

--- a/internal/proxy/gladesoak/fakes_test.go
+++ b/internal/proxy/gladesoak/fakes_test.go
@@ -150,20 +150,44 @@
 	id          string
 	server      *http.Server
 	leaving     time.Time
+	// running is set while an incarnation accepts connections.
+	running bool
+	faults  serverFaults
+}
+
+// serverFaults are the faults of a fakeServer that do not end its incarnation.
+type serverFaults struct {
 	// unresponsive makes it accept connections and answer nothing.
 	unresponsive bool
+	// endless makes it answer with one of endlessAnswers until the caller closes the connection.
+	endless bool
 	// failureShare is the share of requests that fail.
 	failureShare float64
 }
 
-// start starts an incarnation with a new identifier and registers it.
+// endlessAnswers holds the beginnings of answers and what follows them without end.
+var endlessAnswers = [][2]string{
+	{"", "junk"},
+	{"HTTP/1.1 200 OK\r\nA: ", "a"},
+	{"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+	{"", "HTTP/1.1 100 Continue\r\n\r\n"},
+	{"HTTP/1.1 200 OK\r\nAttempt-Id: %\r\nServer-Seal: seal\r\n\r\n", "id: x\n\n"},
+	{"HTTP/1.1 500 Error\r\nAttempt-Id: %\r\nServer-Seal: seal\r\n\r\n", "body"},
+	{"HTTP/1.1 200 OK\r\nAttempt-Id: %\r\nServer-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n", "3\r\n:\n\n\r\n"},
+}
+
+// start starts an incarnation with a new identifier and registers it, unless one is running.
 func (f *fakeServer) start() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.running {
+		return
+	}
 	l, err := net.Listen("tcp", f.address)
 	if err != nil {
 		panic(err)
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	f.running = true
 	f.incarnation++
 	f.id = fmt.Sprintf("i-%s-%d", strings.ReplaceAll(f.address, ":", "-"), f.incarnation)
 	f.leaving = time.Time{}
@@ -179,23 +203,41 @@
 	})
 }
 
-// crash ends the incarnation at once; its entry stays in the store for 1 s.
+// crash ends the current incarnation at once; its entry stays in the store for 1 s.
 func (f *fakeServer) crash() {
 	f.mu.Lock()
-	server, id := f.server, f.id
-	f.mu.Unlock()
-	_ = server.Close()
+	defer f.mu.Unlock()
+	f.end(f.incarnation)
+}
+
+// end ends an incarnation unless it has ended already.  The caller holds mu.
+func (f *fakeServer) end(incarnation int) {
+	if !f.running || f.incarnation != incarnation {
+		return
+	}
+	f.running = false
+	_ = f.server.Close()
+	id := f.id
 	time.AfterFunc(time.Second, func() { f.store.remove("servers", id) })
 }
 
-// leave marks the server as draining, and ends it 1 s after drainBound.
+// leave marks the server as draining, and ends it 1 s after drainBound; it does nothing if the server is not running.  A
+// crash may end the incarnation before.
 func (f *fakeServer) leave() {
 	f.mu.Lock()
-	f.register("draining")
-	f.leaving = time.Now()
+	incarnation, running := f.incarnation, f.running
+	if running {
+		f.register("draining")
+		f.leaving = time.Now()
+	}
 	f.mu.Unlock()
+	if !running {
+		return
+	}
 	time.Sleep(drainBound + time.Second)
-	f.crash()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.end(incarnation)
 }
 
 // drainBound is the time after which a leaving server must get no new requests.
@@ -205,11 +247,16 @@
 func (f *fakeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	f.mu.Lock()
-	id, unresponsive, failureShare, leaving := f.id, f.unresponsive, f.failureShare, f.leaving
+	id, faults, leaving := f.id, f.faults, f.leaving
 	f.mu.Unlock()
+	failureShare := faults.failureShare
 	attempt := r.Header.Get("Attempt-Id")
 	switch {
-	case unresponsive:
+	case faults.endless:
+		f.recorder.recordRun(attempt)
+		writeEndless(w, attempt)
+		return
+	case faults.unresponsive:
 		<-r.Context().Done()
 		return
 	case r.Header.Get("Expect-Instance") != id:
@@ -245,6 +292,20 @@
 	_, _ = io.WriteString(w, "answer to "+attempt)
 }
 
+// writeEndless writes one of endlessAnswers until the caller closes the connection.
+func writeEndless(w http.ResponseWriter, attempt string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = conn.Close() }()
+	a := endlessAnswers[rand.IntN(len(endlessAnswers))]
+	_, err = io.WriteString(conn, strings.ReplaceAll(a[0], "%", attempt))
+	for block := strings.Repeat(a[1], 1000); err == nil; {
+		_, err = io.WriteString(conn, block)
+	}
+}
+
 func (f *fakeServer) stream(w http.ResponseWriter, r *http.Request, attempt string) {
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // zero without the header
 	if r.Header.Get("Kv-From") == "" {
--- /dev/null
+++ b/internal/proxy/gladesoak/fakes_unit_test.go
@@ -0,0 +1,36 @@
+package gladesoak
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A crash and a planned stop of one server overlap.  Only one of them ends the incarnation, and it is started once.
+func TestOverlappingFaultsStartServerOnce(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	address := l.Addr().String()
+	c.Assert(l.Close(), qt.IsNil)
+	f := &fakeServer{address: address, service: "app", store: newFakeStore(), recorder: newRecorder()}
+	f.start()
+	f.start() // a second start while it runs does nothing
+	c.Assert(f.incarnation, qt.Equals, 1)
+	left := make(chan struct{})
+	go func() {
+		f.leave()
+		f.start()
+		close(left)
+	}()
+	time.Sleep(drainBound / 2)
+	f.crash()
+	f.start()
+	<-left
+	c.Assert(f.incarnation, qt.Equals, 2)
+	f.crash()
+	f.leave() // a planned stop of a server that is down does nothing
+	c.Assert(f.running, qt.IsFalse)
+}
--- a/internal/proxy/gladesoak/soak_test.go
+++ b/internal/proxy/gladesoak/soak_test.go
@@ -28,8 +28,13 @@
 	duration = flag.Duration("soak.duration", 8*time.Second, "time for which faults are injected, for each seed")
 )
 
+// endlessEvery is the mean number of other faults for each endless answer.
+const endlessEvery = 4
+
 // regressions are seeds that once failed, each with the cause.
-var regressions = []uint64{}
+var regressions = []uint64{
+	2101, 2103, 3004, // a crash and a planned stop of one server overlapped, and both started it again
+}
 
 // vm is one process of the entry role.
 type vm struct {
@@ -103,7 +108,9 @@
 // soak is the run of one seed.
 type soak struct {
 	*qt.C
-	random        *rand.Rand
+	random *rand.Rand
+	// endlessRandom draws the endless answers, so that they leave the sequence of the other faults as it is.
+	endlessRandom *rand.Rand
 	addressPrefix string
 	recorder      *recorder
 	store         *fakeStore
@@ -140,7 +147,7 @@
 
 func newSoak(t *testing.T, program string, seed uint64) *soak {
 	s := &soak{
-		C: qt.New(t), random: rand.New(rand.NewPCG(seed, 1)), recorder: newRecorder(), store: newFakeStore(),
+		C: qt.New(t), random: rand.New(rand.NewPCG(seed, 1)), endlessRandom: rand.New(rand.NewPCG(seed, 2)), recorder: newRecorder(), store: newFakeStore(),
 		addressPrefix: fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(250)),
 	}
 	l, err := net.Listen("tcp", s.address(200, 8742))
@@ -156,7 +163,7 @@
 		}
 		f.start()
 		s.servers = append(s.servers, f)
-		s.Cleanup(func() { _ = f.server.Close() })
+		s.Cleanup(f.crash)
 	}
 	directory := s.TempDir()
 	for host := 1; host <= 4; host++ {
@@ -258,9 +265,9 @@
 	case 5:
 		tasks.Go(func() { f.crash(); time.Sleep(length); f.start() })
 	case 6:
-		during(func() { f.setFaults(true, 0) }, func() { f.setFaults(false, 0) })
+		during(func() { f.setFaults(serverFaults{unresponsive: true}) }, func() { f.setFaults(serverFaults{}) })
 	case 7:
-		during(func() { f.setFaults(false, 0.4) }, func() { f.setFaults(false, 0) })
+		during(func() { f.setFaults(serverFaults{failureShare: 0.4}) }, func() { f.setFaults(serverFaults{}) })
 	case 8:
 		s.publishRelease(s.random.IntN(2) == 0)
 	case 9:
@@ -268,10 +275,18 @@
 	}
 }
 
-func (f *fakeServer) setFaults(unresponsive bool, failureShare float64) {
+// injectEndless lets a server send bytes without end for a while.
+func (s *soak) injectEndless(tasks *sync.WaitGroup) {
+	f := s.servers[s.endlessRandom.IntN(len(s.servers))]
+	f.setFaults(serverFaults{endless: true})
+	length := time.Duration(200+s.endlessRandom.IntN(800)) * time.Millisecond
+	tasks.Go(func() { time.Sleep(length); f.setFaults(serverFaults{}) })
+}
+
+func (f *fakeServer) setFaults(faults serverFaults) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.unresponsive, f.failureShare = unresponsive, failureShare
+	f.faults = faults
 }
 
 // run runs callers under faults and returns the violated invariants.
@@ -288,6 +303,9 @@
 	}
 	for began := time.Now(); time.Since(began) < *duration; {
 		s.injectFault(&faults)
+		if s.endlessRandom.IntN(endlessEvery) == 0 {
+			s.injectEndless(&faults)
+		}
 		time.Sleep(time.Duration(100+s.random.IntN(500)) * time.Millisecond)
 	}
 	faults.Wait()
