Limit what backend servers and others may send

Cause: a backend server that sends without end was read without end: a status line, a header, header lines, 1xx answers and the body of an earlier answer until the time limit, bodies up to 8 MiB for each request. Events without number or data counted as progress, and an answer that skipped an event looked whole. Change: named limits for each part of an answer; a send past one ends at once as one that may have run, and the server is avoided for 1 s, doubling up to 16 s, until it answers well. All bodies above 64 KiB share 16 MiB.

--- a/internal/fleet/gladefleet/choose.go
+++ b/internal/fleet/gladefleet/choose.go
@@ -69,6 +69,7 @@
 	healthy     healthRank = iota
 	unlisted               // the store no longer lists it, possibly by mistake
 	suspected              // several servers of its failure domain failed together
+	quarantined            // its answers exceeded a limit
 	unreachable            // it accepted no connection
 )
 
@@ -79,6 +80,8 @@
 		return 0, false
 	case e.failed:
 		return unreachable, true
+	case now.Before(e.quarantinedUntil):
+		return quarantined, true
 	case t.suspectedDown(e, now):
 		return suspected, true
 	case !e.usableUntil.IsZero():
@@ -268,7 +271,7 @@
 		if run.FailureDomain != t.config.FailureDomain && e.FailureDomain != t.config.FailureDomain {
 			cost += otherDomainCopyTokens
 		}
-		if t.failures[e.Service+e.FailureDomain].recent(now) {
+		if t.failures[e.domainKey()].recent(now) {
 			cost += recentFailureTokens
 		}
 		if best == nil || cost < bestCost {
--- a/internal/fleet/gladefleet/room.go
+++ b/internal/fleet/gladefleet/room.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -170,7 +169,7 @@
 	if t.loadIsStale(e) {
 		jitter = max(jitter, burstJitter*float64(tokens))
 	}
-	return e.load() + jitter*rand.Float64()
+	return e.load() + jitter*t.config.Random()
 }
 
 // ShouldRelease reports whether a reservation should be released, because other VMs reserved room on the server at the
@@ -187,5 +186,5 @@
 	if filled := e.usedMemory(); r.Memory > 0 {
 		keep = min(keep, float64(r.Memory)/float64(filled))
 	}
-	return rand.Float64() > keep
+	return t.config.Random() > keep
 }
--- a/internal/fleet/gladefleet/server.go
+++ b/internal/fleet/gladefleet/server.go
@@ -24,6 +24,10 @@
 	initialOutage = 400 * time.Millisecond
 	// maxOutage limits the outage after further failures.
 	maxOutage = 3 * time.Second
+	// initialQuarantine is how long a server is avoided after its first answer that exceeded a limit.
+	initialQuarantine = time.Second
+	// maxQuarantine limits the quarantine after further such answers.
+	maxQuarantine = 16 * time.Second
 	// errorRateWeight is the weight of a new outcome in the moving average of a server's error rate.
 	errorRateWeight = 0.1
 	// runTokens is the load of a run besides its prompt, in prompt tokens: generating its output slows later prefills.
@@ -62,6 +66,10 @@
 	lastHeard time.Time
 	// errorRate is the moving average of failed requests, from 0 to 1.
 	errorRate float64
+	// overruns counts the answers that exceeded a limit since the last good one; each doubles the quarantine.
+	overruns int
+	// quarantinedUntil is the time until which the server is avoided because of them.
+	quarantinedUntil time.Time
 	// replaced reports that another server now uses the address.
 	replaced bool
 }
@@ -120,10 +128,22 @@
 	x := 0.0
 	if failed {
 		x = 1
+	} else {
+		e.overruns = 0
 	}
 	e.errorRate += errorRateWeight * (x - e.errorRate)
 }
 
+func (e *entry) recordOverrun(now time.Time) time.Duration {
+	if now.Before(e.quarantinedUntil) {
+		return 0
+	}
+	quarantine := min(maxQuarantine, initialQuarantine<<min(e.overruns, 4))
+	e.overruns++
+	e.quarantinedUntil = now.Add(quarantine)
+	return quarantine
+}
+
 func (e *entry) markFailed(now time.Time) {
 	if now.Sub(e.failedAt) > 2*maxOutage {
 		e.failures = 0
--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -32,6 +33,8 @@
 	FailureDomain string
 	// FailureDomains is the number of failure domains.
 	FailureDomains int
+	// Random returns a random number from 0 up to but not including 1; nil means that of math/rand.
+	Random func() float64
 }
 
 // Table holds the known backend servers, their load and their failures.
@@ -42,7 +45,7 @@
 	servers  map[string]*entry
 	services map[string][]*entry
 	// failures holds recent failures by service and failure domain.
-	failures map[string]*domainFailures
+	failures map[domainKey]*domainFailures
 	// lastCrash is the time of the last failure of a server, by service.
 	// lastBurst is the time of the last burst of failures, by service.
 	lastCrash, lastBurst map[string]time.Time
@@ -52,6 +55,11 @@
 	largeFleet bool
 }
 
+// domainKey identifies a service's servers in one failure domain.
+type domainKey struct{ service, domain string }
+
+func (s *Server) domainKey() domainKey { return domainKey{s.Service, s.FailureDomain} }
+
 // domainFailures counts the failures in the current burst of one service's servers in one failure domain.
 type domainFailures struct {
 	// first is the time of the first failure of the burst.
@@ -73,8 +81,11 @@
 
 // New returns an empty table.
 func New(c Config) *Table {
+	if c.Random == nil {
+		c.Random = rand.Float64
+	}
 	return &Table{
-		config: c, servers: map[string]*entry{}, services: map[string][]*entry{}, failures: map[string]*domainFailures{},
+		config: c, servers: map[string]*entry{}, services: map[string][]*entry{}, failures: map[domainKey]*domainFailures{},
 		lastCrash: map[string]time.Time{}, lastBurst: map[string]time.Time{}, prefillRates: map[string]float64{},
 	}
 }
@@ -94,6 +105,7 @@
 		return false
 	case s.Started > e.Started:
 		e.failed, e.failures, e.errorRate, e.replaced = false, 0, 0, false
+		e.overruns, e.quarantinedUntil = 0, time.Time{}
 	case e.Leaving:
 		s.Leaving = true
 	}
@@ -198,6 +210,18 @@
 	}
 }
 
+// RecordOverrun records that a server's answer exceeded a limit.  It returns for how long the server is avoided from now
+// on, or zero if it is avoided already.
+func (t *Table) RecordOverrun(id string, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.servers[id]
+	if e == nil {
+		return 0
+	}
+	return e.recordOverrun(now)
+}
+
 // MarkFailed records that a server is down.
 //
 // fresh reports whether the failure is new. suspects are other servers in use in its failure domain, returned if
@@ -214,10 +238,10 @@
 	if alreadyFailed {
 		return false, nil
 	}
-	d := t.failures[e.Service+e.FailureDomain]
+	d := t.failures[e.domainKey()]
 	if !d.recent(now) {
 		d = &domainFailures{first: now}
-		t.failures[e.Service+e.FailureDomain] = d
+		t.failures[e.domainKey()] = d
 	}
 	d.last = now
 	d.count++
@@ -260,7 +284,7 @@
 func (t *Table) InFailureBurst(s Server, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.failures[s.Service+s.FailureDomain].isBurst(now)
+	return t.failures[s.domainKey()].isBurst(now)
 }
 
 // suspectedDown reports whether a server is down, or is suspected because others of its failure domain failed and it
@@ -269,7 +293,7 @@
 	if e.failed {
 		return true
 	}
-	d := t.failures[e.Service+e.FailureDomain]
+	d := t.failures[e.domainKey()]
 	return d.isBurst(now) && e.lastHeard.Before(d.first)
 }
 
--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -359,6 +360,19 @@
 	f.config.Fleet.RecordOutcome(s.ID, true)
 }
 
+// recordFailure records that an answer of a server was lost or unusable; a server that exceeded a limit is avoided.
+func (f *Forwarder) recordFailure(s gladefleet.Server, err error) {
+	if !errors.Is(err, gladesend.ErrLimit) {
+		f.config.Fleet.RecordOutcome(s.ID, true)
+		return
+	}
+	f.count("servers.overrun")
+	if quarantine := f.config.Fleet.RecordOverrun(s.ID, time.Now()); quarantine > 0 {
+		f.config.Log.Warn("Backend server is avoided.", "server", s.ID, "domain", s.FailureDomain, "forMs", quarantine.Milliseconds(),
+			"reason", err)
+	}
+}
+
 // probe checks in the background whether a server accepts connections.
 func (f *Forwarder) probe(s gladefleet.Server) {
 	f.mu.Lock()
--- a/internal/proxy/gladeforward/plain.go
+++ b/internal/proxy/gladeforward/plain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -15,8 +14,6 @@
 )
 
 const (
-	// maxAnswerBytes is the maximum size of a plain answer, which is buffered until it is complete.
-	maxAnswerBytes = 8 << 20
 	// maxSends is the maximum number of sends of one request, including those that no server ran.
 	maxSends = 4
 	// hedgeShare is the share of a route's target time after which a repeatable request is sent to a second server.
@@ -25,8 +22,8 @@
 	minHedgeDelay = 30 * time.Millisecond
 )
 
-// errUnusableAnswer means that an answer is too large, not signed by the server or not in the server's own encoding.
-var errUnusableAnswer = eris.New("answer is too large, not signed or encoded")
+// errUnusableAnswer means that an answer is not signed by the server or not in the server's own encoding.
+var errUnusableAnswer = eris.New("answer is not signed or encoded")
 
 // answer is the result of one send of a plain request.
 type answer struct {
@@ -143,10 +140,10 @@
 	}
 	defer x.Close()
 	a := answer{status: x.Status, header: x.Header, mark: x.Info}
-	a.body, a.err = io.ReadAll(io.LimitReader(x, maxAnswerBytes+1))
+	a.body, a.err = x.ReadBody()
 	switch {
 	case a.err != nil || a.mark.NotRun:
-	case len(a.body) > maxAnswerBytes || !a.mark.Signed || a.mark.Encoded:
+	case !a.mark.Signed || a.mark.Encoded:
 		a.err = eris.Wrapf(errUnusableAnswer, "status %d, %d bytes", a.status, len(a.body))
 	}
 	return a
@@ -167,7 +164,7 @@
 		return false
 	case a.err != nil:
 		j.mayHaveRun = true
-		j.config.Fleet.RecordOutcome(a.server.ID, true)
+		j.recordFailure(a.server, a.err)
 		j.probe(a.server)
 		j.log("Answer lost.", "server", a.server.ID, "reason", a.err)
 		return false
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -219,7 +219,7 @@
 	}
 	defer x.Close()
 	if x.Status != http.StatusOK {
-		body, err := io.ReadAll(io.LimitReader(x, maxAnswerBytes))
+		body, err := x.ReadBody()
 		if err != nil {
 			deliver(streamItem{err: err})
 			return
@@ -230,7 +230,10 @@
 	if !deliver(streamItem{exchange: x}) {
 		return
 	}
-	r := eventReader{source: x}
+	r := eventReader{source: x, last: max(0, send.LastEvent)}
+	if s.call.OutputTokens > 0 {
+		r.limit = int64(s.call.OutputTokens) + extraEvents
+	}
 	for {
 		e, err := r.next()
 		if !deliver(streamItem{event: e, err: err}) || err != nil {
@@ -346,7 +349,7 @@
 		return attemptNotRun, true
 	}
 	a.log("Broken off.", "server", a.place.ID, "reason", i.err, "last", a.lastEvent, "got", a.received)
-	a.config.Fleet.RecordOutcome(a.place.ID, true)
+	a.recordFailure(a.place.Server, i.err)
 	a.avoidServer(a.place.ID)
 	a.probe(a.place.Server)
 	return attemptBroken, true
@@ -389,34 +392,44 @@
 // forwardEvent sends an event to the caller unless the caller has already received it.
 func (a *attempt) forwardEvent(e event) (attemptResult, bool) {
 	now := time.Now()
-	a.lastHeard = now
 	a.config.Fleet.MarkHeard(a.place.ID, now)
+	if e.id == gladesend.NoEvent {
+		return a.write(e.bytes)
+	}
+	a.lastHeard = now
 	if a.received++; a.received == 1 {
 		a.place.PrefillDone(now)
 		a.config.OnLoadChange()
 	}
-	if e.id != gladesend.NoEvent && e.id <= a.lastEvent {
+	if e.id <= a.lastEvent {
 		return 0, false
 	}
 	if a.eventCount == 0 {
 		a.observe("firstEvent", now.Sub(a.incoming.LastByteAt))
 		a.log("First event.", "server", a.place.ID, "event", e.id)
 	}
+	if result, ended := a.write(e.bytes); ended {
+		return result, true
+	}
+	if a.eventCount++; a.eventCount > 1 {
+		a.longestPause = max(a.longestPause, now.Sub(a.lastWrite))
+	}
+	a.lastWrite = now
+	a.lastEvent = e.id
+	return 0, false
+}
+
+// write sends a part of the answer to the caller, after the header if nothing was sent before; the second result reports
+// whether the caller has disconnected.
+func (a *attempt) write(b []byte) (attemptResult, bool) {
 	if !a.incoming.Started() {
 		if a.incoming.Begin(a.exchange.Status, a.exchange.Header, -1) != nil {
 			return attemptAbandoned, true
 		}
 	}
-	if a.incoming.Write(e.bytes) != nil {
+	if a.incoming.Write(b) != nil {
 		return attemptAbandoned, true
 	}
-	if a.eventCount++; a.eventCount > 1 {
-		a.longestPause = max(a.longestPause, now.Sub(a.lastWrite))
-	}
-	a.lastWrite = now
-	if e.id != gladesend.NoEvent {
-		a.lastEvent = e.id
-	}
 	return 0, false
 }
 
--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -42,7 +42,7 @@
 // startFollowing starts the task that keeps the release and the backend servers up to date.
 func (f *Front) startFollowing() {
 	ctx, cancel := context.WithCancel(context.Background())
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleStoreConns}
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleStoreConns, MaxResponseHeaderBytes: maxResponseHeaderBytes}
 	store := &gladeplatform.Store{Address: f.config.Settings.StoreAddress, Client: &http.Client{Transport: transport}}
 	var tasks sync.WaitGroup
 	tasks.Go(func() { f.readForDomain(ctx, store) })
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -45,6 +45,8 @@
 	poisonRetention = 5 * time.Minute
 	// poisonDecisionDelay is the wait before a request is refused; the loss of a whole failure domain is known by then.
 	poisonDecisionDelay = 100 * time.Millisecond
+	// maxResponseHeaderBytes is the maximum size of the headers of an answer of the store or of an engine's own calls.
+	maxResponseHeaderBytes = 8 << 10
 	// engineIdleTimeout is below the shortest idle timeout of a backend server.
 	engineIdleTimeout = 800 * time.Millisecond
 )
@@ -129,7 +131,9 @@
 	pool, closePool := gladesend.NewPool(gladesend.PoolConfig{})
 	f.pool = pool
 	f.cleanup(closePool)
-	engines := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: engineIdleTimeout, DialContext: dialEngine}
+	engines := &http.Transport{
+		MaxIdleConnsPerHost: 1, IdleConnTimeout: engineIdleTimeout, DialContext: dialEngine, MaxResponseHeaderBytes: maxResponseHeaderBytes,
+	}
 	f.cleanup(engines.CloseIdleConnections)
 	engine := &gladeplatform.Engine{Client: &http.Client{Transport: engines}}
 	forwarder, closeForwarder := gladeforward.New(gladeforward.Config{
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -25,6 +25,8 @@
 	peerSuspicion = 4 * time.Second
 	// peerRetention is short, so that the addresses of replaced VMs are seldom dialled.
 	peerRetention = 30 * time.Second
+	// maxPeerMessageBytes is the maximum size of a message of another VM: a release or the list of backend servers.
+	maxPeerMessageBytes = 2 << 20
 )
 
 // startPeers starts the membership, the relay of releases and servers, and the exchange of shares.
@@ -35,7 +37,7 @@
 			Name: s.VM, FailureDomain: s.FailureDomain, PeerAddress: s.PeerAddress, EntryAddress: s.EntryAddress,
 			Incarnation: fmt.Sprintf("%020d", time.Now().UnixNano()),
 		},
-		Seeds: s.Seeds, Interval: peerInterval, Suspicion: peerSuspicion, ForgetAfter: peerRetention,
+		Seeds: s.Seeds, Interval: peerInterval, Suspicion: peerSuspicion, ForgetAfter: peerRetention, MessageBytes: maxPeerMessageBytes,
 		Log: f.log.Named("peers"), Metrics: f.metrics,
 	})
 	if err != nil {
--- a/internal/proxy/gladesend/exchange.go
+++ b/internal/proxy/gladesend/exchange.go
@@ -17,9 +17,6 @@
 // send window, so that the write does not block.
 const maxInlineBodyBytes = 8 << 10
 
-// maxStaleAnswers is the number of late answers to earlier requests that a send skips.
-const maxStaleAnswers = 3
-
 // Client sends calls to backend servers.
 type Client struct {
 	Pool *Pool
@@ -38,6 +35,8 @@
 	pool *Pool
 	conn *conn
 	body io.ReadCloser
+	// contentLength is the announced length of the body, negative if it is unknown.
+	contentLength int64
 	// complete is set once the end of the body has been read.
 	complete bool
 	// connectionEnds is set if the server closes the connection after this answer.
@@ -97,15 +96,11 @@
 func (c *Client) readHeader(x *Exchange, call *Call) error {
 	stale := 0
 	for {
-		r, err := http.ReadResponse(x.conn.reader, &http.Request{Method: call.Method})
+		r, err := x.conn.readResponse(call.Method)
 		if err != nil {
-			return eris.Wrapf(ErrBroken, "%s: %v", x.conn.address, err)
-		}
-		if r.StatusCode < http.StatusOK {
-			_ = r.Body.Close()
-			continue
+			return err
 		}
-		x.Status, x.Header, x.body = r.StatusCode, r.Header, r.Body
+		x.Status, x.Header, x.body, x.contentLength = r.StatusCode, r.Header, r.Body, r.ContentLength
 		x.connectionEnds = r.Close || r.ContentLength < 0 && len(r.TransferEncoding) == 0
 		x.conn.applyKeepAlive(r.Header.Get("Keep-Alive"))
 		x.Info = c.Decode(r.Header)
@@ -114,8 +109,8 @@
 			if stale++; stale > maxStaleAnswers || x.connectionEnds {
 				return eris.Wrapf(ErrWrongAnswer, "%s answered request %s", x.conn.address, x.Info.ID)
 			}
-			if _, err := io.Copy(io.Discard, r.Body); err != nil {
-				return eris.Wrapf(ErrBroken, "%s: %v", x.conn.address, err)
+			if err := skipBody(r.Body, x.conn.address); err != nil {
+				return err
 			}
 			continue
 		}
@@ -127,6 +122,24 @@
 	}
 }
 
+// readResponse reads the next answer up to the end of its headers; it skips interim answers.
+func (c *conn) readResponse(method string) (*http.Response, error) {
+	for range maxInterimAnswers + 1 {
+		if err := waitHead(c.reader, c.address); err != nil {
+			return nil, err
+		}
+		r, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, eris.Wrapf(ErrBroken, "%s: %v", c.address, err)
+		}
+		if r.StatusCode >= http.StatusOK {
+			return r, nil
+		}
+		_ = r.Body.Close()
+	}
+	return nil, eris.Wrap(NewLimitError("interim answers", maxInterimAnswers, "answers"), c.address)
+}
+
 // Read reads the body of the answer.  It returns io.EOF at the end of a complete body and ErrBroken if the body is cut
 // off.
 func (x *Exchange) Read(b []byte) (int, error) {
--- /dev/null
+++ b/internal/proxy/gladesend/limits.go
@@ -0,0 +1,193 @@
+package gladesend
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrLimit accompanies ErrBroken if a server sent more than the limit that the message names.
+var ErrLimit = eris.New("answer exceeds a limit")
+
+const (
+	// maxHeadBytes is the maximum size of an answer's status line and headers; it is also the maximum size of the
+	// trailers, which have to fit into the read buffer.
+	maxHeadBytes = 8 << 10
+	// maxHeaderBytes is the maximum size of the status line and of each header line.
+	maxHeaderBytes = 4 << 10
+	// maxHeaders is the maximum number of header lines.
+	maxHeaders = 100
+	// maxInterimAnswers is the maximum number of 1xx answers before the final one.
+	maxInterimAnswers = 4
+	// maxStaleAnswers is the number of late answers to earlier requests that are skipped on one connection.
+	maxStaleAnswers = 3
+	// maxStaleBytes is the maximum size of the body of a skipped answer.
+	maxStaleBytes = 64 << 10
+	// MaxBodyBytes is the maximum size of a body that ReadBody returns.
+	MaxBodyBytes = 8 << 20
+	// unreservedBytes is the size up to which a body does not count towards maxBufferedBytes.
+	unreservedBytes = 64 << 10
+	// maxBufferedBytes is the memory that all larger bodies may occupy together while they are read.
+	maxBufferedBytes = 16 << 20
+	// firstBufferBytes is the size of the first buffer for a body.
+	firstBufferBytes = 2 << 10
+)
+
+// NewLimitError returns the error of an answer that exceeds the named limit; it is both ErrBroken and ErrLimit.
+func NewLimitError(name string, limit int, unit string) error {
+	return fmt.Errorf("%w: %w: %s over %d %s", ErrBroken, ErrLimit, name, limit, unit)
+}
+
+// bufferBudget limits the memory that large bodies occupy together.
+type bufferBudget struct {
+	used atomic.Int64
+}
+
+// reserve reserves n bytes, unless the limit would be exceeded.
+func (b *bufferBudget) reserve(n int) bool {
+	if b.used.Add(int64(n)) <= maxBufferedBytes {
+		return true
+	}
+	b.used.Add(int64(-n))
+	return false
+}
+
+func (b *bufferBudget) release(n int) { b.used.Add(int64(-n)) }
+
+// waitHead waits until the buffer of r holds a complete head, and returns an error as soon as it exceeds a limit.
+func waitHead(r *bufio.Reader, address string) error {
+	var h headScanner
+	for {
+		b, err := r.Peek(r.Buffered())
+		if err != nil {
+			return eris.Wrapf(ErrBroken, "%s: %v", address, err)
+		}
+		complete, err := h.scan(b)
+		switch {
+		case err != nil:
+			return eris.Wrap(err, address)
+		case complete:
+			return nil
+		case len(b) >= maxHeadBytes:
+			return eris.Wrap(NewLimitError("head", maxHeadBytes, "bytes"), address)
+		}
+		if _, err := r.Peek(len(b) + 1); err != nil {
+			return eris.Wrapf(ErrBroken, "%s: %v", address, err)
+		}
+	}
+}
+
+// headScanner looks for the end of a head that arrives in pieces.
+type headScanner struct {
+	// lines is the number of complete lines.
+	lines int
+	// lineStart is the offset of the current line, and scanned the offset up to which it has no line end.
+	lineStart, scanned int
+}
+
+// scan continues with the bytes received so far and reports whether the head is complete.
+func (h *headScanner) scan(b []byte) (complete bool, err error) {
+	for {
+		i := bytes.IndexByte(b[h.scanned:], '\n')
+		if i < 0 {
+			h.scanned = len(b)
+			return false, h.checkLine(len(b))
+		}
+		h.scanned += i + 1
+		if len(bytes.TrimRight(b[h.lineStart:h.scanned], "\r\n")) == 0 {
+			return true, nil
+		}
+		if err := h.checkLine(h.scanned); err != nil {
+			return false, err
+		}
+		if h.lines++; h.lines > maxHeaders+1 {
+			return false, NewLimitError("headers", maxHeaders, "lines")
+		}
+		h.lineStart = h.scanned
+	}
+}
+
+// checkLine checks the length of the current line, which reaches at least up to the offset end.
+func (h *headScanner) checkLine(end int) error {
+	if end-h.lineStart > maxHeaderBytes {
+		return NewLimitError("header line", maxHeaderBytes, "bytes")
+	}
+	return nil
+}
+
+// skipBody reads the body of an answer to an earlier request.
+func skipBody(body io.Reader, address string) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxStaleBytes+1))
+	if err != nil {
+		return eris.Wrapf(ErrBroken, "%s: %v", address, err)
+	}
+	if n > maxStaleBytes {
+		return eris.Wrap(NewLimitError("body of an earlier answer", maxStaleBytes, "bytes"), address)
+	}
+	return nil
+}
+
+// ReadBody reads the whole body.  It returns ErrLimit as soon as the body exceeds MaxBodyBytes, or all bodies
+// together exceed maxBufferedBytes.
+func (x *Exchange) ReadBody() ([]byte, error) {
+	if x.contentLength > MaxBodyBytes {
+		return nil, eris.Wrap(NewLimitError("body", MaxBodyBytes, "bytes"), x.conn.address)
+	}
+	b := bodyBuffer{bytes: make([]byte, 0, firstBufferBytes), budget: &x.pool.buffers, length: x.contentLength}
+	defer func() { b.budget.release(b.reserved) }()
+	for {
+		if len(b.bytes) == cap(b.bytes) {
+			if err := b.grow(x.conn.address); err != nil {
+				return nil, err
+			}
+		}
+		n, err := x.Read(b.bytes[len(b.bytes):cap(b.bytes)])
+		b.bytes = b.bytes[:len(b.bytes)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return b.bytes, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// bodyBuffer is the buffer of a body that is being read.
+type bodyBuffer struct {
+	bytes  []byte
+	budget *bufferBudget
+	// reserved is the number of bytes reserved in budget.
+	reserved int
+	// length is the announced length of the body, negative if it is unknown.
+	length int64
+}
+
+// grow doubles the capacity, up to one byte more than the body may have.
+func (b *bodyBuffer) grow(address string) error {
+	if len(b.bytes) > MaxBodyBytes {
+		return eris.Wrap(NewLimitError("body", MaxBodyBytes, "bytes"), address)
+	}
+	size := 2 * cap(b.bytes)
+	if size >= MaxBodyBytes {
+		size = MaxBodyBytes + 1
+	}
+	if b.length >= 0 {
+		size = max(cap(b.bytes)+1, min(size, int(b.length)+1))
+	}
+	reserved := 0
+	if size > unreservedBytes {
+		if !b.budget.reserve(size) {
+			return eris.Wrap(NewLimitError("all large bodies", maxBufferedBytes, "bytes"), address)
+		}
+		reserved = size
+	}
+	b.bytes = append(make([]byte, 0, size), b.bytes...)
+	b.budget.release(b.reserved)
+	b.reserved = reserved
+	return nil
+}
--- /dev/null
+++ b/internal/proxy/gladesend/limits_test.go
@@ -0,0 +1,272 @@
+package gladesend
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// endlessServer answers each request with begin, and then repeats more until the connection is closed.
+type endlessServer struct {
+	listener net.Listener
+	// written is the number of bytes written.
+	written atomic.Int64
+	tasks   sync.WaitGroup
+}
+
+func newEndlessServer(t testing.TB, begin, more string) *endlessServer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	s := &endlessServer{listener: l}
+	s.tasks.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.tasks.Go(func() { s.answer(conn, begin, more) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		s.tasks.Wait()
+	})
+	return s
+}
+
+func (s *endlessServer) answer(conn net.Conn, begin, more string) {
+	defer func() { _ = conn.Close() }()
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	id := r.Header.Get("Id")
+	begin, more = strings.ReplaceAll(begin, "%", id), strings.ReplaceAll(more, "%", id)
+	if _, err := io.WriteString(conn, begin); err != nil {
+		return
+	}
+	block := strings.Repeat(more, 1+(16<<10)/len(more))
+	for {
+		n, err := io.WriteString(conn, block)
+		s.written.Add(int64(n))
+		if err != nil {
+			return
+		}
+	}
+}
+
+func newTestClient(t testing.TB) *Client {
+	pool, closePool := NewPool(PoolConfig{})
+	t.Cleanup(closePool)
+	return &Client{
+		Pool:   pool,
+		Encode: func(http.Header, *SendParams) {},
+		Decode: func(h http.Header) AnswerInfo { return AnswerInfo{ID: h.Get("Id"), Signed: h.Get("Seal") != ""} },
+	}
+}
+
+func readWhole(ctx context.Context, client *Client, address string) error {
+	call := &Call{ID: "1", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {"1"}}}
+	x, err := client.Do(ctx, call, &SendParams{Address: address})
+	if err != nil {
+		return err
+	}
+	defer x.Close()
+	_, err = x.ReadBody()
+	return err
+}
+
+const okHead = "HTTP/1.1 200 OK\r\nId: %\r\nSeal: s\r\n"
+
+var endlessAnswers = map[string]struct{ begin, more string }{
+	"status line":         {"HTTP/1.1 200 ", "OK"},
+	"status line of junk": {"", "junk"},
+	"empty lines":         {"", "\r\n"},
+	"header value":        {"HTTP/1.1 200 OK\r\nA: ", "a"},
+	"header lines":        {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+	"long header lines":   {"HTTP/1.1 200 OK\r\n", "A: " + strings.Repeat("b", 1000) + "\r\n"},
+	"interim answers":     {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+	"earlier answers":     {"", "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 2\r\n\r\nok"},
+	"earlier body":        {"HTTP/1.1 200 OK\r\nId: 0\r\n\r\n", "late"},
+	"earlier chunks":      {"HTTP/1.1 200 OK\r\nId: 0\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nlate\r\n"},
+	"body to the end":     {okHead + "\r\n", "body"},
+	"chunks":              {okHead + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
+	"announced length":    {okHead + "Content-Length: 99999999999\r\n\r\n", "body"},
+	"chunk extension":     {okHead + "Transfer-Encoding: chunked\r\n\r\n4;", "a=b;"},
+	"chunk size":          {okHead + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+	"trailers":            {okHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+}
+
+// A server sends bytes that are no answer until the connection is closed.  The send must end at once, as one that may
+// have run, and long before its time limit.
+func TestEndlessAnswersEndAtLimit(t *testing.T) {
+	for name, a := range endlessAnswers {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newEndlessServer(t, a.begin, a.more)
+			ctx, cancel := context.WithTimeout(c.Context(), 30*time.Second)
+			defer cancel()
+			err := readWhole(ctx, newTestClient(t), s.listener.Addr().String())
+			c.Assert(err, qt.IsNotNil)
+			c.Assert(err, qt.Not(qt.ErrorIs), ErrNotSent)
+			c.Assert(ctx.Err(), qt.IsNil, qt.Commentf("the send ended with its time limit: %v", err))
+		})
+	}
+}
+
+// The error names the limit, so that the decision line does too, and tells a limit from a connection that broke.
+func TestLimitErrorsNameLimit(t *testing.T) {
+	for name, want := range map[string]string{
+		"header value": "header line over 4096 bytes", "header lines": "headers over 100 lines",
+		"long header lines": "head over 8192 bytes", "interim answers": "interim answers over 4 answers",
+		"earlier chunks": "body of an earlier answer over 65536 bytes", "chunks": "body over 8388608 bytes",
+		"announced length": "body over 8388608 bytes",
+	} {
+		c := qt.New(t)
+		a := endlessAnswers[name]
+		err := readWhole(c.Context(), newTestClient(t), newEndlessServer(t, a.begin, a.more).listener.Addr().String())
+		c.Assert(err, qt.ErrorIs, ErrLimit, qt.Commentf(name))
+		c.Assert(err, qt.ErrorIs, ErrBroken)
+		c.Assert(err, qt.ErrorMatches, ".*"+want)
+	}
+}
+
+// 64 servers send without end at once.  The heap must stay below the half of the smallest VM's memory.
+func TestEndlessAnswersBoundMemory(t *testing.T) {
+	const servers, maxHeapBytes = 64, 64 << 20
+	for _, name := range []string{"header lines", "body to the end", "chunks", "earlier body"} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			client := newTestClient(t)
+			a := endlessAnswers[name]
+			ctx, cancel := context.WithTimeout(c.Context(), 30*time.Second)
+			defer cancel()
+			var senders sync.WaitGroup
+			for range servers {
+				s := newEndlessServer(t, a.begin, a.more)
+				senders.Go(func() {
+					c.Check(readWhole(ctx, client, s.listener.Addr().String()), qt.IsNotNil)
+				})
+			}
+			ended := make(chan struct{})
+			go func() {
+				senders.Wait()
+				close(ended)
+			}()
+			most := uint64(0)
+			for waiting := true; waiting; {
+				select {
+				case <-ended:
+					waiting = false
+				case <-time.After(5 * time.Millisecond):
+				}
+				var m runtime.MemStats
+				runtime.ReadMemStats(&m)
+				most = max(most, m.HeapInuse)
+			}
+			c.Assert(most < maxHeapBytes, qt.IsTrue, qt.Commentf("%d MiB of heap", most>>20))
+			c.Assert(ctx.Err(), qt.IsNil)
+			c.Assert(client.Pool.buffers.used.Load(), qt.Equals, int64(0))
+		})
+	}
+}
+
+// A byte every 50 ms in a head must not extend a send beyond its time limit.
+func TestSlowHeadEndsAtTimeLimit(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		for {
+			if _, err := io.WriteString(conn, "a"); err != nil {
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	ctx, cancel := context.WithTimeout(c.Context(), 300*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	c.Assert(readWhole(ctx, newTestClient(t), l.Addr().String()), qt.ErrorIs, ErrBroken)
+	c.Assert(time.Since(began) < 5*time.Second, qt.IsTrue)
+}
+
+func TestReadBodyLengths(t *testing.T) {
+	for _, size := range []int{0, 1, firstBufferBytes, unreservedBytes, unreservedBytes + 1, MaxBodyBytes} {
+		for name, head := range map[string]string{
+			"announced": fmt.Sprintf("Content-Length: %d\r\nConnection: close\r\n\r\n", size), "to the end": "Connection: close\r\n\r\n",
+		} {
+			c := qt.New(t)
+			want := bytes.Repeat([]byte("b"), size)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = http.ReadRequest(bufio.NewReader(conn))
+				_, _ = io.WriteString(conn, strings.ReplaceAll(okHead, "%", "1")+head)
+				_, _ = conn.Write(want)
+				_ = conn.Close()
+			}()
+			call := &Call{ID: "1", Method: http.MethodGet, Target: "/", Header: http.Header{"Id": {"1"}}}
+			x, err := newTestClient(t).Do(c.Context(), call, &SendParams{Address: l.Addr().String()})
+			c.Assert(err, qt.IsNil)
+			body, err := x.ReadBody()
+			c.Assert(err, qt.IsNil, qt.Commentf("%s %d", name, size))
+			c.Assert(bytes.Equal(body, want), qt.IsTrue)
+			x.Close()
+			_ = l.Close()
+		}
+	}
+}
+
+// FuzzAnswerHead checks that waitHead accepts a head only within the limits, and that net/http then parses or refuses it
+// without reading more.
+func FuzzAnswerHead(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"))
+	f.Add([]byte("\r\n\r\nHTTP/1.1 200 OK\n\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nA: b\r\n c\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nok\r\n0\r\nT: u\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		r := bufio.NewReaderSize(bytes.NewReader(in), maxHeadBytes)
+		if err := waitHead(r, "server"); err != nil {
+			return
+		}
+		buffered, _ := r.Peek(r.Buffered())
+		end := len(buffered)
+		response, err := http.ReadResponse(r, &http.Request{Method: http.MethodGet})
+		if err != nil {
+			return
+		}
+		if end-r.Buffered() > maxHeadBytes {
+			t.Fatalf("the head has %d bytes", end-r.Buffered())
+		}
+		lines := 0
+		for _, values := range response.Header {
+			lines += len(values)
+		}
+		if lines > maxHeaders {
+			t.Fatalf("the head has %d headers", lines)
+		}
+		_, _ = io.Copy(io.Discard, response.Body) // must end, since the input does
+		_ = response.Body.Close()
+	})
+}
--- a/internal/proxy/gladesend/pool.go
+++ b/internal/proxy/gladesend/pool.go
@@ -38,8 +38,6 @@
 	idleTimeoutShare = 0.8
 	// ackTimeout is how long sent data may stay unacknowledged; it is above the longest harmless loss of packets.
 	ackTimeout = 3 * time.Second
-	// readBufferBytes is the size of the read buffer of a connection.
-	readBufferBytes = 4 << 10
 )
 
 // Pool keeps idle connections to backend servers for reuse.
@@ -51,6 +49,8 @@
 	idle map[string][]*conn
 	// dials counts the connections opened.
 	dials int64
+
+	buffers bufferBudget
 }
 
 type conn struct {
@@ -107,7 +107,7 @@
 	p.dials++
 	p.mu.Unlock()
 	return &conn{
-		Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferBytes), idleTimeout: defaultIdleTimeout,
+		Conn: raw, address: address, reader: bufio.NewReaderSize(raw, maxHeadBytes), idleTimeout: defaultIdleTimeout,
 	}, nil
 }
 
