--- a/gladedaemon/suspects.go
+++ b/gladedaemon/suspects.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladeconfig"
 	"github.com/eelgrassglade/eelgrassglade/gladeengine"
@@ -52,22 +54,31 @@
 
 // sharePoison imports the requests that peers refuse and publishes those that this VM refuses.
 func sharePoison(node *gladepeer.Node, tracker *gladesuspect.Tracker) error {
-	for _, m := range node.Members() {
+	undecoded := importPoison(node.Members(), tracker)
+	refused := tracker.Refused()
+	if len(refused) == 0 {
+		return undecoded
+	}
+	return errors.Join(undecoded, node.Publish(factPoison, refused[max(0, len(refused)-maxPublishedPoison):]))
+}
+
+// importPoison imports the requests that peers refuse.  It skips the facts that cannot be decoded, and returns their
+// errors.
+func importPoison(members []gladepeer.Member, tracker *gladesuspect.Tracker) error {
+	var undecoded error
+	for _, m := range members {
 		raw, ok := m.Facts[factPoison]
 		if !ok {
 			continue
 		}
 		var refused []gladesuspect.Refused
 		if err := json.Unmarshal(raw, &refused); err != nil {
-			return err
+			undecoded = errors.Join(undecoded, eris.Wrapf(err, "refused requests of %s", m.Name))
+			continue
 		}
 		tracker.ImportRefused(refused)
 	}
-	refused := tracker.Refused()
-	if len(refused) == 0 {
-		return nil
-	}
-	return node.Publish(factPoison, refused[max(0, len(refused)-maxPublishedPoison):])
+	return undecoded
 }
 
 func enginesOf(table *gladeroute.Table) []gladeapi.BackendServer {
--- a/gladelimit/limiter.go
+++ b/gladelimit/limiter.go
@@ -88,9 +88,7 @@
 	finish float64
 	// requestDemand is the number of requests since the last call of TakeDemand.
 	requestDemand float64
-	// tokenDemand is the number of tokens used since the last call of TakeDemand.
-	tokenDemand float64
-	lastRequest time.Time
+	lastRequest   time.Time
 }
 
 // NewLimiter returns a Limiter.
@@ -223,7 +221,6 @@
 	defer l.mu.Unlock()
 	l.running--
 	o.running--
-	o.tokenDemand += float64(tokens)
 	if l.serviceTime == 0 {
 		l.serviceTime = took
 	}
@@ -283,23 +280,22 @@
 	return State{Running: l.running, Queued: l.queue.Len(), Organisations: len(l.organisations), Counts: l.counts}
 }
 
-// TakeDemand returns the requests and tokens of each organisation since the last call, and resets them.
+// TakeDemand returns the requests of each organisation since the last call, and resets them.
 func (l *Limiter) TakeDemand() map[string]Demand {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	all := map[string]Demand{}
 	for name, o := range l.organisations {
-		if o.requestDemand == 0 && o.tokenDemand == 0 {
+		if o.requestDemand == 0 {
 			continue
 		}
-		all[name] = Demand{Requests: o.requestDemand, Tokens: o.tokenDemand}
-		o.requestDemand, o.tokenDemand = 0, 0
+		all[name] = Demand{Requests: o.requestDemand}
+		o.requestDemand = 0
 	}
 	return all
 }
 
-// Demand counts the requests of an organisation at one VM in one interval and the tokens that they used.
+// Demand counts the requests of an organisation at one VM in one interval, by which all its limits are divided.
 type Demand struct {
 	Requests float64 `json:"requests"`
-	Tokens   float64 `json:"tokens,omitempty"`
 }
--- a/gladenote/exchange.go
+++ b/gladenote/exchange.go
@@ -147,7 +147,7 @@
 	if q.Number != 0 && q.Number != r.snapshotNumber {
 		return eris.Wrapf(ErrIncomplete, "snapshot %d was replaced by %d", q.Number, r.snapshotNumber)
 	}
-	if q.Part >= len(r.snapshot) {
+	if q.Part < 0 || q.Part >= len(r.snapshot) {
 		return eris.Wrapf(ErrIncomplete, "no part %d of %d", q.Part, len(r.snapshot))
 	}
 	a.SnapshotNumber, a.Parts, a.Part = r.snapshotNumber, len(r.snapshot), r.snapshot[q.Part]
--- a/gladeonce/once_test.go
+++ b/gladeonce/once_test.go
@@ -404,3 +404,25 @@
 		}
 	}
 }
+
+// Two VMs sweep the same shard.  Only the VM whose call deletes a claim counts it.
+func TestSweepCountsOwnDeletions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newCluster(t, "a")
+		_, err := b.do("a", "k", time.Second, b.send("k", 0, nil))
+		c.Assert(err, qt.IsNil)
+		call := Call{Organisation: "nile-fixer", Route: "returns", Key: "k"}
+		var shard int
+		_, _ = fmt.Sscanf(call.Name()[:shardDigits], "%x", &shard)
+		b.fault = func(r *http.Request) (bool, bool) {
+			if r.Method == http.MethodDelete { // another VM is first
+				b.platform.ServeHTTP(&discard{header: http.Header{}}, r.Clone(r.Context()))
+			}
+			return false, false
+		}
+		n, err := b.vms["a"].Sweep(t.Context(), shard, time.Now().Add(49*time.Hour))
+		c.Assert(err, qt.IsNil)
+		c.Assert(n, qt.Equals, 0)
+	})
+}
--- a/gladeonce/sweep.go
+++ b/gladeonce/sweep.go
@@ -17,8 +17,8 @@
 
 const maxDeletesPerSecond = 2
 
-// Sweep deletes the claims of one shard that are older than the retention time at now, and returns their number. It
-// limits the rate of deletions.
+// Sweep deletes the claims of one shard that are older than the retention time at now, and returns the number of those
+// that it deleted itself. It limits the rate of deletions.
 func (o *Once) Sweep(ctx context.Context, shard int, now time.Time) (int, error) {
 	o.reads.Inc(1)
 	list, err := o.config.Store.List(ctx, KindClaims, fmt.Sprintf("%0*x", shardDigits, shard))
@@ -35,11 +35,13 @@
 			return removed, err
 		}
 		o.writes.Inc(1)
-		err := o.config.Store.Delete(ctx, KindClaims, object.Name, object.Version)
-		if err != nil && !errors.Is(err, gladestore.ErrConflict) && !errors.Is(err, gladestore.ErrNotFound) {
+		switch err := o.config.Store.Delete(ctx, KindClaims, object.Name, object.Version); {
+		case err == nil:
+			removed++
+		case errors.Is(err, gladestore.ErrConflict) || errors.Is(err, gladestore.ErrNotFound): // another VM was first
+		default:
 			return removed, err
 		}
-		removed++
 	}
 	return removed, nil
 }
--- a/gladerecord/record.go
+++ b/gladerecord/record.go
@@ -98,7 +98,10 @@
 	return c, true
 }
 
-// Len returns the number of records kept.
+// Len returns the number of records kept, zero on a nil Recorder.
 func (r *Recorder) Len() int {
+	if r == nil {
+		return 0
+	}
 	return r.records.Len()
 }
--- a/gladerecord/record_test.go
+++ b/gladerecord/record_test.go
@@ -47,3 +47,11 @@
 	_, ok := r.Get("a")
 	c.Assert(ok, qt.IsFalse)
 }
+
+func TestNilRecorder(t *testing.T) {
+	var r *gladerecord.Recorder
+	r.Add("r1", "part", "event", "reason")
+	_, found := r.Get("r1")
+	qt.Assert(t, found, qt.IsFalse)
+	qt.Assert(t, r.Len(), qt.Equals, 0)
+}
--- a/gladestandby/claims.go
+++ b/gladestandby/claims.go
@@ -66,7 +66,7 @@
 	switch {
 	case !known, time.Now().After(old.Expires), q.Replaces != "" && q.Replaces == old.Request:
 	case old.Request == c.Request && c.Epoch >= old.Epoch:
-	case old.Owner == c.Owner && old.Incarnation == c.Incarnation && s.replacesUnstarted(old, c):
+	case old.Owner == c.Owner && old.Incarnation == c.Incarnation && neverTakenOver(old, c):
 	default:
 		return old, nil
 	}
@@ -74,8 +74,9 @@
 	return c, nil
 }
 
-// replacesUnstarted reports whether an owner replaces its own claim for a run that never began.
-func (s *Service) replacesUnstarted(old, c Claim) bool {
+// neverTakenOver reports whether two claims of one owner are both for runs that it began itself.  An owner claims a key
+// again only if it has no run under it, so that the run of the older claim was refused or has ended.
+func neverTakenOver(old, c Claim) bool {
 	return old.Epoch == 0 && c.Epoch == 0
 }
 
