Charge the retry budget only for what reaches servers

Cause: each repeat took from the retry budget, also after a connection that was refused, which reaches no server. Change: a retry is charged if an earlier send may have arrived, and given back if it did not arrive itself; sends that reach no server are limited to ten a request. A copy is used only after the first event. Servers that one request crashes in turn no longer count as a lost failure domain; before, the useless sends to the copy hid that. Tests: TestRefusedConnectionsLeaveRetryBudget and TestRunWithoutEventsHasNoCopy fail on the code before.

--- a/internal/admit/gladebudget/budget.go
+++ b/internal/admit/gladebudget/budget.go
@@ -69,6 +69,19 @@
 	return true
 }
 
+// Refund takes back a retry that reached no server.
+func (b *Budget) Refund(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.advance(service, now)
+	for i := range int64(bucketCount) {
+		if n := &w.retries[(w.newest+bucketCount-i)%bucketCount]; *n > 0 {
+			*n--
+			return
+		}
+	}
+}
+
 // Remaining returns how many retries a service has left in the window.
 func (b *Budget) Remaining(service string, now time.Time) float64 {
 	b.mu.Lock()
--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -65,13 +65,14 @@
 	// first is the time of the first failure of the burst.
 	first time.Time
 	// last is the time of the latest failure of the burst.
-	last  time.Time
-	count int
+	last time.Time
+	// servers lists the identifiers of the servers that failed.
+	servers []string
 }
 
 // isBurst reports whether so many servers failed recently that the others are suspected until they respond.
 func (d *domainFailures) isBurst(now time.Time) bool {
-	return d != nil && d.count >= burstThreshold && now.Sub(d.last) < burstWindow
+	return d != nil && len(d.servers) >= burstThreshold && now.Sub(d.last) < burstWindow
 }
 
 // recent reports whether a server failed within burstWindow.
@@ -244,7 +245,7 @@
 		t.failures[e.domainKey()] = d
 	}
 	d.last = now
-	d.count++
+	d.servers = append(d.servers, id)
 	t.lastCrash[e.Service] = now
 	if !d.isBurst(now) {
 		return true, nil
@@ -280,11 +281,13 @@
 	return e == nil || e.failed || e.replaced || !e.usableUntil.IsZero() && now.After(e.usableUntil)
 }
 
-// InFailureBurst reports whether several servers in the failure domain of a server failed at about the same time.
-func (t *Table) InFailureBurst(s Server, now time.Time) bool {
+// InFailureBurst reports whether several servers in the failure domain of a server failed at about the same time, apart
+// from the given ones, which one request may have crashed in turn.
+func (t *Table) InFailureBurst(s Server, apart []string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.failures[s.domainKey()].isBurst(now)
+	d := t.failures[s.domainKey()]
+	return d.isBurst(now) && slices.ContainsFunc(d.servers, func(id string) bool { return id != s.ID && !slices.Contains(apart, id) })
 }
 
 // suspectedDown reports whether a server is down, or is suspected because others of its failure domain failed and it
--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -138,6 +139,11 @@
 	avoid []string
 	// sends is the number of times that the request was sent.
 	sends int
+	// arrivals is the number of sends that may have reached a server, and retries the number of those that the retry
+	// budget allowed.
+	arrivals, retries int
+	// unsent is the number of sends that reached no server.
+	unsent int
 	// mayHaveRun reports whether a server may have run the request.
 	mayHaveRun bool
 	// fingerprint is a hash that is equal for repeats of the request.
@@ -219,9 +225,38 @@
 	return t.C, func() { t.Stop() }
 }
 
+// maxUnsent is the maximum number of sends of one request that reach no server.
+const maxUnsent = 10
+
+// tryRetry reports whether the request may be sent again.  The retry budget limits only what reaches a server more than
+// once.
+func (j *job) tryRetry() bool {
+	switch {
+	case j.unsent >= maxUnsent:
+		return false
+	case j.arrivals == 0:
+		return true
+	case !j.config.Budget.TryRetry(j.service, time.Now()):
+		return false
+	}
+	j.retries++
+	return true
+}
+
+// recordUnsent records that a send reached no server, and returns its retry to the budget.
+func (j *job) recordUnsent() {
+	j.unsent++
+	j.arrivals--
+	if j.retries > max(0, j.arrivals-1) {
+		j.retries--
+		j.config.Budget.Refund(j.service, time.Now())
+	}
+}
+
 // newSend counts a send and returns its parameters, including the time left for the request.
 func (j *job) newSend(s gladefleet.Server) *gladesend.SendParams {
 	j.sends++
+	j.arrivals++
 	return &gladesend.SendParams{
 		Server: s.ID, Address: s.Address, Organisation: j.organisation, LastEvent: j.call.LastEvent,
 		HasTimeLimit: true, TimeLeft: time.Until(j.deadline), Urgency: j.urgency(), HasUrgency: j.release.Services[j.service].Engine != nil,
@@ -296,6 +331,7 @@
 	if !ok { // the server already runs another suspect; the request is sent there all the same
 		return func(runOutcome) {}
 	}
+	ranOn := slices.Clone(j.avoid)
 	return func(end runOutcome) {
 		if end != runLost {
 			tracked.End(end == runCompleted)
@@ -303,7 +339,7 @@
 		}
 		// A death is detected within the time of a probe, as is a failure of the whole failure domain.
 		time.AfterFunc(deathCheckDelay, func() {
-			if !j.config.Fleet.Unavailable(s.ID, time.Now()) || j.config.Fleet.InFailureBurst(s, time.Now()) {
+			if !j.config.Fleet.Unavailable(s.ID, time.Now()) || j.config.Fleet.InFailureBurst(s, ranOn, time.Now()) {
 				tracked.End(false)
 				return
 			}
--- a/internal/proxy/gladeforward/plain.go
+++ b/internal/proxy/gladeforward/plain.go
@@ -95,7 +95,7 @@
 // repeat sends the request to another server if the limits on attempts and the retry budget allow it.
 func (j *job) repeat(ctx context.Context, answers chan<- answer, running *int) bool {
 	if j.sends >= maxSends || j.mayHaveRun && j.sends >= max(1, j.route.Attempts) ||
-		!j.config.Budget.TryRetry(j.service, time.Now()) {
+		!j.tryRetry() {
 		return false
 	}
 	if !j.launch(ctx, answers) {
@@ -156,6 +156,7 @@
 	switch {
 	case errors.Is(a.err, gladesend.ErrNotSent):
 		j.markDown(a.server, a.err.Error())
+		j.recordUnsent()
 		j.log("Not sent.", "server", a.server.ID, "reason", a.err)
 		return false
 	case notRun(a):
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -102,7 +102,7 @@
 		s.fail(http.StatusBadGateway, "broken off and not resumable")
 	case s.sends >= maxStreamSends:
 		s.refuseOrFail("too many attempts")
-	case !s.config.Budget.TryRetry(s.service, time.Now()):
+	case !s.tryRetry():
 		s.refuseOrFail("retry budget is empty")
 	default:
 		return true
@@ -182,6 +182,9 @@
 	}
 	recordOutcome := s.trackRun(place.Server)
 	result := a.follow(items)
+	if result == attemptBroken && a.received == 0 {
+		s.dropCopy() // engines begin to copy a run once it has produced an event
+	}
 	if result == attemptFinished || result == attemptAbandoned {
 		a.freeCopy()
 	}
@@ -345,6 +348,7 @@
 		a.markDown(a.place.Server, i.err.Error())
 		a.avoidServer(a.place.ID)
 		a.sends--
+		a.recordUnsent()
 		a.log("Not sent.", "server", a.place.ID, "reason", i.err)
 		return attemptNotRun, true
 	}
--- a/internal/proxy/gladeforward/stream_test.go
+++ b/internal/proxy/gladeforward/stream_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladebudget"
+	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 )
 
 func noBudget() *gladebudget.Budget {
@@ -225,6 +226,54 @@
 	})
 }
 
+// The engines of a failure domain restart and refuse connections.  Such sends reach no server and must leave the retry
+// budget alone, or the streams that broke off there find it empty.
+func TestRefusedConnectionsLeaveRetryBudget(t *testing.T) {
+	runTest(t, func(w *harness) {
+		for _, id := range []string{"a", "b", "c", "d"} {
+			w.fleet.Put(gladefleet.Server{ID: id, Service: "llm", Address: id + ":1", FailureDomain: "shubra", Slots: 12, Started: 1}, time.Now())
+		}
+		w.serve("llm", "giza", "e", streamEvents(20, eventPause, nil))
+		w.forwarder.config.Budget = noBudget()
+		r := w.call(http.MethodPost, "/stream/x", nil)
+		w.Assert(r.err, qt.IsNil)
+		w.Assert(r.body, qt.Equals, eventText(1, 20))
+	})
+	// A retry that reached no server is returned to the budget.
+	runTest(t, func(w *harness) {
+		w.serve("llm", "shubra", "a", streamEvents(10, eventPause, abortConnection))
+		w.serve("llm", "giza", "b", streamEvents(20, eventPause, nil))
+		w.fleet.Put(gladefleet.Server{ID: "c", Service: "llm", Address: "c:1", FailureDomain: "helwan", Slots: 12, Started: 1}, time.Now())
+		time.AfterFunc(5*eventPause, func() { w.network.Kill("b") })
+		w.forwarder.config.Budget = gladebudget.New(gladebudget.Config{Reserve: 2.5, Window: 10 * time.Second, VMs: func() int { return 1 }})
+		w.call(http.MethodPost, "/stream/x", nil)
+		counts := w.forwarder.config.Budget.Counts(time.Now())["llm"]
+		w.Assert(counts.Retries, qt.Equals, len(w.serversRun())-1)
+	})
+	// Where no server accepts connections, the request is refused at once.
+	runTest(t, func(w *harness) {
+		for _, id := range []string{"a", "b", "c"} {
+			w.fleet.Put(gladefleet.Server{ID: id, Service: "llm", Address: id + ":1", FailureDomain: "shubra", Slots: 12, Started: 1}, time.Now())
+		}
+		r := w.call(http.MethodPost, "/stream/x", nil)
+		w.Assert(r.status, qt.Equals, http.StatusServiceUnavailable)
+		w.Assert(r.took < time.Second, qt.IsTrue)
+	})
+}
+
+// An engine dies while it processes the prompt.  No engine has a copy of a run without events, so that the next send must
+// not ask for one.
+func TestRunWithoutEventsHasNoCopy(t *testing.T) {
+	runTest(t, func(w *harness) {
+		w.serve("llm", "shubra", "a", abortConnection)
+		w.serve("llm", "giza", "b", streamEvents(20, eventPause, nil))
+		r := w.call(http.MethodPost, "/stream/x", nil)
+		w.Assert(r.body, qt.Equals, eventText(1, 20))
+		w.Assert(w.run(0).header.Get(testCopy), qt.Equals, "b:1")
+		w.Assert(w.run(1).header.Get(testFrom), qt.Equals, "")
+	})
+}
+
 func TestStoppingVMRefusesLongStreams(t *testing.T) {
 	runTest(t, func(w *harness) {
 		w.serve("llm", "shubra", "a", streamEvents(20, eventPause, nil))
