Recognise servers that restarted while the store is unavailable

Cause: while the store is down, the servers of a failure domain that crash come back under new identifiers that no VM knows, and each VM finds the old ones replaced (421). Change: a server that answers at the address of one that was running less than reuse_after_s ago must be of the same service. A VM that had an answer from the old one recently asks the address for its identity once it accepts connections, and tells the other VMs. When the old server was running follows from the time of the send of an answer, or from a steady flow of events less half a second, by a clock that counts suspension. Leaving and unlisted servers have no successor. The store's entry replaces what was recognised.

--- a/internal/fleet/gladefleet/server.go
+++ b/internal/fleet/gladefleet/server.go
@@ -22,6 +22,8 @@
 	// initialOutage is how long a server is avoided after its first failure; a crashed one needs over a second to
 	// restart.
 	initialOutage = 400 * time.Millisecond
+	// successorRetry is how often a failed server is tried while a successor at its address can be recognised.
+	successorRetry = 100 * time.Millisecond
 	// maxOutage limits the outage after further failures.
 	maxOutage = 3 * time.Second
 	// initialQuarantine is how long a server is avoided after its first answer that exceeded a limit.
@@ -64,6 +66,8 @@
 	// down is closed and replaced when the server fails or is replaced itself.
 	down      chan struct{}
 	lastHeard time.Time
+	// lastAnswer is a time at which the server itself was certainly running, by Config.BootTime.
+	lastAnswer time.Time
 	// errorRate is the moving average of failed requests, from 0 to 1.
 	errorRate float64
 	// overruns counts the answers that exceeded a limit since the last good one; each doubles the quarantine.
@@ -144,11 +148,15 @@
 	return quarantine
 }
 
-func (e *entry) markFailed(now time.Time) {
+func (e *entry) markFailed(now time.Time, awaitsSuccessor bool) {
 	if now.Sub(e.failedAt) > 2*maxOutage {
 		e.failures = 0
 	}
-	e.retryAt = now.Add(min(maxOutage, initialOutage<<min(e.failures, 4)))
+	outage := min(maxOutage, initialOutage<<min(e.failures, 4))
+	if awaitsSuccessor {
+		outage = min(outage, successorRetry)
+	}
+	e.retryAt = now.Add(outage)
 	e.failures++
 	e.failed = true
 	e.failedAt = now
--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -33,6 +33,11 @@
 	FailureDomain string
 	// FailureDomains is the number of failure domains.
 	FailureDomains int
+	// AddressReuse is the time after the end of a server from which a server of another service may have its address.
+	AddressReuse time.Duration
+	// BootTime returns the time by a clock that no step changes and that counts the time for which the VM is suspended;
+	// nil means time.Now.
+	BootTime func() time.Time
 	// Random returns a random number from 0 up to but not including 1; nil means that of math/rand.
 	Random func() float64
 }
@@ -82,6 +87,9 @@
 
 // New returns an empty table.
 func New(c Config) *Table {
+	if c.BootTime == nil {
+		c.BootTime = time.Now
+	}
 	if c.Random == nil {
 		c.Random = rand.Float64
 	}
@@ -97,6 +105,10 @@
 func (t *Table) Put(s Server, _ time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.put(s)
+}
+
+func (t *Table) put(s Server) bool {
 	e := t.servers[s.ID]
 	switch {
 	case e == nil:
@@ -192,6 +204,19 @@
 	return e != nil && e.markHeard(now)
 }
 
+// MarkAnswered records that a server itself answered a request, and that it was certainly running at runningAt, by
+// Config.BootTime.
+func (t *Table) MarkAnswered(id string, runningAt, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.servers[id]; e != nil {
+		if runningAt.After(e.lastAnswer) {
+			e.lastAnswer = runningAt
+		}
+		e.markHeard(now)
+	}
+}
+
 // SilentFor returns how long this VM has received nothing from a server, zero for an unknown one.
 func (t *Table) SilentFor(id string, now time.Time) time.Duration {
 	t.mu.Lock()
@@ -235,7 +260,7 @@
 		return false, nil
 	}
 	alreadyFailed := e.failed
-	e.markFailed(now)
+	e.markFailed(now, t.awaitsSuccessor(e))
 	if alreadyFailed {
 		return false, nil
 	}
--- a/internal/proxy/gladeforward/forward_test.go
+++ b/internal/proxy/gladeforward/forward_test.go
@@ -88,6 +88,10 @@
 	copyCalls []string
 	// freed are the copies released by Engine.Free.
 	freed []string
+	// instances are the identifiers of the servers that now answer at an address, where they differ from the fleet's.
+	instances map[string]string
+	// successors are the successors reported to the other VMs.
+	successors []gladefleet.Successor
 	// deaths are the deaths reported to the other VMs.
 	deaths []ServerDeath
 }
@@ -113,8 +117,11 @@
 		w.start()
 		defer w.waitForCleanup()
 		defer func() {
-			for i := len(w.closers) - 1; i >= 0; i-- {
-				w.closers[i]()
+			w.mu.Lock()
+			closers := w.closers
+			w.mu.Unlock()
+			for _, c := range slices.Backward(closers) {
+				c()
 			}
 		}()
 		f(w)
@@ -122,7 +129,7 @@
 }
 
 func (w *harness) start() {
-	w.fleet = gladefleet.New(gladefleet.Config{FailureDomain: "shubra"})
+	w.fleet = gladefleet.New(gladefleet.Config{FailureDomain: "shubra", AddressReuse: 2 * time.Second})
 	vm := w.network.Host("vm")
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
@@ -156,7 +163,8 @@
 		Decode: decodeCall, SetAnswerID: func(h http.Header, id string) { h.Set(testID, id) },
 		CopyName: func(address, id string) string { return address + "/" + id },
 		Suspects: gladesuspect.New(gladesuspect.Config{MaxDeaths: 3}), OnServerDeath: w.recordDeath,
-		StopTime:     func() time.Time { return w.stopsAt },
+		StopTime: func() time.Time { return w.stopsAt },
+		BootTime: time.Now, Instance: w.instanceAt, OnSuccessor: w.recordSuccessor,
 		OnLoadChange: func() {}, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
 	})
 	w.forwarder = forwarder
@@ -187,6 +195,18 @@
 	return nil
 }
 
+func (w *harness) instanceAt(_ context.Context, address, _ string) (string, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.instances[address], nil
+}
+
+func (w *harness) recordSuccessor(s gladefleet.Successor) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.successors = append(w.successors, s)
+}
+
 func (w *harness) recordDeath(d ServerDeath) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -201,6 +221,12 @@
 
 // serve adds a backend server with the handler h.  The identifier and seal of the answer are set before h is called.
 func (w *harness) serve(service, domain, id string, h http.HandlerFunc) {
+	w.listen(id, h)
+	w.fleet.Put(gladefleet.Server{ID: id, Service: service, Address: id + ":1", FailureDomain: domain, Slots: 12, Started: 1}, time.Now())
+}
+
+// listen is serve without the entry in the fleet.
+func (w *harness) listen(id string, h http.HandlerFunc) {
 	address := id + ":1"
 	l, err := w.network.Host(id).Listen("tcp", address)
 	w.Assert(err, qt.IsNil)
@@ -220,8 +246,9 @@
 		}
 	})}
 	go func() { _ = s.Serve(l) }()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.closers = append(w.closers, func() { _ = s.Close() })
-	w.fleet.Put(gladefleet.Server{ID: id, Service: service, Address: address, FailureDomain: domain, Slots: 12, Started: 1}, time.Now())
 }
 
 // waitForCleanup waits until the servers and the VM have handled the end of all requests.
--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -64,6 +64,12 @@
 	SetAnswerID func(http.Header, string)
 	// CopyName returns the name of the copy of a run on the server at address.
 	CopyName func(address, requestID string) string
+	// Instance returns the identifier of the server that answers at an address now; nil means that none can be asked.
+	Instance func(ctx context.Context, address, healthPath string) (string, error)
+	// OnSuccessor is called when a server has taken over the address of another one and is not listed yet.
+	OnSuccessor func(gladefleet.Successor)
+	// BootTime returns the time by a clock that no step changes and that counts the time for which the VM is suspended.
+	BootTime func() time.Time
 	// OnLoadChange is called after this VM's share of a server's load has changed.
 	OnLoadChange func()
 	Log          hclog.Logger
@@ -385,11 +391,9 @@
 }
 
 // handleNotRun records that a server answered that it did not run a request.
-func (f *Forwarder) handleNotRun(s gladefleet.Server, status int) {
+func (f *Forwarder) handleNotRun(s gladefleet.Server, status int, instance string) {
 	if status == http.StatusMisdirectedRequest {
-		f.config.Log.Info("Another server has the address.", "server", s.ID, "address", s.Address)
-		f.config.Fleet.MarkReplaced(s.ID)
-		f.config.Client.Pool.CloseIdle(s.Address)
+		f.recordInstance(s, instance)
 		return
 	}
 	f.config.Fleet.MarkHeard(s.ID, time.Now())
@@ -409,6 +413,40 @@
 	}
 }
 
+// recordInstance records that another server has the address of s; instance is its identifier, or empty if unknown.
+func (f *Forwarder) recordInstance(s gladefleet.Server, instance string) {
+	f.config.Client.Pool.CloseIdle(s.Address)
+	successor, recognised := f.config.Fleet.RecordInstance(s.ID, instance)
+	f.config.Log.Info("Another server has the address.", "server", s.ID, "address", s.Address, "instance", instance, "recognised", recognised)
+	switch {
+	case recognised:
+		f.count("servers.recognised")
+		f.config.OnSuccessor(successor)
+	case instance == "":
+		f.config.Fleet.MarkReplaced(s.ID)
+	}
+}
+
+// identify asks the server at the address of a failed one who it is, and records it if it is another one.  It reports
+// whether it may be s.
+func (f *Forwarder) identify(ctx context.Context, s gladefleet.Server) bool {
+	release := f.config.Release()
+	if release == nil || f.config.Instance == nil || !f.config.Fleet.AwaitsSuccessor(s.ID) {
+		return true
+	}
+	f.count("probes.identity")
+	instance, err := f.config.Instance(ctx, s.Address, release.Services[s.Service].HealthPath)
+	if err != nil {
+		f.config.Log.Info("Server not identified.", "server", s.ID, "address", s.Address, "reason", err)
+		return true
+	}
+	if instance == s.ID {
+		return true
+	}
+	f.recordInstance(s, instance)
+	return false
+}
+
 // probe checks in the background whether a server accepts connections.
 func (f *Forwarder) probe(s gladefleet.Server) {
 	f.mu.Lock()
@@ -421,9 +459,12 @@
 	f.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
-		if err := f.config.Client.Pool.Probe(ctx, s.Address); err != nil {
+		err := f.config.Client.Pool.Probe(ctx, s.Address)
+		switch {
+		case err != nil:
 			f.markDown(s, "no connection: "+err.Error())
-		} else if f.config.Fleet.MarkHeard(s.ID, time.Now()) {
+		case f.config.Fleet.Unavailable(s.ID, time.Now()) && !f.identify(ctx, s):
+		case f.config.Fleet.MarkHeard(s.ID, time.Now()):
 			f.config.Log.Info("Backend server is back.", "server", s.ID, "domain", s.FailureDomain)
 		}
 		f.mu.Lock()
--- a/internal/proxy/gladeforward/plain.go
+++ b/internal/proxy/gladeforward/plain.go
@@ -27,6 +27,8 @@
 
 // answer is the result of one send of a plain request.
 type answer struct {
+	// sentAt is when the request was sent, by Config.BootTime.
+	sentAt time.Time
 	server gladefleet.Server
 	status int
 	header http.Header
@@ -117,7 +119,9 @@
 	recordOutcome := j.trackRun(place.Server)
 	go func() {
 		defer place.Release()
+		sentAt := j.config.BootTime()
 		a := j.sendAndRead(ctx, s)
+		a.sentAt = sentAt
 		switch {
 		case a.err == nil:
 			recordOutcome(runCompleted)
@@ -160,7 +164,7 @@
 		j.log("Not sent.", "server", a.server.ID, "reason", a.err)
 		return false
 	case notRun(a):
-		j.handleNotRun(a.server, a.status)
+		j.handleNotRun(a.server, a.status, a.mark.Instance)
 		j.log("Server did not run it.", "server", a.server.ID, "status", a.status)
 		return false
 	case a.err != nil:
@@ -171,7 +175,7 @@
 		return false
 	}
 	j.mayHaveRun = true
-	j.config.Fleet.MarkHeard(a.server.ID, now)
+	j.config.Fleet.MarkAnswered(a.server.ID, a.sentAt, now)
 	failed := a.status >= http.StatusInternalServerError
 	j.config.Fleet.RecordOutcome(a.server.ID, failed)
 	if failed && j.route.Retryable() {
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -295,6 +295,7 @@
 	lastHeard time.Time
 	// received is the number of events received in this attempt.
 	received int
+	flow     eventFlow
 
 	// attemptContext is cancelled at the end of the attempt.
 	attemptContext context.Context
@@ -364,7 +365,7 @@
 	x := a.exchange
 	if x.Info.NotRun || x.Status == http.StatusMisdirectedRequest {
 		a.log("Server did not run it.", "server", a.place.ID, "status", x.Status)
-		a.handleNotRun(a.place.Server, x.Status)
+		a.handleNotRun(a.place.Server, x.Status, x.Info.Instance)
 		a.avoidServer(a.place.ID)
 		if x.Status == http.StatusMisdirectedRequest {
 			a.sends-- // while the store is unavailable, all entries of a crashed failure domain may be outdated
@@ -396,7 +397,7 @@
 // forwardEvent sends an event to the caller unless the caller has already received it.
 func (a *attempt) forwardEvent(e event) (attemptResult, bool) {
 	now := time.Now()
-	a.config.Fleet.MarkHeard(a.place.ID, now)
+	a.config.Fleet.MarkAnswered(a.place.ID, a.flow.runningAt(a.config.BootTime()), now)
 	if e.id == gladesend.NoEvent {
 		return a.write(e.bytes)
 	}
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -13,6 +13,7 @@
 	"github.com/oklog/run"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 
 	"github.com/eelgrassglade/eelgrassglade/gladepeer"
 	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
@@ -99,6 +100,7 @@
 		config: c, log: c.Log, metrics: metrics.NewRegistry(), unreachable: map[string]bool{},
 		fleet: gladefleet.New(gladefleet.Config{
 			FailureDomain: c.Settings.FailureDomain, FailureDomains: len(c.Settings.FailureDomains),
+			AddressReuse: c.Settings.AddressReuse, BootTime: bootTime,
 		}),
 	}
 	if err := f.open(); err != nil {
@@ -142,8 +144,8 @@
 		Engine:   gladeforward.Engine{Copy: engine.Copy, Free: engine.Free, CachedTokens: engine.Held},
 		Budget:   f.budget,
 		Suspects: f.suspects, OnServerDeath: f.reportDeath,
-		StopTime: f.killTime,
-		Decode:   gladeplatform.DecodeCall, SetAnswerID: gladeplatform.SetAnswerID, CopyName: gladeplatform.CopyName,
+		StopTime: f.killTime, Instance: engine.Instance, OnSuccessor: f.reportSuccessor, BootTime: bootTime,
+		Decode: gladeplatform.DecodeCall, SetAnswerID: gladeplatform.SetAnswerID, CopyName: gladeplatform.CopyName,
 		OnLoadChange: f.sharer.NotifyChanged, Log: f.log.Named("proxy"), Metrics: f.metrics,
 	})
 	f.cleanup(closeForwarder)
@@ -165,6 +167,16 @@
 	return f.listen(f.config.MetricsAddress, map[string]http.HandlerFunc{"/metrics": f.serveMetrics, "/dump": f.serveDump})
 }
 
+// bootTime returns the time since the start of the machine, as a time.  Unlike the monotonic clock, it includes the time
+// for which the machine was suspended.
+func bootTime() time.Time {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return time.Now() // the clock exists on every Linux that Go supports
+	}
+	return time.Unix(t.Unix())
+}
+
 // dialEngine opens a connection for an engine call.
 func dialEngine(ctx context.Context, network, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: engineDialTimeout, KeepAlive: -1}
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -48,6 +48,7 @@
 	gladepeer.HandleNotice(node, deathNotice, func(_ string, d gladeforward.ServerDeath) {
 		f.suspects.ServerDiedElsewhere(d.Fingerprint, d.Server)
 	})
+	gladepeer.HandleNotice(node, successorNotice, f.adoptSuccessor)
 	share, err := offsetPort(s.PeerAddress, sharePortOffset)
 	if err != nil {
 		return err
@@ -106,6 +107,23 @@
 	}
 }
 
+// successorNotice is the kind of notice that reports a successor to the other VMs.
+const successorNotice = "successor"
+
+// reportSuccessor tells the other VMs of a server that has taken over the address of another one.  While the store is
+// unavailable, its entries name no server that started since.
+func (f *Front) reportSuccessor(s gladefleet.Successor) {
+	if err := gladepeer.Notify(f.node, successorNotice, s); err != nil {
+		f.log.Warn("Successor not reported to the other VMs.", "server", s.Server.ID, "reason", err)
+	}
+}
+
+func (f *Front) adoptSuccessor(origin string, s gladefleet.Successor) {
+	if f.fleet.Adopt(s) {
+		f.log.Info("Backend server recognised.", "server", s.Server.ID, "predecessor", s.Predecessor, "address", s.Server.Address, "from", origin)
+	}
+}
+
 // maxAllToAllVMs is the largest number of VMs that exchange shares all to all.  In a larger fleet shares stay in their
 // failure domain, which sends only their sums to the others: the traffic between failure domains would grow with the
 // square of the VMs.
--- a/internal/proxy/gladesend/call.go
+++ b/internal/proxy/gladesend/call.go
@@ -79,6 +79,8 @@
 	Signed bool
 	// NotRun reports that the server did not run the request and will not run it.
 	NotRun bool
+	// Instance is the identifier of the server that has the address now, set by one that the request was not for.
+	Instance string
 	// Encoded reports that the body is not in the server's own encoding.
 	Encoded bool
 }
