Look for restarted servers more often while they can be recognised

Change: they are tried every 100 ms in that time; a steady flow of 0.5 s proves a running server, less 0.3 s.

--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -292,6 +292,9 @@
 	for _, e := range t.servers {
 		if e.retryDue(now) && e.eligible(now) && !e.replaced {
 			e.retryAt = now.Add(initialOutage) // replaced by the outcome of the retry
+			if t.awaitsSuccessor(e) {
+				e.retryAt = now.Add(successorRetry)
+			}
 			due = append(due, e.Server)
 		}
 	}
--- a/internal/proxy/gladeforward/flow.go
+++ b/internal/proxy/gladeforward/flow.go
@@ -7,9 +7,9 @@
 	maxFlowGap = 300 * time.Millisecond
 	// flowSettleTime is how long events have to arrive without such a gap until none of them can have been held up
 	// before, by a cut link or while this VM did not run.
-	flowSettleTime = time.Second
+	flowSettleTime = 500 * time.Millisecond
 	// maxEventDelay is the longest delay of an event that arrives in a steady flow.
-	maxEventDelay = 500 * time.Millisecond
+	maxEventDelay = 300 * time.Millisecond
 )
 
 // eventFlow tells from the arrival of events when their server was certainly running.  All times count the time for which
