Notice a cut between a failure domain's reader and the store within a second

Change: the reader opens a connection to the store every 0.3 s, which is no call, and stops announcing itself while that fails. Test: TestReaderNoticesCutBeforeWatchEnds fails without the check.

--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -79,6 +80,7 @@
 		var tasks sync.WaitGroup
 		tasks.Go(func() { gladeview.Follow(reading, servers) })
 		tasks.Go(func() { gladeview.Follow(reading, releases) })
+		tasks.Go(func() { f.checkStoreConnection(reading) })
 		for reading.Err() == nil && f.feed.ShouldRead(true, time.Now()) {
 			select {
 			case <-reading.Done():
@@ -92,10 +94,47 @@
 	}
 }
 
+const (
+	// storeCheckInterval is how often the reader checks whether the store accepts connections.
+	storeCheckInterval = 300 * time.Millisecond
+	// storeCheckTimeout is the time limit of such a check.
+	storeCheckTimeout = 250 * time.Millisecond
+)
+
+// checkStoreConnection keeps storeRefused up to date until the context ends.
+//
+// A watch on a link that has been cut stays silent until it times out, which takes most of the time within which a leaving
+// server must get no new requests.
+func (f *Front) checkStoreConnection(ctx context.Context) {
+	d := net.Dialer{Timeout: storeCheckTimeout, KeepAlive: -1}
+	ticker := time.NewTicker(storeCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		conn, err := d.DialContext(ctx, "tcp", f.config.Settings.StoreAddress)
+		if err == nil {
+			_ = conn.Close()
+		}
+		f.mu.Lock()
+		changed := ctx.Err() == nil && f.storeRefused != (err != nil)
+		if changed {
+			f.storeRefused = err != nil
+		}
+		f.mu.Unlock()
+		if changed {
+			f.log.Info("Connection to the store checked.", "refused", err != nil, "reason", err)
+		}
+	}
+}
+
 func (f *Front) setReading(reading bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.reading = reading
+	f.reading, f.storeRefused = reading, false
 	clear(f.unreachable)
 }
 
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -90,8 +90,10 @@
 	// unreachable holds, by kind, whether the store cannot be reached.
 	unreachable map[string]bool
 	// reading is set while this VM reads the store for its failure domain.
-	reading  bool
-	cleanups []func()
+	reading bool
+	// storeRefused reports that the store did not accept the last connection that this VM opened as a reader.
+	storeRefused bool
+	cleanups     []func()
 }
 
 // New opens the listeners and starts the components; it returns the clean-up function.
--- a/internal/proxy/gladefront/front_test.go
+++ b/internal/proxy/gladefront/front_test.go
@@ -110,6 +110,10 @@
 	seeds         []string
 	// grace is the VMs' grace period, short unless the test stops a VM.
 	grace time.Duration
+	// bound is the limit on releases and leaving servers.
+	bound time.Duration
+	// closeStoreListener makes the store accept no more connections; those that it has stay open.
+	closeStoreListener func()
 }
 
 const config = `{"version":%d,"routes":[{"name":"r","hostname":"h","path_prefix":"%s","type":"safe","service":"app","attempts":2,"timeout_ms":5000}],
@@ -120,7 +124,7 @@
 		C: qt.New(t), grace: 500 * time.Millisecond, addressPrefix: fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(250)),
 		store: &fakeStore{objects: map[string]map[string]json.RawMessage{}, changed: make(chan struct{}), rejected: map[string]bool{}, watches: map[string]int{}},
 	}
-	f.listen(200, f.store)
+	f.closeStoreListener = f.listen(200, f.store)
 	f.listen(201, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(20 * time.Millisecond)
 		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
@@ -134,12 +138,13 @@
 	return f.addressPrefix + strconv.Itoa(host) + ":" + strconv.Itoa(port)
 }
 
-func (f *testFleet) listen(host int, h http.Handler) {
+func (f *testFleet) listen(host int, h http.Handler) (closeListener func()) {
 	l, err := net.Listen("tcp", f.address(host, 8000))
 	f.Assert(err, qt.IsNil)
 	s := &http.Server{Handler: h}
 	go func() { _ = s.Serve(l) }()
 	f.Cleanup(func() { _ = s.Close() })
+	return func() { _ = l.Close() }
 }
 
 // publish writes a release and the backend server to the store.
@@ -154,7 +159,7 @@
 	front, closeFront, err := New(Config{
 		Settings: gladeplatform.Settings{
 			VM: "vm-" + strconv.Itoa(host), FailureDomain: "shubra", EntryAddress: f.address(host, 8000), ReadyAddress: f.address(host, 8001),
-			PeerAddress: f.address(host, 7200), Seeds: f.seeds, StoreAddress: f.address(200, 8000), StopGrace: f.grace,
+			PeerAddress: f.address(host, 7200), Seeds: f.seeds, StoreAddress: f.address(200, 8000), StopGrace: f.grace, DrainBound: f.bound, ReleaseBound: f.bound,
 			RetryShare: 1, RetryReserve: 100, RetryWindow: 10 * time.Second,
 		},
 		MetricsAddress: f.address(host, 9464), Log: hclog.NewNullLogger(),
@@ -285,6 +290,24 @@
 	f.eventually("another reader", func() bool { return len(readers()) == 1 })
 }
 
+// The reader's link to the store is cut while its watches wait.  It must not go on telling the other VMs that they need not
+// read, until its watches time out: a server may be leaving since.
+func TestReaderNoticesCutBeforeWatchEnds(t *testing.T) {
+	f := newTestFleet(t)
+	f.bound = 20 * time.Second // the watches last longer than the test
+	f.publish(3, "/a/")
+	front, _ := f.startVM(1)
+	reads := func() bool {
+		_, ok := front.readState()
+		return ok
+	}
+	f.eventually("the VM reads", reads)
+	time.Sleep(3 * storeCheckInterval)
+	f.Assert(reads(), qt.IsTrue)
+	f.closeStoreListener()
+	f.eventually("the cut is noticed", func() bool { return !reads() })
+}
+
 // Guards against a planned stop that interrupts a request.  A stopping VM announces the close in each answer and exits
 // when no request is in progress.
 func TestStopInterruptsNoRequest(t *testing.T) {
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -188,7 +188,7 @@
 	if r := f.release.Load(); r != nil {
 		u.Release = r.Version
 	}
-	return u, f.serversKnown && f.reading && !f.unreachable[gladeplatform.KindServers] && !f.unreachable[gladeplatform.KindConfig]
+	return u, f.serversKnown && f.reading && !f.storeRefused && !f.unreachable[gladeplatform.KindServers] && !f.unreachable[gladeplatform.KindConfig]
 }
 
 // onUpdate applies a reader's update, or requests the whole list if an earlier update was missed.
@@ -271,7 +271,9 @@
 func (f *Front) state() gladerelay.State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := gladerelay.State{Servers: f.revision, Lost: f.unreachable[gladeplatform.KindConfig] || f.unreachable[gladeplatform.KindServers]}
+	s := gladerelay.State{
+		Servers: f.revision, Lost: f.storeRefused || f.unreachable[gladeplatform.KindConfig] || f.unreachable[gladeplatform.KindServers],
+	}
 	if r := f.release.Load(); r != nil {
 		s.Release = r.Version
 	}
