Leave an engine that stays mute before the first event

Cause: a run without events was never left, so that an engine that accepts connections and does nothing, or sends only comments, kept it for 25 s. Change: it goes elsewhere after the route's target or four times what the prompts waiting there explain, if it may run again. Test: TestStreamLeavesEngineWithoutFirstEvent, which fails without it.

--- a/internal/proxy/gladeforward/forward_test.go
+++ b/internal/proxy/gladeforward/forward_test.go
@@ -225,6 +225,15 @@
 	w.fleet.Put(gladefleet.Server{ID: id, Service: service, Address: id + ":1", FailureDomain: domain, Slots: 12, Started: 1}, time.Now())
 }
 
+// recordPrefillRate lets a run on the fleet's only server process a prompt at a rate in tokens per second.
+func (w *harness) recordPrefillRate(rate int) {
+	now := time.Now()
+	k, err := w.fleet.Choose(gladefleet.Requirements{Service: "llm", Prompt: rate, Tokens: rate}, now)
+	w.Assert(err, qt.IsNil)
+	k.PrefillDone(now.Add(time.Second))
+	k.Release()
+}
+
 // listen is serve without the entry in the fleet.
 func (w *harness) listen(id string, h http.HandlerFunc) {
 	address := id + ":1"
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -18,6 +18,10 @@
 	probeSilence = 210 * time.Millisecond
 	// prefillProbeSilence is the same while the prompt is processed and no events are expected.
 	prefillProbeSilence = 400 * time.Millisecond
+	// minPrefillWait is the least time that a server has until the first event of a run.
+	minPrefillWait = 2 * time.Second
+	// prefillWaitFactor is how many times as long as usual a server may take for the prompts that wait on it.
+	prefillWaitFactor = 4
 	// moveOnShare is the share of the maximum pause after which a silent run resumes from its copy.
 	moveOnShare = 0.6
 	// defaultEventGap is the maximum pause between events on a route that sets none.
@@ -329,12 +333,27 @@
 	if maxPause <= 0 {
 		maxPause = defaultEventGap
 	}
-	if a.received == 0 || a.copy == nil || a.config.Fleet.Unavailable(a.copy.ID, time.Now()) {
+	if a.received == 0 {
+		return a.route.Retryable() && silence > a.maxPrefillWait()
+	}
+	if a.copy == nil || a.config.Fleet.Unavailable(a.copy.ID, time.Now()) {
 		return false
 	}
 	return silence > time.Duration(moveOnShare*float64(maxPause))
 }
 
+// maxPrefillWait returns how long a server may take until the first event of the run.
+//
+// It is the route's target or a multiple of what the prompts that wait on the server explain, whichever is longer: a server
+// that accepts connections and does nothing would otherwise keep the run until the time limit.
+func (a *attempt) maxPrefillWait() time.Duration {
+	explained := time.Duration(0)
+	if rate := a.config.Fleet.PrefillRate(a.service); rate > 0 {
+		explained = time.Duration(float64(a.place.Load.PendingPrefill) / rate * float64(time.Second))
+	}
+	return max(minPrefillWait, a.route.Target, prefillWaitFactor*explained)
+}
+
 // handleItem handles one item; the second result reports whether the attempt has ended.
 func (a *attempt) handleItem(i streamItem) (attemptResult, bool) {
 	switch {
--- a/internal/proxy/gladeforward/stream_test.go
+++ b/internal/proxy/gladeforward/stream_test.go
@@ -81,6 +81,39 @@
 	})
 }
 
+// An engine accepts a run and stays mute, or sends comments only.  The run must go elsewhere once the prompts that wait
+// there no longer explain it, and not be held until its time limit.
+func TestStreamLeavesEngineWithoutFirstEvent(t *testing.T) {
+	comments := func(rw http.ResponseWriter, r *http.Request) { repeatUntilClosed(": x\n\n", time.Second)(rw, r) }
+	for name, mute := range map[string]http.HandlerFunc{"mute": waitForCancel, "comments": comments} {
+		t.Run(name, func(t *testing.T) {
+			runTest(t, func(w *harness) {
+				w.serve("llm", "shubra", "a", mute)
+				w.serve("llm", "giza", "b", streamEvents(20, eventPause, nil))
+				r := w.call(http.MethodPost, "/stream/x", nil)
+				w.Assert(r.err, qt.IsNil)
+				w.Assert(r.body, qt.Equals, eventText(1, 20))
+				w.Assert(r.took < minPrefillWait+time.Second, qt.IsTrue, qt.Commentf("took %v", r.took))
+				w.waitForCleanup()
+				w.Assert(w.run(0).canceled, qt.IsTrue)
+			})
+		})
+	}
+	// A server with many prompts to process gets the time that they need.
+	runTest(t, func(w *harness) {
+		slow := func(rw http.ResponseWriter, r *http.Request) {
+			time.Sleep(5 * time.Second)
+			streamEvents(20, eventPause, nil)(rw, r)
+		}
+		w.serve("llm", "shubra", "a", slow)
+		w.recordPrefillRate(2000) // 5,000 tokens need 2.5 s
+		w.serve("llm", "giza", "b", streamEvents(20, eventPause, nil))
+		r := w.call(http.MethodPost, "/stream/x", nil)
+		w.Assert(r.body, qt.Equals, eventText(1, 20))
+		w.Assert(w.serversRun(), qt.DeepEquals, []string{"a"})
+	})
+}
+
 // Servers crash one after the other.  If the server of the copy crashes before that of the run, a new copy must be
 // made.
 func TestLostCopyReplaced(t *testing.T) {
