Send the changes of a new reader's list instead of the whole list to each VM

Change: the first list of a reader is published as the changes since the revision that it had, which the others have too; and heartbeats repeat the changes of the last 1.2 s for VMs that lost a datagram. Lists with entries that may have expired by mistake are requested as before. Tests: TestNewReaderSendsChangesSinceItsLastRevision, TestHeartbeatsRepeatRecentChanges.

--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -269,16 +269,22 @@
 		}
 	}
 	f.mu.Lock()
-	stale := f.serversKnown && revision < f.revision
+	known, stale := f.serversKnown, f.serversKnown && revision < f.revision
 	f.mu.Unlock()
 	if stale {
 		return // a peer has sent a newer revision; the watch brings what follows
 	}
-	f.replaceServers(servers, time.Now())
+	update := gladefeed.Update{Before: revision, Revision: revision}
+	changes, complete := f.replaceServers(servers, time.Now())
 	f.mu.Lock()
+	if known && complete {
+		// The other VMs have followed up to about the same revision.  With the changes since, they need not all request the
+		// whole list from this VM, whose link would be busy for seconds.
+		update.Before, update.Changes = min(f.revision, revision), changes
+	}
 	f.serversKnown, f.revision = true, revision
 	f.mu.Unlock()
-	f.feed.Publish(gladefeed.Update{Before: revision, Revision: revision})
+	f.feed.Publish(update)
 }
 
 func (f *Front) onServerChanges(changes []gladeview.Change[entry[gladefleet.Server]], revision int64) {
@@ -307,12 +313,14 @@
 	return i.Value.err == nil
 }
 
-// putServer adds a listed server to the table or updates it.
-func (f *Front) putServer(s gladefleet.Server, now time.Time) {
-	if f.fleet.Put(s, now) {
-		f.log.Info("Backend server listed.", "server", s.ID, "service", s.Service, "address", s.Address, "domain", s.FailureDomain,
-			"leaving", s.Leaving, "started", s.Started)
+// putServer adds a listed server to the table or updates it, and reports whether that changed anything.
+func (f *Front) putServer(s gladefleet.Server, now time.Time) bool {
+	if !f.fleet.Put(s, now) {
+		return false
 	}
+	f.log.Info("Backend server listed.", "server", s.ID, "service", s.Service, "address", s.Address, "domain", s.FailureDomain,
+		"leaving", s.Leaving, "started", s.Started)
+	return true
 }
 
 // removeServer marks a server as no longer listed; lapsed means that its entry may only have expired.
--- a/internal/proxy/gladefront/front_test.go
+++ b/internal/proxy/gladefront/front_test.go
@@ -17,6 +17,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladefeed"
 	gladeplatform "github.com/eelgrassglade/eelgrassglade/platform"
 )
 
@@ -308,6 +310,27 @@
 	f.eventually("the cut is noticed", func() bool { return !reads() })
 }
 
+// The reader of a failure domain is lost, and servers change before another VM reads.  Its list must bring the others the
+// changes, so that not all of them request the whole list from it at once.
+func TestNewReaderSendsChangesSinceItsLastRevision(t *testing.T) {
+	f := newTestFleet(t)
+	f.publish(3, "/a/")
+	front, _ := f.startVM(1)
+	f.eventually("servers known", func() bool { return front.Ready() })
+	now := time.Now()
+	server := func(id string, leaving bool) gladefleet.Server {
+		return gladefleet.Server{ID: id, Service: "llm", Address: id + ":1", FailureDomain: "giza", Started: 1, Leaving: leaving}
+	}
+	front.replaceServers([]gladefleet.Server{server("a", false), server("b", false), server("c", false)}, now)
+	changes, complete := front.replaceServers([]gladefleet.Server{server("a", true), server("b", false), server("d", false)}, now)
+	f.Assert(complete, qt.IsTrue)
+	leaving, added := server("a", true), server("d", false)
+	f.Assert(changes, qt.DeepEquals, []gladefeed.Change{{Server: &leaving}, {Server: &added}, {Removed: "c"}})
+	// Entries that may only have expired get a grace that the changes do not tell.
+	_, complete = front.replaceServers([]gladefleet.Server{server("d", false)}, now)
+	f.Assert(complete, qt.IsFalse)
+}
+
 // Guards against a planned stop that interrupts a request.  A stopping VM announces the close in each answer and exits
 // when no request is in progress.
 func TestStopInterruptsNoRequest(t *testing.T) {
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -306,20 +306,27 @@
 	f.replaceServers(s.Servers, time.Now())
 }
 
-// replaceServers updates the table to hold exactly the listed servers.
-func (f *Front) replaceServers(servers []gladefleet.Server, now time.Time) {
+// replaceServers updates the table to hold exactly the listed servers.  It returns the changes, and whether they tell
+// another VM all that has changed; they do not where entries may only have expired.
+func (f *Front) replaceServers(servers []gladefleet.Server, now time.Time) (changes []gladefeed.Change, complete bool) {
 	listed := map[string]bool{}
 	for _, s := range servers {
 		listed[s.ID] = true
 	}
 	before := f.fleet.Statuses()
 	lapsed := gladefleet.PossiblyExpired(before, servers)
-	for _, s := range servers {
-		f.putServer(s, now)
+	for i, s := range servers {
+		if f.putServer(s, now) {
+			changes = append(changes, gladefeed.Change{Server: &servers[i]})
+		}
 	}
+	complete = true
 	for _, s := range before {
 		if s.Listed && !listed[s.ID] {
 			f.removeServer(s.ID, now, lapsed[s.Service])
+			changes = append(changes, gladefeed.Change{Removed: s.ID})
+			complete = complete && !lapsed[s.Service]
 		}
 	}
+	return changes, complete
 }
--- a/internal/state/gladefeed/feed.go
+++ b/internal/state/gladefeed/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,10 @@
 	// maxPublishers is the number of VMs that send what they read, so that a new reader is received before every VM
 	// knows that it is the reader.
 	maxPublishers = 3
+	// repeatTime is how long a reader repeats the changes of the recent past in its heartbeats, for VMs that lost a datagram.
+	repeatTime = 1200 * time.Millisecond
+	// maxRepeatedChanges is the largest number of changes that are repeated.
+	maxRepeatedChanges = 64
 	// minReaderUptime is how long a reader must have been received without a gap before a VM stops reading itself.
 	minReaderUptime = time.Second
 )
@@ -74,6 +79,9 @@
 	// lastHeard is when an update was last received.
 	// heardSince is when the first update after the last silence was received.
 	lastHeard, heardSince time.Time
+	// recent holds the changes published since recentSince.
+	recent      Update
+	recentSince time.Time
 }
 
 // New opens the socket, starts sending and receiving, and returns the clean-up function.
@@ -95,7 +103,7 @@
 				return
 			case <-ticker.C:
 				if u, ok := c.Progress(); ok {
-					f.Publish(u)
+					f.send(f.withRecent(u, time.Now()))
 				}
 			}
 		}
@@ -107,8 +115,38 @@
 	}, nil
 }
 
-// Publish sends an update to the neighbours if this VM is one of the first readers in rank.
+// Publish sends an update to the neighbours if this VM is one of the first readers in rank, and repeats its changes in the
+// next heartbeats.
 func (f *Feed) Publish(u Update) {
+	f.addRecent(u, time.Now())
+	f.send(u)
+}
+
+// addRecent adds the changes of an update to those that are repeated.
+func (f *Feed) addRecent(u Update, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case len(u.Changes) == 0:
+	case u.Before == f.recent.Revision && now.Sub(f.recentSince) < repeatTime && len(f.recent.Changes)+len(u.Changes) <= maxRepeatedChanges:
+		f.recent.Revision = u.Revision
+		f.recent.Changes = slices.Concat(f.recent.Changes, u.Changes)
+	default:
+		f.recent, f.recentSince = u, now
+	}
+}
+
+// withRecent adds the recent changes to a heartbeat, if they lead to its revision.
+func (f *Feed) withRecent(u Update, now time.Time) Update {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.recent.Revision == u.Revision && now.Sub(f.recentSince) < repeatTime && len(f.recent.Changes) <= maxRepeatedChanges {
+		u.Before, u.Changes = f.recent.Before, f.recent.Changes
+	}
+	return u
+}
+
+func (f *Feed) send(u Update) {
 	if f.config.Rank() >= maxPublishers {
 		return
 	}
--- a/internal/state/gladefeed/feed_test.go
+++ b/internal/state/gladefeed/feed_test.go
@@ -48,3 +48,29 @@
 	c.Assert(f.ShouldRead(false, time.Now()), qt.IsFalse)
 	c.Assert(f.ShouldRead(false, time.Now().Add(2*time.Minute)), qt.IsTrue)
 }
+
+// In a failure domain of fifty VMs each lost datagram would make its receiver request the whole list from the reader, whose
+// link may have 10 Mbit/s.  The reader repeats its changes in the heartbeats of the next second, without a gap.
+func TestHeartbeatsRepeatRecentChanges(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	f := &Feed{}
+	beat := func(revision int64) Update { return f.withRecent(Update{Before: revision, Revision: revision}, now) }
+	c.Assert(beat(3), qt.DeepEquals, Update{Before: 3, Revision: 3})
+	f.addRecent(Update{Before: 3, Revision: 5, Changes: []Change{{Removed: "a"}}}, now)
+	f.addRecent(Update{Before: 5, Revision: 5}, now)
+	f.addRecent(Update{Before: 5, Revision: 6, Changes: []Change{{Removed: "b"}}}, now)
+	c.Assert(beat(6), qt.DeepEquals, Update{Before: 3, Revision: 6, Changes: []Change{{Removed: "a"}, {Removed: "b"}}})
+	c.Assert(beat(7), qt.DeepEquals, Update{Before: 7, Revision: 7})                    // a revision without changes of servers came after
+	f.addRecent(Update{Before: 8, Revision: 9, Changes: []Change{{Removed: "c"}}}, now) // not the next
+	c.Assert(beat(9), qt.DeepEquals, Update{Before: 8, Revision: 9, Changes: []Change{{Removed: "c"}}})
+	f.addRecent(Update{Before: 9, Revision: 10, Changes: make([]Change, maxRepeatedChanges)}, now)
+	c.Assert(beat(10).Before, qt.Equals, int64(9))
+	f.addRecent(Update{Before: 10, Revision: 11, Changes: make([]Change, maxRepeatedChanges+1)}, now)
+	c.Assert(beat(11), qt.DeepEquals, Update{Before: 11, Revision: 11})
+	now = now.Add(repeatTime)
+	f.addRecent(Update{Before: 11, Revision: 12, Changes: []Change{{Removed: "d"}}}, now)
+	c.Assert(beat(12).Before, qt.Equals, int64(11))
+	now = now.Add(repeatTime)
+	c.Assert(beat(12), qt.DeepEquals, Update{Before: 12, Revision: 12})
+}
