--- a/internal/proxy/gladeforward/endless_test.go
+++ b/internal/proxy/gladeforward/endless_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -182,3 +183,37 @@
 		events = append(events, e)
 	}
 }
+
+// 64 engines send events without end at once.  The heap must stay below the half of the smallest VM's memory.
+func TestEndlessEventsBoundMemory(t *testing.T) {
+	const servers, maxHeapBytes = 64, 64 << 20
+	for name, text := range map[string]string{"an event": "data: x\n", "comments": ": x\n\n", "a line": "x"} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			readers := make([]*eventReader, servers)
+			for i := range readers {
+				readers[i] = &eventReader{source: &endlessReader{text: text}}
+				_, err := readers[i].next()
+				c.Assert(err, qt.ErrorIs, gladesend.ErrLimit)
+			}
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			c.Assert(m.HeapInuse < maxHeapBytes, qt.IsTrue, qt.Commentf("%d MiB of heap", m.HeapInuse>>20))
+			runtime.KeepAlive(readers)
+		})
+	}
+}
+
+// endlessReader repeats a text without end.
+type endlessReader struct {
+	text string
+	at   int
+}
+
+func (r *endlessReader) Read(b []byte) (int, error) {
+	for i := range b {
+		b[i] = r.text[r.at]
+		r.at = (r.at + 1) % len(r.text)
+	}
+	return len(b), nil
+}
