--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -376,103 +375,6 @@
 	return xxhash.Sum64String(j.call.Session)
 }
 
-// markDown records that a server accepts no connections, and probes the servers that this puts in doubt.
-func (f *Forwarder) markDown(s gladefleet.Server, reason string) {
-	f.config.Client.Pool.CloseIdle(s.Address)
-	fresh, doubtful := f.config.Fleet.MarkFailed(s.ID, time.Now())
-	if fresh {
-		f.count("servers.down")
-		f.config.Log.Warn("Backend server is down.", "server", s.ID, "address", s.Address, "domain", s.FailureDomain,
-			"doubtful", len(doubtful), "reason", reason)
-	}
-	for _, o := range doubtful {
-		f.probe(o)
-	}
-}
-
-// handleNotRun records that a server answered that it did not run a request.
-func (f *Forwarder) handleNotRun(s gladefleet.Server, status int, instance string) {
-	if status == http.StatusMisdirectedRequest {
-		f.recordInstance(s, instance)
-		return
-	}
-	f.config.Fleet.MarkHeard(s.ID, time.Now())
-	f.config.Fleet.RecordOutcome(s.ID, true)
-}
-
-// recordFailure records that an answer of a server was lost or unusable; a server that exceeded a limit is avoided.
-func (f *Forwarder) recordFailure(s gladefleet.Server, err error) {
-	if !errors.Is(err, gladesend.ErrLimit) {
-		f.config.Fleet.RecordOutcome(s.ID, true)
-		return
-	}
-	f.count("servers.overrun")
-	if quarantine := f.config.Fleet.RecordOverrun(s.ID, time.Now()); quarantine > 0 {
-		f.config.Log.Warn("Backend server is avoided.", "server", s.ID, "domain", s.FailureDomain, "forMs", quarantine.Milliseconds(),
-			"reason", err)
-	}
-}
-
-// recordInstance records that another server has the address of s; instance is its identifier, or empty if unknown.
-func (f *Forwarder) recordInstance(s gladefleet.Server, instance string) {
-	f.config.Client.Pool.CloseIdle(s.Address)
-	successor, recognised := f.config.Fleet.RecordInstance(s.ID, instance)
-	f.config.Log.Info("Another server has the address.", "server", s.ID, "address", s.Address, "instance", instance, "recognised", recognised)
-	switch {
-	case recognised:
-		f.count("servers.recognised")
-		f.config.OnSuccessor(successor)
-	case instance == "":
-		f.config.Fleet.MarkReplaced(s.ID)
-	}
-}
-
-// identify asks the server at the address of a failed one who it is, and records it if it is another one.  It reports
-// whether it may be s.
-func (f *Forwarder) identify(ctx context.Context, s gladefleet.Server) bool {
-	release := f.config.Release()
-	if release == nil || f.config.Instance == nil || !f.config.Fleet.AwaitsSuccessor(s.ID) {
-		return true
-	}
-	f.count("probes.identity")
-	instance, err := f.config.Instance(ctx, s.Address, release.Services[s.Service].HealthPath)
-	if err != nil {
-		f.config.Log.Info("Server not identified.", "server", s.ID, "address", s.Address, "reason", err)
-		return true
-	}
-	if instance == s.ID {
-		return true
-	}
-	f.recordInstance(s, instance)
-	return false
-}
-
-// probe checks in the background whether a server accepts connections.
-func (f *Forwarder) probe(s gladefleet.Server) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.probing[s.ID] {
-		return
-	}
-	f.probing[s.ID] = true
-	f.count("probes")
-	f.tasks.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		defer cancel()
-		err := f.config.Client.Pool.Probe(ctx, s.Address)
-		switch {
-		case err != nil:
-			f.markDown(s, "no connection: "+err.Error())
-		case f.config.Fleet.Unavailable(s.ID, time.Now()) && !f.identify(ctx, s):
-		case f.config.Fleet.MarkHeard(s.ID, time.Now()):
-			f.config.Log.Info("Backend server is back.", "server", s.ID, "domain", s.FailureDomain)
-		}
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		delete(f.probing, s.ID)
-	})
-}
-
 func (f *Forwarder) count(name string) {
 	metrics.GetOrRegisterCounter(name, f.config.Metrics).Inc(1)
 }
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -106,6 +106,8 @@
 		s.fail(http.StatusBadGateway, "broken off and not resumable")
 	case s.sends >= maxStreamSends:
 		s.refuseOrFail("too many attempts")
+	case s.unsent >= maxUnsent:
+		s.refuseOrFail("no server accepts a connection")
 	case !s.tryRetry():
 		s.refuseOrFail("retry budget is empty")
 	default:
