Draw the samples of a test of gladeroute from a seed; list a failure seen once

TestLoadSpreadsAfterMassLoss bounds a random sample (22 choices of one server, bound 21): the table takes its random numbers from a field now, and the test seeds it; the bound is unchanged. TestVMDies/standby_drained_while_the_owner_dies saw two engine requests where one is the bound; it is not traced.

--- a/gladeroute/choose.go
+++ b/gladeroute/choose.go
@@ -49,7 +49,7 @@
 	if t.LeastLoaded {
 		return leastLoaded(pool, all), reasonLeast
 	}
-	return lessLoadedOfTwo(pool, all, x.localCount)
+	return t.lessLoadedOfTwo(pool, all, x.localCount)
 }
 
 // scan sets the load of each server that may run the request, and a negative load on every other one.
@@ -112,11 +112,15 @@
 
 // lessLoadedOfTwo returns the less loaded of two random candidates. If each VM took the least loaded one, VMs with the
 // same reports would all choose the same server.
-func lessLoadedOfTwo(pool []*server, all bool, candidates int) (*server, string) {
-	a := rand.IntN(candidates)
+func (t *Table) lessLoadedOfTwo(pool []*server, all bool, candidates int) (*server, string) {
+	random := t.Random
+	if random == nil {
+		random = rand.IntN
+	}
+	a := random(candidates)
 	b := a
 	if candidates > 1 {
-		b = (a + 1 + rand.IntN(candidates-1)) % candidates
+		b = (a + 1 + random(candidates-1)) % candidates
 	}
 	var first, second *server
 	for _, s := range pool {
--- a/gladeroute/table.go
+++ b/gladeroute/table.go
@@ -30,6 +30,8 @@
 
 // Table holds the known backend servers and their loads. Its zero value is empty and has the default settings.
 type Table struct {
+	// Random returns a random number from 0 up to but not including n; nil means that of math/rand.
+	Random func(n int) int
 	// FailureDomain is the failure domain of this VM, whose servers are preferred.
 	FailureDomain string
 	// AffinityBlocks is the number of leading blocks whose hash selects a server; zero means 4.
--- a/gladeroute/table_test.go
+++ b/gladeroute/table_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"testing"
 	"testing/synctest"
@@ -139,8 +140,10 @@
 func TestLoadSpreadsAfterMassLoss(t *testing.T) {
 	c := qt.New(t)
 	counts := map[string]int{}
+	random := rand.New(rand.NewPCG(1, 1)).IntN
 	for range 14 { // VMs that have the same stale reports of the 24 servers left of 36
 		table := newTable(t, 24, "shubra")
+		table.Random = random
 		for i := range 24 {
 			table.UpdateLoad(gladeapi.LoadReport{Backend: fmt.Sprintf("e%03d", i), Running: 8 + i}, 0)
 		}
