--- a/gladeonce/once_test.go
+++ b/gladeonce/once_test.go
@@ -415,12 +415,14 @@
 		call := Call{Organisation: "nile-fixer", Route: "returns", Key: "k"}
 		var shard int
 		_, _ = fmt.Sscanf(call.Name()[:shardDigits], "%x", &shard)
+		b.mu.Lock()
 		b.fault = func(r *http.Request) (bool, bool) {
 			if r.Method == http.MethodDelete { // another VM is first
 				b.platform.ServeHTTP(&discard{header: http.Header{}}, r.Clone(r.Context()))
 			}
 			return false, false
 		}
+		b.mu.Unlock()
 		n, err := b.vms["a"].Sweep(t.Context(), shard, time.Now().Add(49*time.Hour))
 		c.Assert(err, qt.IsNil)
 		c.Assert(n, qt.Equals, 0)
