Log why a lost run counts for or against its request

Now each of these decisions has a line with its inputs, and two counters and two gauges. No decision changes.

--- a/gladesuspect/poison.go
+++ b/gladesuspect/poison.go
@@ -97,6 +97,37 @@
 	return !d.progressed[fingerprint] && !t.isMassLoss(d, fingerprint)
 }
 
+// Evidence is what a Tracker knows against a request.
+type Evidence struct {
+	// Deaths is the number of servers that died while they ran the request.
+	Deaths int
+	// Counted is the number of them that count against it: neither after progress nor in a mass loss.
+	Counted int
+	// Attributed is the number of those that no other suspect explains.
+	Attributed int
+	// LastDeath is the time of the last death, zero without one.
+	LastDeath time.Time
+}
+
+// Evidence returns what is known against a request.
+func (t *Tracker) Evidence(fingerprint uint64) Evidence {
+	if t == nil {
+		return Evidence{}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	deaths := t.deathsByRequest[fingerprint]
+	e := Evidence{
+		Deaths: len(deaths), Counted: t.countedDeaths(fingerprint), Attributed: len(t.attributedDeaths(fingerprint)),
+	}
+	for _, d := range deaths {
+		if d.at.After(e.LastDeath) {
+			e.LastDeath = d.at
+		}
+	}
+	return e
+}
+
 // reachesLimit reports whether MaxDeaths deaths are attributed to a request, or twice as many deaths occurred under it.
 func (t *Tracker) reachesLimit(fingerprint uint64) bool {
 	if len(t.deathsByRequest[fingerprint]) >= 2*t.config.MaxDeaths {
@@ -158,7 +189,7 @@
 	t.mu.Lock()
 	r := t.refuse(fingerprint, slices.Clone(t.deathsByRequest[fingerprint]))
 	t.mu.Unlock()
-	t.config.Log.Warn("Request refused as poison.", "fingerprint", fingerprint, "engines", r.Servers)
+	t.config.Log.Warn("Request refused as poison.", "fingerprint", fingerprint, "servers", r.Servers)
 	if t.config.OnRefused != nil {
 		t.config.OnRefused(r)
 	}
--- a/gladesuspect/tracker.go
+++ b/gladesuspect/tracker.go
@@ -220,7 +220,8 @@
 	for _, o := range t.runs[server.ID] {
 		t.addToDeath(d, o)
 	}
-	t.config.Log.Warn("Engine died.", "engine", server.ID, "requests", len(d.requests))
+	t.config.Log.Warn("Server died.", "server", server.ID, "domain", server.FailureDomain, "requests", len(d.requests),
+		"nearby", d.nearbyDeaths)
 	return d
 }
 
@@ -234,6 +235,9 @@
 }
 
 func (t *Tracker) clearRequest(fingerprint uint64) {
+	if n := len(t.deathsByRequest[fingerprint]); n > 0 {
+		t.config.Log.Info("Request no longer suspected.", "fingerprint", fingerprint, "deaths", n)
+	}
 	for _, d := range t.deathsByRequest[fingerprint] {
 		delete(d.requests, fingerprint)
 	}
--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -321,6 +321,10 @@
 
 // checkSuspect reports whether the request may be sent; it fails a request under which several servers died.
 func (j *job) checkSuspect() bool {
+	if e := j.config.Suspects.Evidence(j.fingerprint); e.Deaths > 0 {
+		j.log("Servers died under it.", "fingerprint", j.fingerprint, "deaths", e.Deaths, "counted", e.Counted,
+			"attributed", e.Attributed, "lastMs", time.Since(e.LastDeath).Milliseconds())
+	}
 	if _, err := j.config.Suspects.Check(j.ctx, j.fingerprint); err != nil {
 		j.log("Not sent again.", "reason", err)
 		j.fail(http.StatusBadGateway, "it crashes the servers that run it")
@@ -334,6 +338,7 @@
 	server := gladeapi.BackendServer{ID: s.ID, Incarnation: strconv.FormatInt(s.Started, 10), FailureDomain: s.FailureDomain}
 	tracked, ok := j.config.Suspects.StartRun(j.fingerprint, server, false)
 	if !ok { // the server already runs another suspect; the request is sent there all the same
+		j.log("Run beside a suspect not recorded.", "server", s.ID, "fingerprint", j.fingerprint)
 		return func(runOutcome) {}
 	}
 	ranOn := slices.Clone(j.avoid)
@@ -344,10 +349,14 @@
 		}
 		// A death is detected within the time of a probe, as is a failure of the whole failure domain.
 		time.AfterFunc(deathCheckDelay, func() {
-			if !j.config.Fleet.Unavailable(s.ID, time.Now()) || j.config.Fleet.InFailureBurst(s, ranOn, time.Now()) {
+			up, burst := !j.config.Fleet.Unavailable(s.ID, time.Now()), j.config.Fleet.InFailureBurst(s, ranOn, time.Now())
+			if up || burst {
+				j.count("deaths.notCounted")
+				j.log("Lost run not counted.", "server", s.ID, "domain", s.FailureDomain, "fingerprint", j.fingerprint, "up", up, "burst", burst)
 				tracked.End(false)
 				return
 			}
+			j.count("deaths.counted")
 			tracked.ServerDied()
 			j.log("Server crashed under it.", "server", s.ID, "fingerprint", j.fingerprint)
 			j.config.OnServerDeath(ServerDeath{Fingerprint: j.fingerprint, Server: server})
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -240,6 +240,8 @@
 	gauge("peers", int64(f.vmCount()-1))
 	gauge("busy", int64(f.server.Busy()))
 	gauge("connections.opened", f.pool.Dials())
+	gauge("suspects", int64(f.suspects.SuspectCount()))
+	gauge("suspects.refused", int64(len(f.suspects.Refused())))
 	if r := f.release.Load(); r != nil {
 		gauge("release.version", r.Version)
 		f.mu.Lock()
