--- a/gladesuspect/tracker_test.go
+++ b/gladesuspect/tracker_test.go
@@ -77,6 +77,48 @@
 	})
 }
 
+// A server dies under requests of several VMs, which all report it. It is one death, and no loss of a failure domain.
+func TestDeathReportedForSeveralRequestsIsOne(t *testing.T) {
+	virtual(t, func(c *qt.C) {
+		tracker := New(Config{MaxDeaths: 3})
+		for i := range 3 {
+			_, err := check(tracker, poisonous)
+			c.Assert(err, qt.IsNil)
+			for j := range uint64(6) {
+				tracker.ServerDiedElsewhere(uint64(100*i)+100+j, server(i))
+			}
+			tracker.ServerDiedElsewhere(poisonous, server(i))
+			time.Sleep(5 * time.Second)
+		}
+		_, err := check(tracker, poisonous)
+		c.Assert(err, qt.ErrorIs, ErrPoison)
+	})
+}
+
+// Other requests are sent again and die twice with the poison request. They must not hide it, nor be refused for it.
+func TestOtherRequestsDyingTwiceDoNotHidePoison(t *testing.T) {
+	virtual(t, func(c *qt.C) {
+		tracker := New(Config{MaxDeaths: 3})
+		others := [][]uint64{{21, 22}, {21, 23}, {22, 23}}
+		for i, with := range others {
+			_, err := check(tracker, poisonous)
+			c.Assert(err, qt.IsNil)
+			v := enter(c, tracker, poisonous, server(i))
+			for _, f := range with {
+				tracker.ServerDiedElsewhere(f, server(i))
+			}
+			v.ServerDied()
+			time.Sleep(5 * time.Second)
+		}
+		for _, f := range []uint64{21, 22, 23} {
+			_, err := check(tracker, f)
+			c.Assert(err, qt.IsNil)
+		}
+		_, err := check(tracker, poisonous)
+		c.Assert(err, qt.ErrorIs, ErrPoison)
+	})
+}
+
 func TestOneEngineDyingTwiceUnderTheSameTwoRequests(t *testing.T) {
 	virtual(t, func(c *qt.C) {
 		tracker := New(Config{})
--- a/internal/proxy/gladeforward/forward_test.go
+++ b/internal/proxy/gladeforward/forward_test.go
@@ -71,7 +71,12 @@
 // harness runs a VM and backend servers on an in-memory network.
 type harness struct {
 	*qt.C
-	network   *gladewire.Network
+	network *gladewire.Network
+	// vm is the host of the VM and domain its failure domain.
+	vm, domain string
+	suspects   gladesuspect.Config
+	// onDeath is called with the deaths reported to the other VMs; nil ignores them.
+	onDeath   func(ServerDeath)
 	fleet     *gladefleet.Table
 	forwarder *Forwarder
 	engine    *gladerelease.Engine
@@ -113,7 +118,8 @@
 // runTest calls f in virtual time with a VM in the failure domain "shubra".
 func runTest(t *testing.T, f func(w *harness)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &harness{C: qt.New(t), network: &gladewire.Network{}, held: map[string]map[string]int{}}
+		w := &harness{C: qt.New(t), network: &gladewire.Network{}, vm: "vm", domain: "shubra", held: map[string]map[string]int{}}
+		w.suspects.MaxDeaths = 3
 		w.start()
 		defer w.waitForCleanup()
 		defer func() {
@@ -129,8 +135,8 @@
 }
 
 func (w *harness) start() {
-	w.fleet = gladefleet.New(gladefleet.Config{FailureDomain: "shubra", AddressReuse: 2 * time.Second})
-	vm := w.network.Host("vm")
+	w.fleet = gladefleet.New(gladefleet.Config{FailureDomain: w.domain, AddressReuse: 2 * time.Second})
+	vm := w.network.Host(w.vm)
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
 		defer cancel()
@@ -162,14 +168,14 @@
 		Budget: gladebudget.New(gladebudget.Config{Share: 1, Reserve: 100, Window: 10 * time.Second, VMs: func() int { return 1 }}),
 		Decode: decodeCall, SetAnswerID: func(h http.Header, id string) { h.Set(testID, id) },
 		CopyName: func(address, id string) string { return address + "/" + id },
-		Suspects: gladesuspect.New(gladesuspect.Config{MaxDeaths: 3}), OnServerDeath: w.recordDeath,
+		Suspects: gladesuspect.New(w.suspects), OnServerDeath: w.recordDeath,
 		StopTime: func() time.Time { return w.stopsAt },
 		BootTime: time.Now, Instance: w.instanceAt, OnSuccessor: w.recordSuccessor,
 		OnLoadChange: func() {}, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
 	})
 	w.forwarder = forwarder
 	w.closers = append(w.closers, closeForwarder)
-	l, err := vm.Listen("tcp", "vm:80")
+	l, err := vm.Listen("tcp", w.vm+":80")
 	w.Assert(err, qt.IsNil)
 	_, closeServer := gladeserve.New(gladeserve.Config{
 		Listener: l, Limits: func() gladerelease.Limits { return gladerelease.DefaultLimits },
@@ -209,8 +215,11 @@
 
 func (w *harness) recordDeath(d ServerDeath) {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.deaths = append(w.deaths, d)
+	w.mu.Unlock()
+	if w.onDeath != nil {
+		w.onDeath(d)
+	}
 }
 
 func (w *harness) heldAt(_ context.Context, address string) (map[string]int, error) {
@@ -307,7 +316,7 @@
 }
 
 func (w *harness) callContext(ctx context.Context, method, path string, header map[string]string) response {
-	r, err := http.NewRequestWithContext(ctx, method, "http://vm:80"+path, strings.NewReader("body"))
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+w.vm+":80"+path, strings.NewReader("body"))
 	w.Assert(err, qt.IsNil)
 	r.Host = "h"
 	r.Header.Set(testID, "r1")
--- a/internal/proxy/gladefront/front_test.go
+++ b/internal/proxy/gladefront/front_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,6 +18,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladefeed"
 	gladeplatform "github.com/eelgrassglade/eelgrassglade/platform"
@@ -363,3 +366,52 @@
 	front.Reload("missing.toml")
 	f.Assert(front.grace(), qt.Equals, f.grace)
 }
+
+// crashUnder records at a VM that servers died under a request.
+func crashUnder(f *Front, fingerprint uint64, deaths int) {
+	for i := range deaths {
+		f.suspects.ServerDiedElsewhere(fingerprint, gladeapi.BackendServer{ID: fmt.Sprint("i-", i), FailureDomain: "shubra"})
+		time.Sleep(2 * poisonDecisionDelay)
+	}
+}
+
+func refuses(f *Front, fingerprint uint64) bool {
+	return slices.ContainsFunc(f.suspects.Refused(), func(r gladesuspect.Refused) bool { return r.Fingerprint == fingerprint })
+}
+
+// The VM that has found that a request crashes its servers stops, and others start later. All must refuse the request.
+func TestRefusalOutlivesVM(t *testing.T) {
+	f := newTestFleet(t)
+	f.publish(3, "/a/")
+	first, stopFirst := f.startVM(1)
+	second, _ := f.startVM(2)
+	f.eventually("peers", func() bool { return first.vmCount() == 2 && second.vmCount() == 2 })
+	const fingerprint = 7
+	crashUnder(first, fingerprint, maxPoisonDeaths)
+	_, err := first.suspects.Check(t.Context(), fingerprint)
+	f.Assert(err, qt.ErrorIs, gladesuspect.ErrPoison)
+	began := time.Now()
+	f.eventually("second VM refuses", func() bool { return refuses(second, fingerprint) })
+	f.Assert(time.Since(began) < time.Second, qt.IsTrue)
+	stopFirst()
+	third, _ := f.startVM(3)
+	f.eventually("third VM is ready", third.Ready)
+	began = time.Now()
+	f.eventually("third VM refuses", func() bool { return refuses(third, fingerprint) })
+	f.Assert(time.Since(began) < 2*time.Second, qt.IsTrue)
+}
+
+// A request that was suspected ran to its end at one VM. The others must not hold the earlier deaths against it.
+func TestSuccessClearsRequestAtOtherVMs(t *testing.T) {
+	f := newTestFleet(t)
+	f.publish(3, "/a/")
+	first, _ := f.startVM(1)
+	second, _ := f.startVM(2)
+	f.eventually("peers", func() bool { return first.vmCount() == 2 && second.vmCount() == 2 })
+	const fingerprint = 7
+	crashUnder(first, fingerprint, maxPoisonDeaths-1)
+	crashUnder(second, fingerprint, maxPoisonDeaths-1)
+	v, _ := first.suspects.StartRun(fingerprint, gladeapi.BackendServer{ID: "i-9", FailureDomain: "shubra"}, false)
+	v.End(true)
+	f.eventually("cleared", func() bool { return second.suspects.Evidence(fingerprint).Deaths == 0 })
+}
