Record one death for all reports of a server's death

Each VM reports each request that it lost on a server, and a tracker recorded a death for each report; from four on, the crash looked like the loss of a failure domain and counted against no request. Now reports about one server within 3 s are one death, to which their requests are added; a later report is a new one, as a server that was only cut off may die in earnest.

TestDeathReportedForSeveralRequestsIsOne failed before.

--- a/gladesuspect/tracker.go
+++ b/gladesuspect/tracker.go
@@ -24,6 +24,9 @@
 	defaultProgress   = 16
 	defaultMassDeaths = 3
 	maxRefused        = 1024
+	// reportWindow is the time within which all VMs report the same death; a silent server is found down later than one
+	// that closes its connections.
+	reportWindow = 3 * time.Second
 )
 
 // Config configures a Tracker.
@@ -169,7 +172,8 @@
 	t.addToDeath(d, v)
 }
 
-// ServerDiedElsewhere records that a server died while it ran a request of another VM.
+// ServerDiedElsewhere records that a server died while it ran a request of another VM. The reports about all requests on
+// the server are one death.
 func (t *Tracker) ServerDiedElsewhere(fingerprint uint64, server gladeapi.BackendServer) {
 	if t == nil || fingerprint == 0 {
 		return
@@ -177,12 +181,24 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire()
-	for _, d := range t.deaths {
-		if d.server.ID == server.ID && d.server.Incarnation == server.Incarnation && d.requests[fingerprint] {
-			return
+	d := t.recentDeath(server)
+	if d == nil {
+		d = t.newDeath(server)
+	}
+	t.addToDeath(d, &TrackedRun{tracker: t, fingerprint: fingerprint, server: server})
+}
+
+// recentDeath returns the death of a server that other VMs may still report, or nil.
+func (t *Tracker) recentDeath(server gladeapi.BackendServer) *death {
+	for _, d := range slices.Backward(t.deaths) {
+		if time.Since(d.at) > reportWindow {
+			break
+		}
+		if d.server.ID == server.ID && d.server.Incarnation == server.Incarnation {
+			return d
 		}
 	}
-	t.addToDeath(t.newDeath(server), &TrackedRun{tracker: t, fingerprint: fingerprint, server: server})
+	return nil
 }
 
 func (t *Tracker) removeRun(v *TrackedRun) {
