Clear a suspected request only by a success

For plain requests any whole answer cleared the earlier crashes, also a 503 that says that the server did not run the request, and a server's own 500. The last server of a service whose others have crashed rejects much. Only an answer below 500 of a server that ran the request tells that it does not crash its servers; the others say nothing.

--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -368,7 +368,7 @@
 type runOutcome int
 
 const (
-	runCompleted    runOutcome = iota // the answer is complete
+	runCompleted    runOutcome = iota // the answer is complete and no failure
 	runInconclusive                   // the outcome does not count against the request
 	runLost                           // the run ended without any part of an answer
 )
--- a/internal/proxy/gladeforward/plain.go
+++ b/internal/proxy/gladeforward/plain.go
@@ -123,9 +123,9 @@
 		a := j.sendAndRead(ctx, s)
 		a.sentAt = sentAt
 		switch {
-		case a.err == nil:
+		case a.err == nil && !notRun(&a) && a.status < http.StatusInternalServerError:
 			recordOutcome(runCompleted)
-		case ctx.Err() != nil || errors.Is(a.err, gladesend.ErrNotSent):
+		case a.err == nil || ctx.Err() != nil || errors.Is(a.err, gladesend.ErrNotSent):
 			recordOutcome(runInconclusive)
 		default:
 			recordOutcome(runLost)
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -195,7 +195,7 @@
 		a.freeCopy()
 	}
 	switch {
-	case result == attemptFinished:
+	case result == attemptFinished && a.exchange.Status < http.StatusInternalServerError:
 		recordOutcome(runCompleted)
 	case result == attemptBroken && a.received == 0:
 		recordOutcome(runLost)
