Let only a request that explains as many deaths cast doubt on a suspect

A death was not attributed to a request if any other one that ran there had died before. The request that is the cause has died each time, the others have not: a death is now left out only if another request on that server explains as many deaths. Requests that always die together are treated as before.

--- a/gladesuspect/poison.go
+++ b/gladesuspect/poison.go
@@ -137,7 +137,7 @@
 }
 
 // attributedDeaths returns the deaths that are attributed to a request. Of the deaths that count against it, these are
-// the first one and each later one in which no other request was a suspect before.
+// the first one and each later one that no other suspect explains as well.
 func (t *Tracker) attributedDeaths(fingerprint uint64) []*death {
 	var deaths []*death
 	for _, d := range t.deathsByRequest[fingerprint] {
@@ -161,11 +161,13 @@
 	return others >= t.config.MassDeaths
 }
 
-// hasOtherSuspect reports whether another request, which was a suspect before a death, may have caused it.
+// hasOtherSuspect reports whether another request, which was a suspect before a death, may have caused it: it explains as
+// many deaths.
 func (t *Tracker) hasOtherSuspect(d *death, fingerprint uint64) bool {
+	own := t.countedDeaths(fingerprint)
 	for other := range d.requests {
 		earlier := func(o *death) bool { return o.sequence < d.sequence && !o.progressed[other] }
-		if other != fingerprint && slices.ContainsFunc(t.deathsByRequest[other], earlier) {
+		if other != fingerprint && slices.ContainsFunc(t.deathsByRequest[other], earlier) && t.countedDeaths(other) >= own {
 			return true
 		}
 	}
