Record a run that is sent beside a suspect

The forwarder sends a suspect also to a server that runs another one, as a service may have few servers, but the tracker recorded no such run; a crash under it counted for nothing. RecordRun records it; StartRun, by which engines are chosen in the daemon, separates as before.

TestCrashBesideSuspectCounts fails without the change (1 death instead of 2).

--- a/gladesuspect/tracker.go
+++ b/gladesuspect/tracker.go
@@ -128,10 +128,24 @@
 	if isolate && t.countedDeaths(fingerprint) > 0 && t.runsSuspect(server.ID, fingerprint) {
 		return nil, false
 	}
+	return t.addRun(fingerprint, server), true
+}
+
+// RecordRun is StartRun for a request that runs on the server beside any suspects.
+func (t *Tracker) RecordRun(fingerprint uint64, server gladeapi.BackendServer) *TrackedRun {
+	if t == nil || fingerprint == 0 {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.addRun(fingerprint, server)
+}
+
+func (t *Tracker) addRun(fingerprint uint64, server gladeapi.BackendServer) *TrackedRun {
 	t.sequence++
 	v := &TrackedRun{tracker: t, fingerprint: fingerprint, server: server, sequence: t.sequence}
 	t.runs[server.ID] = append(t.runs[server.ID], v)
-	return v, true
+	return v
 }
 
 // Progress records the number of tokens that the run has generated.
--- a/internal/proxy/gladeforward/crash_test.go
+++ b/internal/proxy/gladeforward/crash_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
 	"github.com/eelgrassglade/eelgrassglade/gladewire"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
@@ -97,7 +98,7 @@
 			}
 			c.start(service, domain)
 		})
-		go c.vms[0].network.Kill(id)
+		c.vms[0].network.Kill(id)
 	})
 	c.vms[0].listen(id, func(rw http.ResponseWriter, r *http.Request) {
 		path := r.URL.Path
@@ -301,7 +302,7 @@
 				id := fmt.Sprint("crashing", i)
 				serve(id, func(rw http.ResponseWriter, r *http.Request) {
 					crashes++
-					go w.network.Kill(id)
+					w.network.Kill(id)
 					abortConnection(rw, r)
 				})
 				serve(fmt.Sprint("rejecting", i), rejection)
@@ -366,3 +367,30 @@
 		})
 	}
 }
+
+// A request crashes its second server while one that has crashed two runs beside it. That death counts too.
+func TestCrashBesideSuspectCounts(t *testing.T) {
+	runTest(t, func(w *harness) {
+		tracker := w.forwarder.config.Suspects
+		for i := range 2 {
+			s := gladeapi.BackendServer{ID: fmt.Sprint("x", i), FailureDomain: "giza"}
+			tracker.ServerDiedElsewhere(fingerprintOf("/unsafe/other"), s)
+			time.Sleep(5 * time.Second)
+		}
+		tracker.ServerDiedElsewhere(fingerprintOf("/unsafe/crash"), gladeapi.BackendServer{ID: "y", FailureDomain: "giza"})
+		w.serve("app", "shubra", "a", func(rw http.ResponseWriter, r *http.Request) {
+			time.Sleep(20 * time.Millisecond)
+			if strings.Contains(r.URL.Path, "crash") {
+				w.network.Kill("a")
+			}
+			abortConnection(rw, r)
+		})
+		var other sync.WaitGroup
+		other.Go(func() { w.call(http.MethodPost, "/unsafe/other", nil) })
+		time.Sleep(10 * time.Millisecond)
+		w.call(http.MethodPost, "/unsafe/crash", nil)
+		other.Wait()
+		time.Sleep(time.Second)
+		w.Assert(tracker.Evidence(fingerprintOf("/unsafe/crash")).Deaths, qt.Equals, 2)
+	})
+}
--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -336,11 +336,7 @@
 // trackRun records that a server runs the request and returns a function that records the outcome.
 func (j *job) trackRun(s gladefleet.Server) func(end runOutcome) {
 	server := gladeapi.BackendServer{ID: s.ID, Incarnation: strconv.FormatInt(s.Started, 10), FailureDomain: s.FailureDomain}
-	tracked, ok := j.config.Suspects.StartRun(j.fingerprint, server, false)
-	if !ok { // the server already runs another suspect; the request is sent there all the same
-		j.log("Run beside a suspect not recorded.", "server", s.ID, "fingerprint", j.fingerprint)
-		return func(runOutcome) {}
-	}
+	tracked := j.config.Suspects.RecordRun(j.fingerprint, server)
 	ranOn := slices.Clone(j.avoid)
 	return func(end runOutcome) {
 		if end != runLost {
