Tell the crashes of one request from the loss of servers by what ran on them

A lost run was not counted if another server of its failure domain had failed within 1.2 s. When copies of the request come several times a second, they crash those servers themselves: no VM counted a crash, and none was told.

Now every run that is lost with its server is counted and reported, with the times of its begin and end, and the tracker decides from all of them. Servers are lost together if three of their failure domain die within 0.1 s under which the request did not run and whose deaths no other suspect explains; the forwarder tells which servers it found down, with or without runs. Deaths count one after another: a run must have begun after the death before, so that a harmless lookup that ran on all servers of a service when they were lost is served again. A run is no evidence after two events, not after the first one. InFailureBurst goes, with its test: that one request's crashes are no loss of a failure domain, and that others are one, is tested in gladesuspect.

--- a/gladesuspect/poison.go
+++ b/gladesuspect/poison.go
@@ -94,7 +94,7 @@
 
 // countsAgainst reports whether a death counts against a request: it did not come after progress or in a mass loss.
 func (t *Tracker) countsAgainst(d *death, fingerprint uint64) bool {
-	return !d.progressed[fingerprint] && !t.isMassLoss(d, fingerprint)
+	return !d.runs[fingerprint].progressed && !t.isMassLoss(d, fingerprint)
 }
 
 // Evidence is what a Tracker knows against a request.
@@ -128,12 +128,34 @@
 	return e
 }
 
-// reachesLimit reports whether MaxDeaths deaths are attributed to a request, or twice as many deaths occurred under it.
+// reachesLimit reports whether a request is to be refused.
+//
+// That needs deaths one after another: servers that are lost together may all have run the same harmless request. The
+// limit is MaxDeaths deaths that are attributed to it; twice as many deaths that count against it, after a first
+// one, since no harmless request meets so many; or twice as many of any kind.
 func (t *Tracker) reachesLimit(fingerprint uint64) bool {
-	if len(t.deathsByRequest[fingerprint]) >= 2*t.config.MaxDeaths {
-		return true
+	all := t.deathsByRequest[fingerprint]
+	if len(all) < t.config.MaxDeaths {
+		return false
 	}
-	return len(t.attributedDeaths(fingerprint)) >= t.config.MaxDeaths
+	counted := slices.DeleteFunc(slices.Clone(all), func(d *death) bool { return !t.countsAgainst(d, fingerprint) })
+	return t.successive(t.attributedDeaths(fingerprint), fingerprint) >= t.config.MaxDeaths ||
+		len(counted) >= 2*t.config.MaxDeaths && t.successive(counted, fingerprint) > 1 ||
+		t.successive(all, fingerprint) >= 2*t.config.MaxDeaths
+}
+
+// successive returns the largest number of deaths under a request of which each run began after the death before.
+func (t *Tracker) successive(deaths []*death, fingerprint uint64) int {
+	sorted := slices.SortedFunc(slices.Values(deaths), func(a, b *death) int { return a.at.Compare(b.at) })
+	n := 0
+	last := time.Time{}
+	for _, d := range sorted {
+		if !d.runs[fingerprint].began.Before(last) && d.at.Sub(last) >= t.config.MinGap {
+			n++
+			last = d.at
+		}
+	}
+	return n
 }
 
 // attributedDeaths returns the deaths that are attributed to a request. Of the deaths that count against it, these are
@@ -149,24 +171,43 @@
 	return deaths
 }
 
-// isMassLoss reports whether MassDeaths servers that did not run the request died in the same failure domain within the
-// window around a death.
+// isMassLoss reports whether MassDeaths other servers, whose deaths no request explains, died in the same failure domain
+// within the window around a death.
 func (t *Tracker) isMassLoss(d *death, fingerprint uint64) bool {
-	others := d.nearbyDeaths
-	for _, o := range t.deathsByRequest[fingerprint] {
-		if o != d && o.server.FailureDomain == d.server.FailureDomain && o.at.Sub(d.at).Abs() <= t.config.Window {
-			others--
+	others := map[string]bool{}
+	first, _ := slices.BinarySearchFunc(t.deaths, d.at.Add(-t.config.Window), func(o *death, at time.Time) int { return o.at.Compare(at) })
+	for _, o := range t.deaths[first:] {
+		if o.at.Sub(d.at) > t.config.Window {
+			break
 		}
+		_, same := o.runs[fingerprint]
+		if !same && o.server.ID != d.server.ID && o.server.FailureDomain == d.server.FailureDomain && !t.isExplained(o) {
+			others[o.server.ID] = true
+		}
+	}
+	return len(others) >= t.config.MassDeaths
+}
+
+// isExplained reports whether a request ran on a server that died which had died at another time too.
+func (t *Tracker) isExplained(d *death) bool {
+	if d.explained {
+		return true
 	}
-	return others >= t.config.MassDeaths
+	for f, v := range d.runs {
+		earlier := func(o *death) bool { return !o.runs[f].progressed && o.at.Sub(d.at).Abs() > t.config.Window }
+		if !v.progressed && slices.ContainsFunc(t.deathsByRequest[f], earlier) {
+			return true
+		}
+	}
+	return false
 }
 
 // hasOtherSuspect reports whether another request, which was a suspect before a death, may have caused it: it explains as
 // many deaths.
 func (t *Tracker) hasOtherSuspect(d *death, fingerprint uint64) bool {
 	own := t.countedDeaths(fingerprint)
-	for other := range d.requests {
-		earlier := func(o *death) bool { return o.sequence < d.sequence && !o.progressed[other] }
+	for other := range d.runs {
+		earlier := func(o *death) bool { return o.sequence < d.sequence && !o.runs[other].progressed }
 		if other != fingerprint && slices.ContainsFunc(t.deathsByRequest[other], earlier) && t.countedDeaths(other) >= own {
 			return true
 		}
@@ -212,6 +253,7 @@
 	r := Refused{Fingerprint: fingerprint, Until: time.Now().Add(t.config.Retention), Servers: serverIDs(deaths)}
 	for _, d := range deaths {
 		t.withdrawDeath(d)
+		d.explained = true
 	}
 	t.addRefused(r)
 	return r
--- a/gladesuspect/tracker.go
+++ b/gladesuspect/tracker.go
@@ -37,7 +37,11 @@
 	Retention time.Duration
 	// Window is the time within which deaths count as simultaneous; zero means 1 s. A first refusal waits as long.
 	Window time.Duration
-	// Progress is the number of tokens after which a death no longer counts against the request; zero means 16.
+	// MinGap is the time between two deaths from which the second one may have followed from a retry of the first; servers that
+	// are lost together die within less. Zero means no time.
+	MinGap time.Duration
+	// Progress is the number of tokens, or of what else TrackedRun.Progress is told, after which a death no longer counts against
+	// the request; zero means 16.
 	Progress int
 	// MassDeaths is the number of other servers of a failure domain whose deaths in the same Window clear a request; zero
 	// means 3.
@@ -79,11 +83,17 @@
 	server   gladeapi.BackendServer
 	at       time.Time
 	sequence uint64
-	requests map[uint64]bool
-	// progressed are the requests whose run had more tokens than Config.Progress and is unlikely to be the cause.
-	progressed map[uint64]bool
-	// nearbyDeaths is the number of other deaths in the same failure domain within the window.
-	nearbyDeaths int
+	// runs are the runs that were lost, by request.
+	runs map[uint64]lostRun
+	// explained is set once a request has been refused for the death.
+	explained bool
+}
+
+// lostRun is a run whose server died.
+type lostRun struct {
+	began time.Time
+	// progressed reports that the run had more tokens than Config.Progress, so that its request is unlikely to be the cause.
+	progressed bool
 }
 
 // TrackedRun is one run of a request on one server.
@@ -91,6 +101,7 @@
 	tracker     *Tracker
 	fingerprint uint64
 	server      gladeapi.BackendServer
+	began       time.Time
 	sequence    uint64
 	tokens      atomic.Int64
 }
@@ -143,7 +154,7 @@
 
 func (t *Tracker) addRun(fingerprint uint64, server gladeapi.BackendServer) *TrackedRun {
 	t.sequence++
-	v := &TrackedRun{tracker: t, fingerprint: fingerprint, server: server, sequence: t.sequence}
+	v := &TrackedRun{tracker: t, fingerprint: fingerprint, server: server, began: time.Now(), sequence: t.sequence}
 	t.runs[server.ID] = append(t.runs[server.ID], v)
 	return v
 }
@@ -155,6 +166,11 @@
 	}
 }
 
+// Progressed reports whether the run has more tokens than Config.Progress.
+func (v *TrackedRun) Progressed() bool {
+	return v != nil && v.tokens.Load() > int64(v.tracker.config.Progress)
+}
+
 // End records the end of a run. If it finished, earlier deaths no longer count against the request.
 func (v *TrackedRun) End(finished bool) {
 	if v == nil {
@@ -170,7 +186,10 @@
 }
 
 // ServerDied records that the server died while it ran the request.
-func (v *TrackedRun) ServerDied() {
+func (v *TrackedRun) ServerDied() { v.ServerDiedAt(time.Now()) }
+
+// ServerDiedAt is ServerDied for a death that was confirmed some time after it.
+func (v *TrackedRun) ServerDiedAt(at time.Time) {
 	if v == nil {
 		return
 	}
@@ -180,26 +199,59 @@
 	t.removeRun(v)
 	t.expire()
 	d := t.deathDuring(v)
+	if d == nil && v.server.Incarnation != "" {
+		d = t.recentDeath(v.server) // the run was sent to a server that had died already
+	}
 	if d == nil {
-		d = t.newDeath(v.server)
+		d = t.newDeath(v.server, at)
 	}
 	t.addToDeath(d, v)
 }
 
+// Loss is a run of another VM that was lost because its server died.
+type Loss struct {
+	Fingerprint uint64
+	Server      gladeapi.BackendServer
+	// Began is when the run began; zero means at its end.
+	Began time.Time
+	// At is when the server died; zero means now.
+	At time.Time
+}
+
 // ServerDiedElsewhere records that a server died while it ran a request of another VM. The reports about all requests on
 // the server are one death.
-func (t *Tracker) ServerDiedElsewhere(fingerprint uint64, server gladeapi.BackendServer) {
-	if t == nil || fingerprint == 0 {
+func (t *Tracker) ServerDiedElsewhere(l Loss) {
+	if t == nil || l.Fingerprint == 0 {
 		return
 	}
+	if l.At.IsZero() {
+		l.At = time.Now()
+	}
+	if l.Began.IsZero() {
+		l.Began = l.At
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire()
-	d := t.recentDeath(server)
+	d := t.recentDeath(l.Server)
 	if d == nil {
-		d = t.newDeath(server)
+		d = t.newDeath(l.Server, l.At)
+	}
+	t.addToDeath(d, &TrackedRun{tracker: t, fingerprint: l.Fingerprint, server: l.Server, began: l.Began})
+}
+
+// ServerFailed records that a server was found down, whether or not it ran a request. Failures of many servers of a failure
+// domain at the same time clear the requests that ran there.
+func (t *Tracker) ServerFailed(server gladeapi.BackendServer) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire()
+	if t.recentDeath(server) == nil {
+		t.newDeath(server, time.Now())
 	}
-	t.addToDeath(d, &TrackedRun{tracker: t, fingerprint: fingerprint, server: server})
 }
 
 // recentDeath returns the death of a server that other VMs may still report, or nil.
@@ -227,6 +279,9 @@
 // deathDuring returns the recorded death of a run's server after the run began, or nil.
 func (t *Tracker) deathDuring(v *TrackedRun) *death {
 	for _, d := range slices.Backward(t.deaths) {
+		if d.at.Before(v.began) {
+			break
+		}
 		if d.server.ID == v.server.ID && d.sequence > v.sequence {
 			return d
 		}
@@ -234,34 +289,36 @@
 	return nil
 }
 
-func (t *Tracker) newDeath(server gladeapi.BackendServer) *death {
+// newDeath records a death and keeps the deaths sorted by time.
+func (t *Tracker) newDeath(server gladeapi.BackendServer, at time.Time) *death {
 	t.sequence++
-	d := &death{server: server, at: time.Now(), sequence: t.sequence, requests: map[uint64]bool{}, progressed: map[uint64]bool{}}
-	for _, o := range slices.Backward(t.deaths) {
-		if d.at.Sub(o.at) > t.config.Window {
-			break
-		}
-		if o.server.FailureDomain == server.FailureDomain {
-			o.nearbyDeaths++
-			d.nearbyDeaths++
-		}
+	d := &death{server: server, at: at, sequence: t.sequence, runs: map[uint64]lostRun{}}
+	i := len(t.deaths)
+	for i > 0 && t.deaths[i-1].at.After(at) {
+		i--
 	}
-	t.deaths = append(t.deaths, d)
-	for _, o := range t.runs[server.ID] {
-		t.addToDeath(d, o)
-	}
-	t.config.Log.Warn("Server died.", "server", server.ID, "domain", server.FailureDomain, "requests", len(d.requests),
-		"nearby", d.nearbyDeaths)
+	t.deaths = slices.Insert(t.deaths, i, d)
 	return d
 }
 
+// addToDeath adds a lost run to a death. The first one brings with it the other runs of this VM on the server.
 func (t *Tracker) addToDeath(d *death, v *TrackedRun) {
-	if d.requests[v.fingerprint] {
+	if _, known := d.runs[v.fingerprint]; known {
 		return
 	}
-	d.requests[v.fingerprint] = true
-	d.progressed[v.fingerprint] = v.tokens.Load() > int64(t.config.Progress)
+	first := len(d.runs) == 0
+	d.runs[v.fingerprint] = lostRun{began: v.began, progressed: v.Progressed()}
 	t.deathsByRequest[v.fingerprint] = append(t.deathsByRequest[v.fingerprint], d)
+	if !first {
+		return
+	}
+	for _, o := range t.runs[d.server.ID] {
+		if !o.began.After(d.at) {
+			t.addToDeath(d, o)
+		}
+	}
+	t.config.Log.Warn("Server died.", "server", d.server.ID, "domain", d.server.FailureDomain, "requests", len(d.runs),
+		"ageMs", time.Since(d.at).Milliseconds())
 }
 
 func (t *Tracker) clearRequest(fingerprint uint64) {
@@ -269,7 +326,7 @@
 		t.config.Log.Info("Request no longer suspected.", "fingerprint", fingerprint, "deaths", n)
 	}
 	for _, d := range t.deathsByRequest[fingerprint] {
-		delete(d.requests, fingerprint)
+		delete(d.runs, fingerprint)
 	}
 	delete(t.deathsByRequest, fingerprint)
 }
@@ -290,7 +347,7 @@
 
 // withdrawDeath removes a death from all requests that ran on the server.
 func (t *Tracker) withdrawDeath(d *death) {
-	for fingerprint := range d.requests {
+	for fingerprint := range d.runs {
 		remaining := slices.DeleteFunc(slices.Clone(t.deathsByRequest[fingerprint]), func(o *death) bool { return o == d })
 		if len(remaining) == 0 {
 			delete(t.deathsByRequest, fingerprint)
@@ -298,5 +355,5 @@
 		}
 		t.deathsByRequest[fingerprint] = remaining
 	}
-	clear(d.requests)
+	clear(d.runs)
 }
--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -309,15 +309,6 @@
 	return e == nil || e.failed || e.replaced || !e.usableUntil.IsZero() && now.After(e.usableUntil)
 }
 
-// InFailureBurst reports whether several servers in the failure domain of a server failed at about the same time, apart
-// from the given ones, which one request may have crashed in turn.
-func (t *Table) InFailureBurst(s Server, apart []string, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	d := t.failures[s.domainKey()]
-	return d.isBurst(now) && slices.ContainsFunc(d.servers, func(id string) bool { return id != s.ID && !slices.Contains(apart, id) })
-}
-
 // suspectedDown reports whether a server is down, or is suspected because others of its failure domain failed and it
 // has not responded since.
 func (t *Table) suspectedDown(e *entry, now time.Time) bool {
--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -79,6 +78,15 @@
 type ServerDeath struct {
 	Fingerprint uint64                 `json:"fingerprint"`
 	Server      gladeapi.BackendServer `json:"server"`
+	// Ran is how long the run had lasted, and Age the time since its end.
+	Ran time.Duration `json:"ran"`
+	Age time.Duration `json:"age"`
+}
+
+// Loss returns the lost run of a report that arrives now.
+func (d ServerDeath) Loss() gladesuspect.Loss {
+	at := time.Now().Add(-d.Age)
+	return gladesuspect.Loss{Fingerprint: d.Fingerprint, Server: d.Server, Began: at.Add(-d.Ran), At: at}
 }
 
 // Forwarder forwards requests to backend servers.
@@ -333,31 +341,48 @@
 	return true
 }
 
-// trackRun records that a server runs the request and returns a function that records the outcome.
-func (j *job) trackRun(s gladefleet.Server) func(end runOutcome) {
-	server := gladeapi.BackendServer{ID: s.ID, Incarnation: strconv.FormatInt(s.Started, 10), FailureDomain: s.FailureDomain}
-	tracked := j.config.Suspects.RecordRun(j.fingerprint, server)
-	ranOn := slices.Clone(j.avoid)
-	return func(end runOutcome) {
-		if end != runLost {
-			tracked.End(end == runCompleted)
+// backendServer returns the identity by which the tracker of suspects knows a server.
+func backendServer(s gladefleet.Server) gladeapi.BackendServer {
+	return gladeapi.BackendServer{ID: s.ID, Incarnation: strconv.FormatInt(s.Started, 10), FailureDomain: s.FailureDomain}
+}
+
+// trackedRun is a run as known to the tracker of suspects.
+type trackedRun struct {
+	*gladesuspect.TrackedRun
+	job    *job
+	server gladefleet.Server
+	began  time.Time
+}
+
+// trackRun records that a server runs the request.
+func (j *job) trackRun(s gladefleet.Server) *trackedRun {
+	return &trackedRun{
+		TrackedRun: j.config.Suspects.RecordRun(j.fingerprint, backendServer(s)), job: j, server: s, began: time.Now(),
+	}
+}
+
+// end records the outcome of the run.
+func (v *trackedRun) end(outcome runOutcome) {
+	if outcome != runLost {
+		v.End(outcome == runCompleted)
+		return
+	}
+	j, lostAt := v.job, time.Now()
+	// A death is detected within the time of a probe.
+	time.AfterFunc(deathCheckDelay, func() {
+		if !j.config.Fleet.Unavailable(v.server.ID, time.Now()) {
+			j.count("deaths.notCounted")
+			j.log("Lost run not counted.", "server", v.server.ID, "domain", v.server.FailureDomain, "fingerprint", j.fingerprint)
+			v.End(false)
 			return
 		}
-		// A death is detected within the time of a probe, as is a failure of the whole failure domain.
-		time.AfterFunc(deathCheckDelay, func() {
-			up, burst := !j.config.Fleet.Unavailable(s.ID, time.Now()), j.config.Fleet.InFailureBurst(s, ranOn, time.Now())
-			if up || burst {
-				j.count("deaths.notCounted")
-				j.log("Lost run not counted.", "server", s.ID, "domain", s.FailureDomain, "fingerprint", j.fingerprint, "up", up, "burst", burst)
-				tracked.End(false)
-				return
-			}
-			j.count("deaths.counted")
-			tracked.ServerDied()
-			j.log("Server crashed under it.", "server", s.ID, "fingerprint", j.fingerprint)
-			j.config.OnServerDeath(ServerDeath{Fingerprint: j.fingerprint, Server: server})
+		j.count("deaths.counted")
+		v.ServerDiedAt(lostAt)
+		j.log("Server crashed under it.", "server", v.server.ID, "domain", v.server.FailureDomain, "fingerprint", j.fingerprint)
+		j.config.OnServerDeath(ServerDeath{
+			Fingerprint: j.fingerprint, Server: backendServer(v.server), Ran: lostAt.Sub(v.began), Age: time.Since(lostAt),
 		})
-	}
+	})
 }
 
 // runOutcome is the outcome of a run on one server.
@@ -366,7 +391,7 @@
 const (
 	runCompleted    runOutcome = iota // the answer is complete and no failure
 	runInconclusive                   // the outcome does not count against the request
-	runLost                           // the run ended without any part of an answer
+	runLost                           // the run ended without an answer, or with little of one
 )
 
 // deathCheckDelay is the time between a lost run and the check of its server's state; it is longer than two probes.
--- a/internal/proxy/gladeforward/plain.go
+++ b/internal/proxy/gladeforward/plain.go
@@ -116,7 +116,7 @@
 	s := j.newSend(place.Server)
 	j.avoid = append(j.avoid, place.ID)
 	j.log("Sent.", "server", place.ID, "reason", place.Reason, "send", j.sends, "leftMs", s.TimeLeft.Milliseconds())
-	recordOutcome := j.trackRun(place.Server)
+	tracked := j.trackRun(place.Server)
 	go func() {
 		defer place.Release()
 		sentAt := j.config.BootTime()
@@ -124,11 +124,11 @@
 		a.sentAt = sentAt
 		switch {
 		case a.err == nil && !notRun(&a) && a.status < http.StatusInternalServerError:
-			recordOutcome(runCompleted)
+			tracked.end(runCompleted)
 		case a.err == nil || ctx.Err() != nil || errors.Is(a.err, gladesend.ErrNotSent):
-			recordOutcome(runInconclusive)
+			tracked.end(runInconclusive)
 		default:
-			recordOutcome(runLost)
+			tracked.end(runLost)
 		}
 		a.server = place.Server
 		answers <- a
--- a/internal/proxy/gladeforward/servers.go
+++ b/internal/proxy/gladeforward/servers.go
@@ -15,6 +15,7 @@
 	f.config.Client.Pool.CloseIdle(s.Address)
 	fresh, doubtful := f.config.Fleet.MarkFailed(s.ID, time.Now())
 	if fresh {
+		f.config.Suspects.ServerFailed(backendServer(s))
 		f.count("servers.down")
 		f.config.Log.Warn("Backend server is down.", "server", s.ID, "address", s.Address, "domain", s.FailureDomain,
 			"doubtful", len(doubtful), "reason", reason)
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -186,7 +186,7 @@
 		stream: s, place: place, lastHeard: time.Now(), attemptContext: ctx, canCopy: s.copies(),
 		copyDone: make(chan copyResult),
 	}
-	recordOutcome := s.trackRun(place.Server)
+	a.tracked = s.trackRun(place.Server)
 	result := a.follow(items)
 	if result == attemptBroken && a.received == 0 {
 		s.dropCopy() // engines begin to copy a run once it has produced an event
@@ -196,11 +196,11 @@
 	}
 	switch {
 	case result == attemptFinished && a.exchange.Status < http.StatusInternalServerError:
-		recordOutcome(runCompleted)
-	case result == attemptBroken && a.received == 0:
-		recordOutcome(runLost)
+		a.tracked.end(runCompleted)
+	case result == attemptBroken && !a.tracked.Progressed():
+		a.tracked.end(runLost)
 	default:
-		recordOutcome(runInconclusive)
+		a.tracked.end(runInconclusive)
 	}
 	return result
 }
@@ -296,6 +296,7 @@
 type attempt struct {
 	*stream
 	place    *gladefleet.Reservation
+	tracked  *trackedRun
 	exchange *gladesend.Exchange
 	// lastHeard is the time of the last event, or of the start of the attempt.
 	lastHeard time.Time
@@ -427,6 +428,7 @@
 		a.place.PrefillDone(now)
 		a.config.OnLoadChange()
 	}
+	a.tracked.Progress(a.received)
 	if e.id <= a.lastEvent {
 		return 0, false
 	}
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -46,6 +46,10 @@
 	poisonRetention = 5 * time.Minute
 	// poisonDecisionDelay is the wait before a request is refused; the loss of a whole failure domain is known by then.
 	poisonDecisionDelay = 100 * time.Millisecond
+	// poisonMinGap is longer than VMs take to notice servers that are lost together.
+	poisonMinGap = 30 * time.Millisecond
+	// poisonProgress is the number of events after which the loss of a run is no evidence against its request.
+	poisonProgress = 2
 	// maxResponseHeaderBytes is the maximum size of the headers of an answer of the store or of an engine's own calls.
 	maxResponseHeaderBytes = 8 << 10
 	// engineIdleTimeout is below the shortest idle timeout of a backend server.
@@ -126,7 +130,8 @@
 		Share: s.RetryShare, Reserve: s.RetryReserve, Window: s.RetryWindow, VMs: f.vmCount,
 	})
 	f.suspects = gladesuspect.New(gladesuspect.Config{
-		MaxDeaths: maxPoisonDeaths, Retention: poisonRetention, Window: poisonDecisionDelay, Log: f.log.Named("suspects"),
+		MaxDeaths: maxPoisonDeaths, Retention: poisonRetention, Window: poisonDecisionDelay, MinGap: poisonMinGap,
+		Progress: poisonProgress, Log: f.log.Named("suspects"),
 	})
 	if err := f.startPeers(); err != nil {
 		return err
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -46,7 +46,7 @@
 	f.cleanup(closeNode)
 	f.node = node
 	gladepeer.HandleNotice(node, deathNotice, func(_ string, d gladeforward.ServerDeath) {
-		f.suspects.ServerDiedElsewhere(d.Fingerprint, d.Server)
+		f.suspects.ServerDiedElsewhere(d.Loss())
 	})
 	gladepeer.HandleNotice(node, successorNotice, f.adoptSuccessor)
 	share, err := offsetPort(s.PeerAddress, sharePortOffset)
