Apply the refusal of a request to its retries, waits and runs under way

A request was checked when its job began, and streams before they looked for a place. A plain retry was not checked, nor a stream after it had waited for room, and runs that were queued at servers went on to crash them: in the users' record engines hold a request for 0.7 to 1.9 s before they run it. Now each send is checked just before, and when a request is refused its runs that have not progressed are ended, which takes them out of the queues of most servers. A request under which a server died is not sent to a second one before the first has answered.

--- a/gladesuspect/poison.go
+++ b/gladesuspect/poison.go
@@ -267,9 +267,17 @@
 	return ids
 }
 
-// addRefused stores a refusal. If there are more than maxRefused, it removes the one that expires first.
+// addRefused stores a refusal and ends the runs of the request. If there are more than maxRefused, it removes the one that expires first.
 func (t *Tracker) addRefused(r Refused) {
 	t.refused[r.Fingerprint] = r
+	for _, runs := range t.runs {
+		for _, v := range runs {
+			if v.fingerprint == r.Fingerprint && v.onRefused != nil && !v.Progressed() {
+				go v.onRefused()
+				v.onRefused = nil
+			}
+		}
+	}
 	if len(t.refused) <= maxRefused {
 		return
 	}
--- a/gladesuspect/tracker.go
+++ b/gladesuspect/tracker.go
@@ -104,6 +104,8 @@
 	began       time.Time
 	sequence    uint64
 	tokens      atomic.Int64
+	// onRefused is called when the request is refused during the run; nil ignores that.
+	onRefused func()
 }
 
 // New returns a Tracker.
@@ -142,14 +144,17 @@
 	return t.addRun(fingerprint, server), true
 }
 
-// RecordRun is StartRun for a request that runs on the server beside any suspects.
-func (t *Tracker) RecordRun(fingerprint uint64, server gladeapi.BackendServer) *TrackedRun {
+// RecordRun is StartRun for a request that runs on the server beside any suspects. If the request is refused before the
+// run has progressed, onRefused is called in a goroutine of its own.
+func (t *Tracker) RecordRun(fingerprint uint64, server gladeapi.BackendServer, onRefused func()) *TrackedRun {
 	if t == nil || fingerprint == 0 {
 		return nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.addRun(fingerprint, server)
+	v := t.addRun(fingerprint, server)
+	v.onRefused = onRefused
+	return v
 }
 
 func (t *Tracker) addRun(fingerprint uint64, server gladeapi.BackendServer) *TrackedRun {
--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -161,6 +161,8 @@
 	mayHaveRun bool
 	// fingerprint is a hash that is equal for repeats of the request.
 	fingerprint uint64
+	// loggedDeaths is the number of deaths under the request that were logged last.
+	loggedDeaths int
 }
 
 // Handle answers one request.  The context is cancelled when the caller disconnects.
@@ -329,13 +331,22 @@
 
 // checkSuspect reports whether the request may be sent; it fails a request under which several servers died.
 func (j *job) checkSuspect() bool {
-	if e := j.config.Suspects.Evidence(j.fingerprint); e.Deaths > 0 {
+	if j.maySend() {
+		return true
+	}
+	j.fail(http.StatusBadGateway, "it crashes the servers that run it")
+	return false
+}
+
+// maySend reports whether the request is not one that crashes its servers.
+func (j *job) maySend() bool {
+	if e := j.config.Suspects.Evidence(j.fingerprint); e.Deaths > j.loggedDeaths {
+		j.loggedDeaths = e.Deaths
 		j.log("Servers died under it.", "fingerprint", j.fingerprint, "deaths", e.Deaths, "counted", e.Counted,
 			"attributed", e.Attributed, "lastMs", time.Since(e.LastDeath).Milliseconds())
 	}
 	if _, err := j.config.Suspects.Check(j.ctx, j.fingerprint); err != nil {
-		j.log("Not sent again.", "reason", err)
-		j.fail(http.StatusBadGateway, "it crashes the servers that run it")
+		j.log("Not sent again.", "fingerprint", j.fingerprint, "reason", err)
 		return false
 	}
 	return true
@@ -354,10 +365,11 @@
 	began  time.Time
 }
 
-// trackRun records that a server runs the request.
-func (j *job) trackRun(s gladefleet.Server) *trackedRun {
+// trackRun records that a server runs the request.  onRefused is called if it must be ended, as the request crashes its
+// servers.
+func (j *job) trackRun(s gladefleet.Server, onRefused func()) *trackedRun {
 	return &trackedRun{
-		TrackedRun: j.config.Suspects.RecordRun(j.fingerprint, backendServer(s)), job: j, server: s, began: time.Now(),
+		TrackedRun: j.config.Suspects.RecordRun(j.fingerprint, backendServer(s), onRefused), job: j, server: s, began: time.Now(),
 	}
 }
 
--- a/internal/proxy/gladeforward/plain.go
+++ b/internal/proxy/gladeforward/plain.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladesend"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
@@ -78,7 +79,7 @@
 
 // hedgeTimer returns a channel that fires when the request should be sent to a second server, or nil if it should not.
 func (j *job) hedgeTimer() <-chan time.Time {
-	if j.route.Kind != gladerelease.Safe || j.route.Attempts < 2 || j.route.Target <= 0 {
+	if j.route.Kind != gladerelease.Safe || j.route.Attempts < 2 || j.route.Target <= 0 || j.config.Suspects.Evidence(j.fingerprint).Deaths > 0 {
 		return nil
 	}
 	return time.After(max(minHedgeDelay, time.Duration(hedgeShare*float64(j.route.Target))))
@@ -96,8 +97,7 @@
 
 // repeat sends the request to another server if the limits on attempts and the retry budget allow it.
 func (j *job) repeat(ctx context.Context, answers chan<- answer, running *int) bool {
-	if j.sends >= maxSends || j.mayHaveRun && j.sends >= max(1, j.route.Attempts) ||
-		!j.tryRetry() {
+	if j.sends >= maxSends || j.mayHaveRun && j.sends >= max(1, j.route.Attempts) || !j.maySend() || !j.tryRetry() {
 		return false
 	}
 	if !j.launch(ctx, answers) {
@@ -116,12 +116,17 @@
 	s := j.newSend(place.Server)
 	j.avoid = append(j.avoid, place.ID)
 	j.log("Sent.", "server", place.ID, "reason", place.Reason, "send", j.sends, "leftMs", s.TimeLeft.Milliseconds())
-	tracked := j.trackRun(place.Server)
+	ctx, cancel := context.WithCancelCause(ctx)
+	tracked := j.trackRun(place.Server, func() { cancel(gladesuspect.ErrPoison) })
 	go func() {
 		defer place.Release()
+		defer cancel(nil)
 		sentAt := j.config.BootTime()
 		a := j.sendAndRead(ctx, s)
 		a.sentAt = sentAt
+		if a.err != nil && errors.Is(context.Cause(ctx), gladesuspect.ErrPoison) {
+			a.err = gladesuspect.ErrPoison
+		}
 		switch {
 		case a.err == nil && !notRun(&a) && a.status < http.StatusInternalServerError:
 			tracked.end(runCompleted)
@@ -167,6 +172,10 @@
 		j.handleNotRun(a.server, a.status, a.mark.Instance)
 		j.log("Server did not run it.", "server", a.server.ID, "status", a.status)
 		return false
+	case errors.Is(a.err, gladesuspect.ErrPoison):
+		j.mayHaveRun = true
+		j.log("Run ended.", "server", a.server.ID, "reason", a.err)
+		return false
 	case a.err != nil:
 		j.mayHaveRun = true
 		j.recordFailure(a.server, a.err)
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -65,14 +65,18 @@
 		return
 	}
 	defer s.dropCopy()
+	if !s.checkSuspect() {
+		return
+	}
 	for {
-		if !s.checkSuspect() {
-			return
-		}
 		place, from := s.reserveNext()
 		if place == nil {
 			return
 		}
+		if !s.checkSuspect() { // it may have waited for room
+			place.Release()
+			return
+		}
 		result := s.runAttempt(place, from)
 		place.Release()
 		j.config.OnLoadChange()
@@ -84,7 +88,7 @@
 		case attemptNotRun: // the copy that was named is consumed and no new one was made
 			s.dropCopy()
 		}
-		if !s.mayRepeat() {
+		if s.ctx.Err() != nil || !s.checkSuspect() || !s.mayRepeat() {
 			return
 		}
 	}
@@ -96,12 +100,9 @@
 	s.copy, s.copyName = nil, ""
 }
 
-// mayRepeat reports whether the stream may be sent again; if not, it ends the request unless the caller has
-// disconnected.
+// mayRepeat reports whether the stream may be sent again; if not, it ends the request.
 func (s *stream) mayRepeat() bool {
 	switch {
-	case s.ctx.Err() != nil:
-		return false
 	case s.mayHaveRun && !s.route.Retryable():
 		s.fail(http.StatusBadGateway, "broken off and not resumable")
 	case s.sends >= maxStreamSends:
@@ -186,7 +187,8 @@
 		stream: s, place: place, lastHeard: time.Now(), attemptContext: ctx, canCopy: s.copies(),
 		copyDone: make(chan copyResult),
 	}
-	a.tracked = s.trackRun(place.Server)
+	refused := make(chan struct{})
+	a.tracked, a.refused = s.trackRun(place.Server, func() { close(refused) }), refused
 	result := a.follow(items)
 	if result == attemptBroken && a.received == 0 {
 		s.dropCopy() // engines begin to copy a run once it has produced an event
@@ -265,6 +267,8 @@
 		case <-expired:
 			a.failDeadline()
 			return attemptAbandoned
+		case <-a.refused:
+			return a.moveOn("it crashes the servers that run it")
 		case <-a.place.Down():
 			return a.moveOn("server was found down")
 		case <-check.C:
@@ -295,8 +299,10 @@
 // attempt is the run of a stream on one server.
 type attempt struct {
 	*stream
-	place    *gladefleet.Reservation
-	tracked  *trackedRun
+	place   *gladefleet.Reservation
+	tracked *trackedRun
+	// refused is closed when the run must be ended, as the request crashes its servers.
+	refused  <-chan struct{}
 	exchange *gladesend.Exchange
 	// lastHeard is the time of the last event, or of the start of the attempt.
 	lastHeard time.Time
