--- a/gladesuspect/poison.go
+++ b/gladesuspect/poison.go
@@ -28,12 +28,11 @@
 		return Restrictions{}, nil
 	}
 	t.mu.Lock()
-	r, refused := t.refused[fingerprint]
-	refused = refused && time.Now().Before(r.Until)
+	err := t.refusal(fingerprint)
 	reached := t.reachesLimit(fingerprint)
 	t.mu.Unlock()
-	if refused {
-		return Restrictions{}, poisonError(r)
+	if err != nil {
+		return Restrictions{}, err
 	}
 	if reached {
 		if err := t.confirmPoison(ctx, fingerprint); err != nil {
@@ -45,6 +44,14 @@
 	return t.restrictions(fingerprint), nil
 }
 
+// refusal returns ErrPoison if the request is refused already. The caller holds the lock.
+func (t *Tracker) refusal(fingerprint uint64) error {
+	if r, ok := t.refused[fingerprint]; ok && time.Now().Before(r.Until) {
+		return poisonError(r)
+	}
+	return nil
+}
+
 func (t *Tracker) restrictions(fingerprint uint64) Restrictions {
 	if t.countedDeaths(fingerprint) == 0 {
 		return Restrictions{}
@@ -218,23 +225,24 @@
 // confirmPoison waits for other deaths of the same time and refuses the request unless it is cleared by then. If a
 // failure domain is lost, it clears the request at once.
 func (t *Tracker) confirmPoison(ctx context.Context, fingerprint uint64) error {
-	if t.cleared(ctx, fingerprint) {
-		return nil
-	}
-	select {
-	case <-time.After(t.config.Window):
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	if t.cleared(ctx, fingerprint) {
-		return nil
+	cleared := t.cleared(ctx, fingerprint)
+	if !cleared {
+		select {
+		case <-time.After(t.config.Window):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		cleared = t.cleared(ctx, fingerprint)
 	}
 	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err := t.refusal(fingerprint); err != nil || cleared { // another check of the same time may have refused it
+		return err
+	}
 	r := t.refuse(fingerprint, slices.Clone(t.deathsByRequest[fingerprint]))
-	t.mu.Unlock()
 	t.config.Log.Warn("Request refused as poison.", "fingerprint", fingerprint, "servers", r.Servers)
 	if t.config.OnRefused != nil {
-		t.config.OnRefused(r)
+		go t.config.OnRefused(r)
 	}
 	return poisonError(r)
 }
--- a/gladesuspect/tracker.go
+++ b/gladesuspect/tracker.go
@@ -51,7 +51,7 @@
 	Servers func() []gladeapi.BackendServer
 	// Down reports whether a server does not answer now; nil means that no failure domain is ever lost.
 	Down func(context.Context, gladeapi.BackendServer) bool
-	// OnRefused is called with each new refusal by this Tracker.
+	// OnRefused is called in a goroutine of its own with each new refusal by this Tracker.
 	OnRefused func(Refused)
 	Log       hclog.Logger
 }
--- a/gladesuspect/tracker_test.go
+++ b/gladesuspect/tracker_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -292,3 +294,25 @@
 	}
 	// Output: 2 servers: backend servers died under this request
 }
+
+// Copies of a poison request are checked at the same time. The refusal of the first must hold for all of them.
+func TestChecksAtTheSameTimeAreAllRefused(t *testing.T) {
+	virtual(t, func(c *qt.C) {
+		tracker := New(Config{MaxDeaths: 3})
+		for i := range 3 {
+			enter(c, tracker, poisonous, server(i)).ServerDied()
+		}
+		var passed atomic.Int32
+		var checks sync.WaitGroup
+		for range 10 {
+			checks.Go(func() {
+				if _, err := check(tracker, poisonous); err == nil {
+					passed.Add(1)
+				}
+			})
+		}
+		checks.Wait()
+		c.Assert(passed.Load(), qt.Equals, int32(0))
+		c.Assert(tracker.Refused()[0].Servers, qt.HasLen, 3)
+	})
+}
