Tell all VMs which requests are refused, and which suspects have finished

Each VM decided for itself from the deaths that it had heard of: one that had started later sent a refused request to servers again until it had crashed three more, and a success cleared the earlier deaths at one VM only, so that a harmless request that many callers repeat could be refused elsewhere for deaths that it had long been cleared of. A refusal and a success of a suspect are told by notice; refusals are also a fact of the first two VMs of each failure domain, which a VM that starts has with the membership. The code of the daemon for that moves to internal/state/gladerefusal, with its test.

--- a/gladedaemon/suspects.go
+++ b/gladedaemon/suspects.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"slices"
-	"time"
-
-	"github.com/rotisserie/eris"
 
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladeconfig"
@@ -17,13 +13,7 @@
 	"github.com/eelgrassglade/eelgrassglade/gladeroute"
 	"github.com/eelgrassglade/eelgrassglade/gladestream"
 	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
-)
-
-const (
-	// factPoison is the name of the fact in which a VM publishes the requests that it refuses.
-	factPoison          = "poison"
-	maxPublishedPoison  = 32
-	poisonShareInterval = gladeconfig.Duration(time.Second)
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerefusal"
 )
 
 func (d *Daemon) addSuspects(engines *gladeengine.Client, table *gladeroute.Table) (*gladesuspect.Tracker, error) {
@@ -43,8 +33,8 @@
 		},
 		Log: log,
 	})
-	d.loop(poisonShareInterval, func(context.Context) {
-		if err := sharePoison(node, tracker); err != nil {
+	d.loop(gladeconfig.Duration(gladerefusal.Interval), func(context.Context) {
+		if err := errors.Join(gladerefusal.Import(node.Members(), tracker), gladerefusal.Publish(node, tracker)); err != nil {
 			log.Warn("Refused requests not shared.", "error", err)
 		}
 	})
@@ -52,35 +42,6 @@
 	return tracker, nil
 }
 
-// sharePoison imports the requests that peers refuse and publishes those that this VM refuses.
-func sharePoison(node *gladepeer.Node, tracker *gladesuspect.Tracker) error {
-	undecoded := importPoison(node.Members(), tracker)
-	refused := tracker.Refused()
-	if len(refused) == 0 {
-		return undecoded
-	}
-	return errors.Join(undecoded, node.Publish(factPoison, refused[max(0, len(refused)-maxPublishedPoison):]))
-}
-
-// importPoison imports the requests that peers refuse.  It skips the facts that cannot be decoded, and returns their
-// errors.
-func importPoison(members []gladepeer.Member, tracker *gladesuspect.Tracker) error {
-	var undecoded error
-	for _, m := range members {
-		raw, ok := m.Facts[factPoison]
-		if !ok {
-			continue
-		}
-		var refused []gladesuspect.Refused
-		if err := json.Unmarshal(raw, &refused); err != nil {
-			undecoded = errors.Join(undecoded, eris.Wrapf(err, "refused requests of %s", m.Name))
-			continue
-		}
-		tracker.ImportRefused(refused)
-	}
-	return undecoded
-}
-
 func enginesOf(table *gladeroute.Table) []gladeapi.BackendServer {
 	return slices.DeleteFunc(table.Backends(), func(b gladeapi.BackendServer) bool { return b.Kind != gladeapi.KindEngine })
 }
--- a/gladesuspect/poison.go
+++ b/gladesuspect/poison.go
@@ -256,13 +256,9 @@
 	return !reached || t.withdrawLostDomains(ctx, deaths)
 }
 
-// refuse stores the refusal. It withdraws the deaths from all requests that ran on those servers, as the cause is known.
+// refuse stores the refusal.
 func (t *Tracker) refuse(fingerprint uint64, deaths []*death) Refused {
 	r := Refused{Fingerprint: fingerprint, Until: time.Now().Add(t.config.Retention), Servers: serverIDs(deaths)}
-	for _, d := range deaths {
-		t.withdrawDeath(d)
-		d.explained = true
-	}
 	t.addRefused(r)
 	return r
 }
@@ -275,9 +271,14 @@
 	return ids
 }
 
-// addRefused stores a refusal and ends the runs of the request. If there are more than maxRefused, it removes the one that expires first.
+// addRefused stores a refusal and ends the runs of the request. It withdraws the deaths under it from all requests that ran on
+// those servers, as the cause is known. If there are more than maxRefused, it removes the one that expires first.
 func (t *Tracker) addRefused(r Refused) {
 	t.refused[r.Fingerprint] = r
+	for _, d := range slices.Clone(t.deathsByRequest[r.Fingerprint]) {
+		t.withdrawDeath(d)
+		d.explained = true
+	}
 	for _, runs := range t.runs {
 		for _, v := range runs {
 			if v.fingerprint == r.Fingerprint && v.onRefused != nil && !v.Progressed() {
--- a/gladesuspect/tracker.go
+++ b/gladesuspect/tracker.go
@@ -53,6 +53,8 @@
 	Down func(context.Context, gladeapi.BackendServer) bool
 	// OnRefused is called in a goroutine of its own with each new refusal by this Tracker.
 	OnRefused func(Refused)
+	// OnCleared is called in a goroutine of its own when a run of a suspected request has finished at this Tracker.
+	OnCleared func(fingerprint uint64)
 	Log       hclog.Logger
 }
 
@@ -185,11 +187,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.removeRun(v)
-	if finished {
-		t.clearRequest(v.fingerprint)
+	if finished && t.clearRequest(v.fingerprint) && t.config.OnCleared != nil {
+		go t.config.OnCleared(v.fingerprint)
 	}
 }
 
+// ClearElsewhere records that a request finished at another VM: earlier deaths no longer count against it.
+func (t *Tracker) ClearElsewhere(fingerprint uint64) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.clearRequest(fingerprint)
+}
+
 // ServerDied records that the server died while it ran the request.
 func (v *TrackedRun) ServerDied() { v.ServerDiedAt(time.Now()) }
 
@@ -326,14 +338,18 @@
 		"ageMs", time.Since(d.at).Milliseconds())
 }
 
-func (t *Tracker) clearRequest(fingerprint uint64) {
-	if n := len(t.deathsByRequest[fingerprint]); n > 0 {
-		t.config.Log.Info("Request no longer suspected.", "fingerprint", fingerprint, "deaths", n)
+// clearRequest withdraws all deaths from a request and reports whether there were any.
+func (t *Tracker) clearRequest(fingerprint uint64) bool {
+	deaths := t.deathsByRequest[fingerprint]
+	if len(deaths) == 0 {
+		return false
 	}
-	for _, d := range t.deathsByRequest[fingerprint] {
+	t.config.Log.Info("Request no longer suspected.", "fingerprint", fingerprint, "deaths", len(deaths))
+	for _, d := range deaths {
 		delete(d.runs, fingerprint)
 	}
 	delete(t.deathsByRequest, fingerprint)
+	return true
 }
 
 // expire removes the deaths that are older than the retention, and the refusals that have ended.
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -131,7 +131,7 @@
 	})
 	f.suspects = gladesuspect.New(gladesuspect.Config{
 		MaxDeaths: maxPoisonDeaths, Retention: poisonRetention, Window: poisonDecisionDelay, MinGap: poisonMinGap,
-		Progress: poisonProgress, Log: f.log.Named("suspects"),
+		Progress: poisonProgress, OnRefused: f.reportRefusal, OnCleared: f.reportCleared, Log: f.log.Named("suspects"),
 	})
 	if err := f.startPeers(); err != nil {
 		return err
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -2,17 +2,21 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladepeer"
+	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladeshare"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladeforward"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladefeed"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerefusal"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelay"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
 	gladeplatform "github.com/eelgrassglade/eelgrassglade/platform"
@@ -48,6 +52,11 @@
 	gladepeer.HandleNotice(node, deathNotice, func(_ string, d gladeforward.ServerDeath) {
 		f.suspects.ServerDiedElsewhere(d.Loss())
 	})
+	gladepeer.HandleNotice(node, refusalNotice, func(_ string, r gladesuspect.Refused) {
+		f.suspects.ImportRefused([]gladesuspect.Refused{r})
+	})
+	gladepeer.HandleNotice(node, clearedNotice, func(_ string, fingerprint uint64) { f.suspects.ClearElsewhere(fingerprint) })
+	f.startSharingRefusals()
 	gladepeer.HandleNotice(node, successorNotice, f.adoptSuccessor)
 	share, err := offsetPort(s.PeerAddress, sharePortOffset)
 	if err != nil {
@@ -107,6 +116,56 @@
 	}
 }
 
+const (
+	// refusalNotice is the kind of notice that reports a refused request to the other VMs.
+	refusalNotice = "refusal"
+	// clearedNotice is the kind of notice that reports that a suspected request has finished.
+	clearedNotice = "cleared"
+)
+
+func (f *Front) reportRefusal(r gladesuspect.Refused) {
+	if err := gladepeer.Notify(f.node, refusalNotice, r); err != nil {
+		f.log.Warn("Refusal not reported to the other VMs.", "fingerprint", r.Fingerprint, "reason", err)
+	}
+}
+
+func (f *Front) reportCleared(fingerprint uint64) {
+	if err := gladepeer.Notify(f.node, clearedNotice, fingerprint); err != nil {
+		f.log.Warn("Finished suspect not reported to the other VMs.", "fingerprint", fingerprint, "reason", err)
+	}
+}
+
+// refusalPublishers is the number of VMs of a failure domain that publish what they refuse.
+const refusalPublishers = 2
+
+// startSharingRefusals starts the exchange of refusals with VMs that start later or missed a notice.
+func (f *Front) startSharingRefusals() {
+	done := make(chan struct{})
+	var task sync.WaitGroup
+	task.Go(func() {
+		ticker := time.NewTicker(gladerefusal.Interval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+			}
+			err := gladerefusal.Import(f.node.Members(), f.suspects)
+			if f.rank() < refusalPublishers {
+				err = errors.Join(err, gladerefusal.Publish(f.node, f.suspects))
+			}
+			if err != nil {
+				f.log.Warn("Refused requests not shared.", "reason", err)
+			}
+		}
+	})
+	f.cleanup(func() {
+		close(done)
+		task.Wait()
+	})
+}
+
 // successorNotice is the kind of notice that reports a successor to the other VMs.
 const successorNotice = "successor"
 
--- a/gladedaemon/suspects_test.go
+++ b/internal/state/gladerefusal/refusal_test.go
@@ -1,4 +1,4 @@
-package gladedaemon
+package gladerefusal
 
 import (
 	"encoding/json"
@@ -19,10 +19,10 @@
 	raw, err := json.Marshal([]gladesuspect.Refused{{Fingerprint: 7, Until: time.Now().Add(time.Minute)}})
 	c.Assert(err, qt.IsNil)
 	member := func(name string, fact string) gladepeer.Member {
-		return gladepeer.Member{EntryVM: gladeapi.EntryVM{Name: name}, Facts: map[string]json.RawMessage{factPoison: json.RawMessage(fact)}}
+		return gladepeer.Member{EntryVM: gladeapi.EntryVM{Name: name}, Facts: map[string]json.RawMessage{factName: json.RawMessage(fact)}}
 	}
 	tracker := gladesuspect.New(gladesuspect.Config{})
-	err = importPoison([]gladepeer.Member{member("other-build", `{"v":2}`), member("same-build", string(raw))}, tracker)
+	err = Import([]gladepeer.Member{member("other-build", `{"v":2}`), member("same-build", string(raw))}, tracker)
 	c.Assert(err, qt.ErrorMatches, "refused requests of other-build: .*")
 	c.Assert(tracker.Refused(), qt.HasLen, 1)
 }
