Judge a lost run when its server is found down; await that before a third send

A run is judged as soon as its server is found down, 0.4 s later at the latest, and a request that has lost two runs waits for the verdict before it is sent again. A first loss does not delay a retry.

--- a/internal/proxy/gladeforward/crash_test.go
+++ b/internal/proxy/gladeforward/crash_test.go
@@ -416,3 +416,19 @@
 		w.Assert(tracker.Evidence(fingerprintOf("/unsafe/crash")).Deaths, qt.Equals, 2)
 	})
 }
+
+// One job sends a request that crashes its servers within milliseconds. It must stop at the third crash.
+func TestOneJobCrashesThreeServers(t *testing.T) {
+	runTest(t, func(w *harness) {
+		for i := range 12 {
+			id := fmt.Sprint("e", i)
+			w.serve("llm", crashDomain(i), id, func(rw http.ResponseWriter, r *http.Request) {
+				time.Sleep(10 * time.Millisecond)
+				w.network.Kill(id)
+				abortConnection(rw, r)
+			})
+		}
+		w.Assert(w.call(http.MethodPost, "/stream/crash", nil).status, qt.Equals, http.StatusBadGateway)
+		w.Assert(w.serversRun(), qt.HasLen, 3)
+	})
+}
--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -161,6 +161,9 @@
 	mayHaveRun bool
 	// fingerprint is a hash that is equal for repeats of the request.
 	fingerprint uint64
+	// lost is the number of runs that were lost with little of an answer, and lastLost the last one.
+	lost     int
+	lastLost *trackedRun
 	// loggedDeaths is the number of deaths under the request that were logged last.
 	loggedDeaths int
 }
@@ -362,14 +365,18 @@
 	*gladesuspect.TrackedRun
 	job    *job
 	server gladefleet.Server
+	down   <-chan struct{}
 	began  time.Time
+	// judged is closed once it is known whether the loss of the run counts against the request.
+	judged chan struct{}
 }
 
 // trackRun records that a server runs the request.  onRefused is called if it must be ended, as the request crashes its
 // servers.
-func (j *job) trackRun(s gladefleet.Server, onRefused func()) *trackedRun {
+func (j *job) trackRun(place *gladefleet.Reservation, onRefused func()) *trackedRun {
 	return &trackedRun{
-		TrackedRun: j.config.Suspects.RecordRun(j.fingerprint, backendServer(s), onRefused), job: j, server: s, began: time.Now(),
+		TrackedRun: j.config.Suspects.RecordRun(j.fingerprint, backendServer(place.Server), onRefused),
+		job:        j, server: place.Server, down: place.Down(), began: time.Now(), judged: make(chan struct{}),
 	}
 }
 
@@ -377,26 +384,55 @@
 func (v *trackedRun) end(outcome runOutcome) {
 	if outcome != runLost {
 		v.End(outcome == runCompleted)
+		close(v.judged)
 		return
 	}
-	j, lostAt := v.job, time.Now()
-	// A death is detected within the time of a probe.
-	time.AfterFunc(deathCheckDelay, func() {
-		if !j.config.Fleet.Unavailable(v.server.ID, time.Now()) {
-			j.count("deaths.notCounted")
-			j.log("Lost run not counted.", "server", v.server.ID, "domain", v.server.FailureDomain, "fingerprint", j.fingerprint)
-			v.End(false)
-			return
+	lostAt := time.Now()
+	go func() {
+		defer close(v.judged)
+		select {
+		case <-v.down:
+		case <-time.After(deathCheckDelay):
 		}
-		j.count("deaths.counted")
-		v.ServerDiedAt(lostAt)
-		j.log("Server crashed under it.", "server", v.server.ID, "domain", v.server.FailureDomain, "fingerprint", j.fingerprint)
-		j.config.OnServerDeath(ServerDeath{
-			Fingerprint: j.fingerprint, Server: backendServer(v.server), Ran: lostAt.Sub(v.began), Age: time.Since(lostAt),
-		})
+		v.judge(lostAt)
+	}()
+}
+
+// judge records whether the server died under a run that was lost.
+func (v *trackedRun) judge(lostAt time.Time) {
+	j := v.job
+	if !j.config.Fleet.Unavailable(v.server.ID, time.Now()) {
+		j.count("deaths.notCounted")
+		j.log("Lost run not counted.", "server", v.server.ID, "domain", v.server.FailureDomain, "fingerprint", j.fingerprint)
+		v.End(false)
+		return
+	}
+	j.count("deaths.counted")
+	v.ServerDiedAt(lostAt)
+	j.log("Server crashed under it.", "server", v.server.ID, "domain", v.server.FailureDomain, "fingerprint", j.fingerprint)
+	j.config.OnServerDeath(ServerDeath{
+		Fingerprint: j.fingerprint, Server: backendServer(v.server), Ran: lostAt.Sub(v.began), Age: time.Since(lostAt),
 	})
 }
 
+// awaitJudgement waits until it is known whether the last lost run of a request that has lost several counts against it.
+func (j *job) awaitJudgement() {
+	if j.lost < lostBeforeJudgement {
+		return
+	}
+	expired, stop := j.deadlineTimer()
+	defer stop()
+	select {
+	case <-j.lastLost.judged:
+	case <-expired:
+	case <-j.ctx.Done():
+	}
+}
+
+// lostBeforeJudgement is the number of lost runs of a request from which the next send waits for the verdict; a first loss
+// is no reason to delay a retry.
+const lostBeforeJudgement = 2
+
 // runOutcome is the outcome of a run on one server.
 type runOutcome int
 
@@ -406,7 +442,7 @@
 	runLost                           // the run ended without an answer, or with little of one
 )
 
-// deathCheckDelay is the time between a lost run and the check of its server's state; it is longer than two probes.
+// deathCheckDelay is the longest time between a lost run and the check of its server's state; it is longer than two probes.
 const deathCheckDelay = 400 * time.Millisecond
 
 // sessionHash returns the hash by which requests of one session are sent to one server, or zero without a session.
--- a/internal/proxy/gladeforward/plain.go
+++ b/internal/proxy/gladeforward/plain.go
@@ -36,6 +36,8 @@
 	mark   gladesend.AnswerInfo
 	body   []byte
 	err    error
+	// lost is the run if it was lost.
+	lost *trackedRun
 }
 
 // servePlain answers a request whose answer is a single body.
@@ -97,7 +99,11 @@
 
 // repeat sends the request to another server if the limits on attempts and the retry budget allow it.
 func (j *job) repeat(ctx context.Context, answers chan<- answer, running *int) bool {
-	if j.sends >= maxSends || j.mayHaveRun && j.sends >= max(1, j.route.Attempts) || !j.maySend() || !j.tryRetry() {
+	if j.sends >= maxSends || j.mayHaveRun && j.sends >= max(1, j.route.Attempts) {
+		return false
+	}
+	j.awaitJudgement()
+	if !j.maySend() || !j.tryRetry() {
 		return false
 	}
 	if !j.launch(ctx, answers) {
@@ -117,7 +123,7 @@
 	j.avoid = append(j.avoid, place.ID)
 	j.log("Sent.", "server", place.ID, "reason", place.Reason, "send", j.sends, "leftMs", s.TimeLeft.Milliseconds())
 	ctx, cancel := context.WithCancelCause(ctx)
-	tracked := j.trackRun(place.Server, func() { cancel(gladesuspect.ErrPoison) })
+	tracked := j.trackRun(place, func() { cancel(gladesuspect.ErrPoison) })
 	go func() {
 		defer place.Release()
 		defer cancel(nil)
@@ -134,6 +140,7 @@
 			tracked.end(runInconclusive)
 		default:
 			tracked.end(runLost)
+			a.lost = tracked
 		}
 		a.server = place.Server
 		answers <- a
@@ -162,6 +169,10 @@
 // may be retried is stored in *failure.
 func (j *job) recordAnswer(a *answer, failure **answer) bool {
 	now := time.Now()
+	if a.lost != nil {
+		j.lost++
+		j.lastLost = a.lost
+	}
 	switch {
 	case errors.Is(a.err, gladesend.ErrNotSent):
 		j.markDown(a.server, a.err.Error())
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -88,6 +88,7 @@
 		case attemptNotRun: // the copy that was named is consumed and no new one was made
 			s.dropCopy()
 		}
+		s.awaitJudgement()
 		if s.ctx.Err() != nil || !s.checkSuspect() || !s.mayRepeat() {
 			return
 		}
@@ -188,7 +189,7 @@
 		copyDone: make(chan copyResult),
 	}
 	refused := make(chan struct{})
-	a.tracked, a.refused = s.trackRun(place.Server, func() { close(refused) }), refused
+	a.tracked, a.refused = s.trackRun(place, func() { close(refused) }), refused
 	result := a.follow(items)
 	if result == attemptBroken && a.received == 0 {
 		s.dropCopy() // engines begin to copy a run once it has produced an event
@@ -201,6 +202,8 @@
 		a.tracked.end(runCompleted)
 	case result == attemptBroken && !a.tracked.Progressed():
 		a.tracked.end(runLost)
+		s.lost++
+		s.lastLost = a.tracked
 	default:
 		a.tracked.end(runInconclusive)
 	}
