Soak with requests that crash their servers, at VMs that are restarted

Three requests that crash what runs them come every 150 ms to four VMs, one of which is killed or stopped every 1.2 s; at most three sends by VMs in touch may come later than 3 s after the third crash, and all VMs must serve afterwards.

--- a/internal/proxy/gladesoak/fakes_test.go
+++ b/internal/proxy/gladesoak/fakes_test.go
@@ -144,6 +144,7 @@
 	recorder                 *recorder
 	store                    *fakeStore
 	copies                   *copyTable
+	crashes                  *crashLog
 
 	mu          sync.Mutex
 	incarnation int
@@ -277,6 +278,10 @@
 		f.recorder.lateRequests = append(f.recorder.lateRequests, attempt)
 		f.recorder.mu.Unlock()
 	}
+	if strings.HasSuffix(r.URL.Path, "/crash") {
+		f.runCrash(r)
+		return
+	}
 	f.recorder.recordRun(attempt)
 	if rand.Float64() < failureShare/2 {
 		panic(http.ErrAbortHandler)
--- a/internal/proxy/gladesoak/soak_test.go
+++ b/internal/proxy/gladesoak/soak_test.go
@@ -156,10 +156,11 @@
 	go func() { _ = server.Serve(l) }()
 	s.Cleanup(func() { _ = server.Close() })
 	s.publishRelease(true)
-	copies := &copyTable{held: map[string]bool{}}
+	copies, crashes := &copyTable{held: map[string]bool{}}, &crashLog{sends: map[string][]crashSend{}, crashes: map[string][]crashSend{}}
 	for i, service := range []string{"llm", "llm", "llm", "llm", "app", "app"} {
 		f := &fakeServer{
 			address: s.address(100+i, 8080), service: service, domain: []string{"a", "b"}[i%2], recorder: s.recorder, store: s.store, copies: copies,
+			crashes: crashes,
 		}
 		f.start()
 		s.servers = append(s.servers, f)
