Keep a request that has crashed two servers from the last healthy one

Such a request is allowed three crashes, but nothing is owed to it meanwhile: while less than two servers of its service are healthy, within 5 s of its last crash, it is refused with a time to come back, or fails if it has run. A suspect's retry awaits the verdict on its first lost run too, so that the crash is known when the servers are counted.

--- a/gladesuspect/poison.go
+++ b/gladesuspect/poison.go
@@ -135,6 +135,16 @@
 	return e
 }
 
+// DeadServers returns the identifiers of the servers that died while they ran a request.
+func (t *Tracker) DeadServers(fingerprint uint64) []string {
+	if t == nil {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return serverIDs(t.deathsByRequest[fingerprint])
+}
+
 // reachesLimit reports whether a request is to be refused.
 //
 // That needs deaths one after another: servers that are lost together may all have run the same harmless request. The
--- a/internal/fleet/gladefleet/choose.go
+++ b/internal/fleet/gladefleet/choose.go
@@ -90,6 +90,20 @@
 	return healthy, true
 }
 
+// HealthyServers returns the number of servers of a service that may get new requests and are not known or suspected to
+// fail, apart from the given ones.
+func (t *Table) HealthyServers(service string, apart []string, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, e := range t.services[service] {
+		if rank, ok := t.healthRank(e, now); ok && rank == healthy && !slices.Contains(apart, e.ID) {
+			n++
+		}
+	}
+	return n
+}
+
 // selectServer returns the best server and the reason for choosing it. full reports that healthy servers exist but none
 // has room.
 func (t *Table) selectServer(n Requirements, now time.Time) (_ *entry, reason string, full bool) {
--- a/internal/proxy/gladeforward/crash_test.go
+++ b/internal/proxy/gladeforward/crash_test.go
@@ -24,9 +24,9 @@
 	crashGrace = 3 * time.Second
 	// maxLateSends is the number of sends allowed after that.
 	maxLateSends = 3
-	// restartTime is how long a crashed server needs to restart.
-	restartTime = 1500 * time.Millisecond
-	noticeDelay = 5 * time.Millisecond
+	// testRestartTime is how long a crashed server needs to restart.
+	testRestartTime = 1500 * time.Millisecond
+	noticeDelay     = 5 * time.Millisecond
 )
 
 // crashFleet is several VMs, and servers that crash when they run a request whose path contains "crash".
@@ -41,6 +41,8 @@
 	crashes, sends map[string][]time.Time
 	failures       map[string]int
 	starts         int
+	// live is the number of servers that run, and fewest the smallest number since a server crashed.
+	live, fewest int
 }
 
 // runCrashTest calls f in virtual time with VMs in the failure domains "shubra", "giza" and "helwan" in turn.
@@ -88,16 +90,21 @@
 func (c *crashFleet) start(service, domain string) {
 	c.mu.Lock()
 	c.starts++
+	c.live++
 	id := fmt.Sprint(service, "-", c.starts)
 	c.mu.Unlock()
 	crash := sync.OnceFunc(func() {
-		time.AfterFunc(restartTime, func() {
+		time.AfterFunc(testRestartTime, func() {
 			for _, w := range c.vms {
 				w.fleet.Remove(id, time.Now(), 0)
 			}
 			c.start(service, domain)
 		})
 		c.vms[0].network.Kill(id)
+		c.mu.Lock()
+		c.live--
+		c.fewest = min(c.fewest, c.live)
+		c.mu.Unlock()
 	})
 	c.vms[0].listen(id, func(rw http.ResponseWriter, r *http.Request) {
 		path := r.URL.Path
@@ -258,6 +265,24 @@
 	})
 }
 
+// A request crashes two of the three servers of a service. It must not be sent to the last one while the others restart.
+func TestCrashingRequestLeavesOneServer(t *testing.T) {
+	for _, path := range []string{"/safe/crash", "/unsafe/crash"} {
+		runCrashTest(t, 6, func(c *crashFleet) {
+			for i := range 3 {
+				c.start("app", crashDomain(i))
+			}
+			c.fewest = c.live
+			c.repeat(path, 200*time.Millisecond, 10*time.Second)
+			c.assertStopped(path)
+			c.Assert(c.fewest > 0, qt.IsTrue, qt.Commentf("%s: sends %v, crashes %v", path, c.sends[path], c.crashes[path]))
+			// It is the last server that serves the others meanwhile.
+			c.repeat("/safe/lookup", 100*time.Millisecond, 500*time.Millisecond)
+			c.Assert(c.failures["/safe/lookup"], qt.Equals, 0)
+		})
+	}
+}
+
 // All servers of a service fail at once while they run the same harmless lookup for several callers. It must be served once
 // they are back.
 func TestLookupOnLostServersIsServedAgain(t *testing.T) {
@@ -270,10 +295,10 @@
 		time.Sleep(time.Second)
 		for i := range 3 {
 			c.vms[0].network.Kill(fmt.Sprint("app-", i+1))
-			time.AfterFunc(restartTime, func() { c.start("app", crashDomain(i)) })
+			time.AfterFunc(testRestartTime, func() { c.start("app", crashDomain(i)) })
 		}
 		calls.Wait()
-		time.Sleep(restartTime)
+		time.Sleep(testRestartTime)
 		c.mu.Lock()
 		clear(c.failures)
 		c.mu.Unlock()
--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
 
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
 	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
@@ -332,27 +334,46 @@
 	return d.Sum64()
 }
 
-// checkSuspect reports whether the request may be sent; it fails a request under which several servers died.
+// checkSuspect reports whether the request may be sent; if not, it ends the request.
 func (j *job) checkSuspect() bool {
-	if j.maySend() {
+	switch err := j.maySend(); {
+	case err == nil:
 		return true
+	case errors.Is(err, errLastServer):
+		j.refuseOrFail(err.Error())
+	default:
+		j.fail(http.StatusBadGateway, "it crashes the servers that run it")
 	}
-	j.fail(http.StatusBadGateway, "it crashes the servers that run it")
 	return false
 }
 
-// maySend reports whether the request is not one that crashes its servers.
-func (j *job) maySend() bool {
-	if e := j.config.Suspects.Evidence(j.fingerprint); e.Deaths > j.loggedDeaths {
+// errLastServer means that a request may crash the last healthy server of its service.
+var errLastServer = eris.New("it may crash the last healthy server")
+
+const (
+	// minSuspectDeaths is the number of deaths under a request from which it is kept from the last healthy server.
+	minSuspectDeaths = 2
+	// restartTime is how long after the last death it is; crashed servers restart within that time.
+	restartTime = 5 * time.Second
+)
+
+// maySend returns an error if the request crashes its servers, or may crash the last one.
+func (j *job) maySend() error {
+	e := j.config.Suspects.Evidence(j.fingerprint)
+	if e.Deaths > j.loggedDeaths {
 		j.loggedDeaths = e.Deaths
 		j.log("Servers died under it.", "fingerprint", j.fingerprint, "deaths", e.Deaths, "counted", e.Counted,
 			"attributed", e.Attributed, "lastMs", time.Since(e.LastDeath).Milliseconds())
 	}
-	if _, err := j.config.Suspects.Check(j.ctx, j.fingerprint); err != nil {
+	_, err := j.config.Suspects.Check(j.ctx, j.fingerprint)
+	if err == nil && e.Counted >= minSuspectDeaths && time.Since(e.LastDeath) < restartTime &&
+		j.config.Fleet.HealthyServers(j.service, j.config.Suspects.DeadServers(j.fingerprint), time.Now()) < 2 {
+		err = errLastServer
+	}
+	if err != nil {
 		j.log("Not sent again.", "fingerprint", j.fingerprint, "reason", err)
-		return false
 	}
-	return true
+	return err
 }
 
 // backendServer returns the identity by which the tracker of suspects knows a server.
@@ -415,9 +436,9 @@
 	})
 }
 
-// awaitJudgement waits until it is known whether the last lost run of a request that has lost several counts against it.
+// awaitJudgement waits until it is known whether the last lost run of a suspected request counts against it.
 func (j *job) awaitJudgement() {
-	if j.lost < lostBeforeJudgement {
+	if j.lost == 0 || j.lost+j.loggedDeaths < lostBeforeJudgement {
 		return
 	}
 	expired, stop := j.deadlineTimer()
@@ -429,8 +450,8 @@
 	}
 }
 
-// lostBeforeJudgement is the number of lost runs of a request from which the next send waits for the verdict; a first loss
-// is no reason to delay a retry.
+// lostBeforeJudgement is the number of lost runs and known deaths of a request from which the next send waits for the
+// verdict; a first loss is no reason to delay a retry.
 const lostBeforeJudgement = 2
 
 // runOutcome is the outcome of a run on one server.
--- a/internal/proxy/gladeforward/plain.go
+++ b/internal/proxy/gladeforward/plain.go
@@ -103,7 +103,7 @@
 		return false
 	}
 	j.awaitJudgement()
-	if !j.maySend() || !j.tryRetry() {
+	if j.maySend() != nil || !j.tryRetry() {
 		return false
 	}
 	if !j.launch(ctx, answers) {
