--- a/gladesuspect/poison.go
+++ b/gladesuspect/poison.go
@@ -147,9 +147,9 @@
 
 // reachesLimit reports whether a request is to be refused.
 //
-// That needs deaths one after another: servers that are lost together may all have run the same harmless request. The
-// limit is MaxDeaths deaths that are attributed to it; twice as many deaths that count against it, after a first
-// one, since no harmless request meets so many; or twice as many of any kind.
+// That needs deaths one after another, since servers that are lost together may all have run the same harmless request. The
+// limit is MaxDeaths such deaths that are attributed to it, or twice as many of any kind. Twice as many that count
+// against it are enough too if at least one followed another: few harmless requests have so many copies.
 func (t *Tracker) reachesLimit(fingerprint uint64) bool {
 	all := t.deathsByRequest[fingerprint]
 	if len(all) < t.config.MaxDeaths {
@@ -205,14 +205,15 @@
 	return len(others) >= t.config.MassDeaths
 }
 
-// isExplained reports whether a request ran on a server that died which had died at another time too.
+// isExplained reports whether a request that ran on a dead server may be the cause: it is refused, or another server died under
+// it at another time.
 func (t *Tracker) isExplained(d *death) bool {
 	if d.explained {
 		return true
 	}
 	for f, v := range d.runs {
-		earlier := func(o *death) bool { return !o.runs[f].progressed && o.at.Sub(d.at).Abs() > t.config.Window }
-		if !v.progressed && slices.ContainsFunc(t.deathsByRequest[f], earlier) {
+		apart := func(o *death) bool { return !o.runs[f].progressed && o.at.Sub(d.at).Abs() > t.config.Window }
+		if !v.progressed && slices.ContainsFunc(t.deathsByRequest[f], apart) {
 			return true
 		}
 	}
--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -87,8 +87,8 @@
 
 // Loss returns the lost run of a report that arrives now.
 func (d ServerDeath) Loss() gladesuspect.Loss {
-	at := time.Now().Add(-d.Age)
-	return gladesuspect.Loss{Fingerprint: d.Fingerprint, Server: d.Server, Began: at.Add(-d.Ran), At: at}
+	at := time.Now().Add(-max(0, d.Age))
+	return gladesuspect.Loss{Fingerprint: d.Fingerprint, Server: d.Server, Began: at.Add(-max(0, d.Ran)), At: at}
 }
 
 // Forwarder forwards requests to backend servers.
