--- /dev/null
+++ b/internal/proxy/gladeforward/suspects.go
@@ -0,0 +1,173 @@
+package gladeforward
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
+	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
+)
+
+// ServerDeath reports that a server died while it ran a request.
+type ServerDeath struct {
+	Fingerprint uint64                 `json:"fingerprint"`
+	Server      gladeapi.BackendServer `json:"server"`
+	// Ran is how long the run had lasted, and Age the time since its end.
+	Ran time.Duration `json:"ran"`
+	Age time.Duration `json:"age"`
+}
+
+// Loss returns the lost run of a report that arrives now.
+func (d ServerDeath) Loss() gladesuspect.Loss {
+	at := time.Now().Add(-max(0, d.Age))
+	return gladesuspect.Loss{Fingerprint: d.Fingerprint, Server: d.Server, Began: at.Add(-max(0, d.Ran)), At: at}
+}
+
+// computeFingerprint hashes the parts of a request that are equal in its repeats, which may arrive at other VMs.
+func (j *job) computeFingerprint() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range []string{j.call.Method, j.call.Host, j.call.Target, j.call.Key} {
+		_, _ = d.WriteString(part + "\x00") // a hash returns no errors
+	}
+	_, _ = d.Write(j.call.Body)
+	return d.Sum64()
+}
+
+// checkSuspect reports whether the request may be sent; if not, it ends the request.
+func (j *job) checkSuspect() bool {
+	switch err := j.maySend(); {
+	case err == nil:
+		return true
+	case errors.Is(err, errLastServer):
+		j.refuseOrFail(err.Error())
+	default:
+		j.fail(http.StatusBadGateway, "it crashes the servers that run it")
+	}
+	return false
+}
+
+// errLastServer means that a request may crash the last healthy server of its service.
+var errLastServer = eris.New("it may crash the last healthy server")
+
+const (
+	// minSuspectDeaths is the number of deaths under a request from which it is kept from the last healthy server.
+	minSuspectDeaths = 2
+	// restartTime is how long after the last death it is; crashed servers restart within that time.
+	restartTime = 5 * time.Second
+)
+
+// maySend returns an error if the request crashes its servers, or may crash the last one.
+func (j *job) maySend() error {
+	e := j.config.Suspects.Evidence(j.fingerprint)
+	if e.Deaths > j.loggedDeaths {
+		j.loggedDeaths = e.Deaths
+		j.log("Servers died under it.", "fingerprint", j.fingerprint, "deaths", e.Deaths, "counted", e.Counted,
+			"attributed", e.Attributed, "lastMs", time.Since(e.LastDeath).Milliseconds())
+	}
+	_, err := j.config.Suspects.Check(j.ctx, j.fingerprint)
+	if err == nil && e.Counted >= minSuspectDeaths && time.Since(e.LastDeath) < restartTime &&
+		j.config.Fleet.HealthyServers(j.service, j.config.Suspects.DeadServers(j.fingerprint), time.Now()) < 2 {
+		err = errLastServer
+	}
+	if err != nil {
+		j.log("Not sent again.", "fingerprint", j.fingerprint, "reason", err)
+	}
+	return err
+}
+
+// backendServer returns the identity by which the tracker of suspects knows a server.
+func backendServer(s gladefleet.Server) gladeapi.BackendServer {
+	return gladeapi.BackendServer{ID: s.ID, Incarnation: strconv.FormatInt(s.Started, 10), FailureDomain: s.FailureDomain}
+}
+
+// trackedRun is a run as known to the tracker of suspects.
+type trackedRun struct {
+	*gladesuspect.TrackedRun
+	job    *job
+	server gladefleet.Server
+	down   <-chan struct{}
+	began  time.Time
+	// judged is closed once it is known whether the loss of the run counts against the request.
+	judged chan struct{}
+}
+
+// trackRun records that a server runs the request.  onRefused is called if it must be ended, as the request crashes its
+// servers.
+func (j *job) trackRun(place *gladefleet.Reservation, onRefused func()) *trackedRun {
+	return &trackedRun{
+		TrackedRun: j.config.Suspects.RecordRun(j.fingerprint, backendServer(place.Server), onRefused),
+		job:        j, server: place.Server, down: place.Down(), began: time.Now(), judged: make(chan struct{}),
+	}
+}
+
+// end records the outcome of the run.
+func (v *trackedRun) end(outcome runOutcome) {
+	if outcome != runLost {
+		v.End(outcome == runCompleted)
+		close(v.judged)
+		return
+	}
+	lostAt := time.Now()
+	go func() {
+		defer close(v.judged)
+		select {
+		case <-v.down:
+		case <-time.After(deathCheckDelay):
+		}
+		v.judge(lostAt)
+	}()
+}
+
+// judge records whether the server died under a run that was lost.
+func (v *trackedRun) judge(lostAt time.Time) {
+	j := v.job
+	if !j.config.Fleet.Unavailable(v.server.ID, time.Now()) {
+		j.count("deaths.notCounted")
+		j.log("Lost run not counted.", "server", v.server.ID, "domain", v.server.FailureDomain, "fingerprint", j.fingerprint)
+		v.End(false)
+		return
+	}
+	j.count("deaths.counted")
+	v.ServerDiedAt(lostAt)
+	j.log("Server crashed under it.", "server", v.server.ID, "domain", v.server.FailureDomain, "fingerprint", j.fingerprint)
+	j.config.OnServerDeath(ServerDeath{
+		Fingerprint: j.fingerprint, Server: backendServer(v.server), Ran: lostAt.Sub(v.began), Age: time.Since(lostAt),
+	})
+}
+
+// awaitJudgement waits until it is known whether the last lost run of a suspected request counts against it.
+func (j *job) awaitJudgement() {
+	if j.lost == 0 || j.lost+j.loggedDeaths < lostBeforeJudgement {
+		return
+	}
+	expired, stop := j.deadlineTimer()
+	defer stop()
+	select {
+	case <-j.lastLost.judged:
+	case <-expired:
+	case <-j.ctx.Done():
+	}
+}
+
+// lostBeforeJudgement is the number of lost runs and known deaths of a request from which the next send waits for the
+// verdict; a first loss is no reason to delay a retry.
+const lostBeforeJudgement = 2
+
+// runOutcome is the outcome of a run on one server.
+type runOutcome int
+
+const (
+	runCompleted    runOutcome = iota // the answer is complete and no failure
+	runInconclusive                   // the outcome does not count against the request
+	runLost                           // the run ended without an answer, or with little of one
+)
+
+// deathCheckDelay is the longest time between a lost run and the check of its server's state; it is longer than two probes.
+const deathCheckDelay = 400 * time.Millisecond
