Count only the end of a server's process against a request; progress clears it

A VM that was cut off lost three runs of a generation to servers in three failure domains that did not answer, i/o timeout; the generation went on at a fourth one for 36 events and was then refused, as was its caller when it came back. A server that does not answer may be cut off or suspended; a process that has ended refuses connections. Only that is counted now, as in the daemon. A run that has progressed clears the request: it does not crash what begins to run it.

TestCutOffServersAreNoCrashes and TestProgressClearsRequest failed before.

--- a/gladesuspect/tracker.go
+++ b/gladesuspect/tracker.go
@@ -53,7 +53,7 @@
 	Down func(context.Context, gladeapi.BackendServer) bool
 	// OnRefused is called in a goroutine of its own with each new refusal by this Tracker.
 	OnRefused func(Refused)
-	// OnCleared is called in a goroutine of its own when a run of a suspected request has finished at this Tracker.
+	// OnCleared is called in a goroutine of its own when a run of this Tracker has cleared a suspected request.
 	OnCleared func(fingerprint uint64)
 	Log       hclog.Logger
 }
@@ -187,12 +187,28 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.removeRun(v)
-	if finished && t.clearRequest(v.fingerprint) && t.config.OnCleared != nil {
-		go t.config.OnCleared(v.fingerprint)
+	if finished {
+		t.clearAndReport(v.fingerprint)
 	}
 }
 
-// ClearElsewhere records that a request finished at another VM: earlier deaths no longer count against it.
+// Clear records that the run shows its request to be harmless: earlier deaths no longer count against it.
+func (v *TrackedRun) Clear() {
+	if v == nil {
+		return
+	}
+	v.tracker.mu.Lock()
+	defer v.tracker.mu.Unlock()
+	v.tracker.clearAndReport(v.fingerprint)
+}
+
+func (t *Tracker) clearAndReport(fingerprint uint64) {
+	if t.clearRequest(fingerprint) && t.config.OnCleared != nil {
+		go t.config.OnCleared(fingerprint)
+	}
+}
+
+// ClearElsewhere records that a run at another VM has cleared a request: earlier deaths no longer count against it.
 func (t *Tracker) ClearElsewhere(fingerprint uint64) {
 	if t == nil {
 		return
--- a/internal/fleet/gladefleet/server.go
+++ b/internal/fleet/gladefleet/server.go
@@ -58,6 +58,8 @@
 	peers map[string]Share
 	// failed reports that the server accepted no connection and has not responded since.
 	failed bool
+	// ended reports that nothing listened at the address when it failed.
+	ended bool
 	// failures counts consecutive failures, which lengthen the outage.
 	failures int
 	// retryAt is when a failed server should be retried.
@@ -168,7 +170,7 @@
 	e.lastHeard = now
 	failed := e.failed
 	if failed {
-		e.failed, e.failures = false, 0
+		e.failed, e.ended, e.failures = false, false, 0
 	}
 	return failed
 }
--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -117,7 +117,7 @@
 	case s.Started < e.Started || e.Server == s && e.usableUntil.IsZero():
 		return false
 	case s.Started > e.Started:
-		e.failed, e.failures, e.errorRate, e.replaced = false, 0, 0, false
+		e.failed, e.ended, e.failures, e.errorRate, e.replaced = false, false, 0, 0, false
 		e.overruns, e.quarantinedUntil = 0, time.Time{}
 	case e.Leaving:
 		s.Leaving = true
@@ -284,6 +284,24 @@
 	return true, suspects
 }
 
+// MarkEnded records that nothing listens at the address of a server that is down: its process has ended.
+func (t *Table) MarkEnded(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.servers[id]; e != nil && e.failed {
+		e.ended = true
+	}
+}
+
+// Ended reports whether the process of a server has ended as far as is known: it is gone or replaced, or nothing listens at
+// its address.  A server that is only silent may be cut off.
+func (t *Table) Ended(id string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.servers[id]
+	return e == nil || e.ended || e.replaced || !e.usableUntil.IsZero() && now.After(e.usableUntil)
+}
+
 // DueForRetry returns the failed servers that should be retried, and postpones their next retry.
 func (t *Table) DueForRetry(now time.Time) []Server {
 	t.mu.Lock()
--- a/internal/proxy/gladeforward/crash_test.go
+++ b/internal/proxy/gladeforward/crash_test.go
@@ -457,3 +457,44 @@
 		w.Assert(w.serversRun(), qt.HasLen, 3)
 	})
 }
+
+// Engines are cut off from the VM one after the other under a request that waits for its first event. The request must not be
+// suspected.
+func TestCutOffServersAreNoCrashes(t *testing.T) {
+	runTest(t, func(w *harness) {
+		for i := range 4 {
+			id := fmt.Sprint("e", i)
+			w.serve("llm", crashDomain(i), id, func(_ http.ResponseWriter, r *http.Request) {
+				w.network.Cut(w.vm, id)
+				<-r.Context().Done()
+			})
+		}
+		w.serve("llm", "giza", "z", streamEvents(2, eventPause, nil))
+		for range 4 {
+			w.call(http.MethodPost, "/stream/x", nil)
+		}
+		w.Assert(len(w.serversRun()) > 4, qt.IsTrue)
+		w.Assert(w.deaths, qt.HasLen, 0)
+	})
+}
+
+// A generation loses two engines before its first event. It is no longer suspected once the third one has sent many events.
+func TestProgressClearsRequest(t *testing.T) {
+	runTest(t, func(w *harness) {
+		runs := 0
+		for i := range 6 {
+			id := fmt.Sprint("e", i)
+			w.serve("llm", crashDomain(i), id, func(rw http.ResponseWriter, r *http.Request) {
+				if runs++; runs < 3 {
+					w.network.Kill(id)
+					return
+				}
+				streamEvents(40, eventPause, func(http.ResponseWriter, *http.Request) {
+					w.Check(w.forwarder.config.Suspects.Evidence(fingerprintOf("/stream/x")).Deaths, qt.Equals, 0)
+				})(rw, r)
+			})
+		}
+		w.Assert(w.call(http.MethodPost, "/stream/x", nil).body, qt.Equals, eventText(1, 40))
+		w.Assert(w.deaths, qt.HasLen, 2)
+	})
+}
--- a/internal/proxy/gladeforward/plain.go
+++ b/internal/proxy/gladeforward/plain.go
@@ -175,7 +175,7 @@
 	}
 	switch {
 	case errors.Is(a.err, gladesend.ErrNotSent):
-		j.markDown(a.server, a.err.Error())
+		j.markDown(a.server, a.err)
 		j.recordUnsent()
 		j.log("Not sent.", "server", a.server.ID, "reason", a.err)
 		return false
--- a/internal/proxy/gladeforward/servers.go
+++ b/internal/proxy/gladeforward/servers.go
@@ -6,14 +6,19 @@
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladesend"
 )
 
 // markDown records that a server accepts no connections, and probes the servers that this puts in doubt.
-func (f *Forwarder) markDown(s gladefleet.Server, reason string) {
+func (f *Forwarder) markDown(s gladefleet.Server, reason error) {
 	f.config.Client.Pool.CloseIdle(s.Address)
 	fresh, doubtful := f.config.Fleet.MarkFailed(s.ID, time.Now())
+	if errors.Is(reason, gladesend.ErrRefused) {
+		f.config.Fleet.MarkEnded(s.ID)
+	}
 	if fresh {
 		f.config.Suspects.ServerFailed(backendServer(s))
 		f.count("servers.down")
@@ -97,7 +102,7 @@
 		err := f.config.Client.Pool.Probe(ctx, s.Address)
 		switch {
 		case err != nil:
-			f.markDown(s, "no connection: "+err.Error())
+			f.markDown(s, eris.Wrap(err, "no connection"))
 		case f.config.Fleet.Unavailable(s.ID, time.Now()) && !f.identify(ctx, s):
 		case f.config.Fleet.MarkHeard(s.ID, time.Now()):
 			f.config.Log.Info("Backend server is back.", "server", s.ID, "domain", s.FailureDomain)
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -377,7 +377,7 @@
 	case errors.Is(i.err, io.EOF):
 		return a.finishStream()
 	case errors.Is(i.err, gladesend.ErrNotSent):
-		a.markDown(a.place.Server, i.err.Error())
+		a.markDown(a.place.Server, i.err)
 		a.avoidServer(a.place.ID)
 		a.sends--
 		a.recordUnsent()
@@ -437,7 +437,7 @@
 		a.place.PrefillDone(now)
 		a.config.OnLoadChange()
 	}
-	a.tracked.Progress(a.received)
+	a.tracked.progress(a.received)
 	if e.id <= a.lastEvent {
 		return 0, false
 	}
--- a/internal/proxy/gladeforward/suspects.go
+++ b/internal/proxy/gladeforward/suspects.go
@@ -107,6 +107,14 @@
 	}
 }
 
+// progress records the number of events of the run.  A request that progresses does not crash its servers.
+func (v *trackedRun) progress(events int) {
+	before := v.Progressed()
+	if v.Progress(events); v.Progressed() && !before {
+		v.Clear()
+	}
+}
+
 // end records the outcome of the run.
 func (v *trackedRun) end(outcome runOutcome) {
 	if outcome != runLost {
@@ -128,7 +136,7 @@
 // judge records whether the server died under a run that was lost.
 func (v *trackedRun) judge(lostAt time.Time) {
 	j := v.job
-	if !j.config.Fleet.Unavailable(v.server.ID, time.Now()) {
+	if !j.config.Fleet.Ended(v.server.ID, time.Now()) {
 		j.count("deaths.notCounted")
 		j.log("Lost run not counted.", "server", v.server.ID, "domain", v.server.FailureDomain, "fingerprint", j.fingerprint)
 		v.End(false)
--- a/internal/proxy/gladesend/pool.go
+++ b/internal/proxy/gladesend/pool.go
@@ -19,6 +19,8 @@
 var (
 	// ErrNotSent means that no byte of the request reached a server.
 	ErrNotSent = eris.New("request not sent")
+	// ErrRefused means that nothing listens at the server's address: its process has ended.  It wraps ErrNotSent.
+	ErrRefused = eris.Wrap(ErrNotSent, "connection refused")
 	// ErrBroken means that the answer is malformed or incomplete; the request may have run.
 	ErrBroken = eris.New("answer broken")
 	// ErrWrongAnswer means that the answer belongs to another request or does not identify its request.
@@ -100,7 +102,10 @@
 
 func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
 	raw, err := p.dial(ctx, address)
-	if err != nil {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, eris.Wrap(ErrRefused, address)
+	case err != nil:
 		return nil, eris.Wrapf(ErrNotSent, "%s: %v", address, err)
 	}
 	p.mu.Lock()
