Know that a server's process has ended before waking those that ask; share no error value

TestCrashingRequestLeavesOneServer failed once: a server was marked down, which wakes the verdict on its lost runs, before it was marked ended, so that the crash was now and then not counted and not told. The order is reversed. A data race: ErrRefused was a wrapped error, and wrapping it again changes its stack for all; the returned error now joins two plain sentinels.

--- a/internal/fleet/gladefleet/server.go
+++ b/internal/fleet/gladefleet/server.go
@@ -58,7 +58,7 @@
 	peers map[string]Share
 	// failed reports that the server accepted no connection and has not responded since.
 	failed bool
-	// ended reports that nothing listened at the address when it failed.
+	// ended reports that nothing listened at the address when it was tried last.
 	ended bool
 	// failures counts consecutive failures, which lengthen the outage.
 	failures int
@@ -169,8 +169,9 @@
 func (e *entry) markHeard(now time.Time) bool {
 	e.lastHeard = now
 	failed := e.failed
+	e.ended = false
 	if failed {
-		e.failed, e.ended, e.failures = false, false, 0
+		e.failed, e.failures = false, 0
 	}
 	return failed
 }
--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -284,11 +284,12 @@
 	return true, suspects
 }
 
-// MarkEnded records that nothing listens at the address of a server that is down: its process has ended.
+// MarkEnded records that nothing listens at the address of a server: its process has ended.  It comes before MarkFailed, which
+// wakes those that ask for it.
 func (t *Table) MarkEnded(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.servers[id]; e != nil && e.failed {
+	if e := t.servers[id]; e != nil {
 		e.ended = true
 	}
 }
--- a/internal/proxy/gladeforward/servers.go
+++ b/internal/proxy/gladeforward/servers.go
@@ -15,10 +15,10 @@
 // markDown records that a server accepts no connections, and probes the servers that this puts in doubt.
 func (f *Forwarder) markDown(s gladefleet.Server, reason error) {
 	f.config.Client.Pool.CloseIdle(s.Address)
-	fresh, doubtful := f.config.Fleet.MarkFailed(s.ID, time.Now())
 	if errors.Is(reason, gladesend.ErrRefused) {
 		f.config.Fleet.MarkEnded(s.ID)
 	}
+	fresh, doubtful := f.config.Fleet.MarkFailed(s.ID, time.Now())
 	if fresh {
 		f.config.Suspects.ServerFailed(backendServer(s))
 		f.count("servers.down")
--- a/internal/proxy/gladesend/pool.go
+++ b/internal/proxy/gladesend/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"slices"
 	"strconv"
@@ -19,8 +20,8 @@
 var (
 	// ErrNotSent means that no byte of the request reached a server.
 	ErrNotSent = eris.New("request not sent")
-	// ErrRefused means that nothing listens at the server's address: its process has ended.  It wraps ErrNotSent.
-	ErrRefused = eris.Wrap(ErrNotSent, "connection refused")
+	// ErrRefused means that nothing listens at the server's address: its process has ended.  Such errors are ErrNotSent too.
+	ErrRefused = eris.New("connection refused")
 	// ErrBroken means that the answer is malformed or incomplete; the request may have run.
 	ErrBroken = eris.New("answer broken")
 	// ErrWrongAnswer means that the answer belongs to another request or does not identify its request.
@@ -104,7 +105,7 @@
 	raw, err := p.dial(ctx, address)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return nil, eris.Wrap(ErrRefused, address)
+		return nil, fmt.Errorf("%s: %w: %w", address, ErrRefused, ErrNotSent)
 	case err != nil:
 		return nil, eris.Wrapf(ErrNotSent, "%s: %v", address, err)
 	}
