Try three addresses at once while a VM knows no other; synchronise a test's counter

A VM that starts asked one random seed every 0.4 s, so that with a seed that is down it had not heard of the refusals after the 0.5 s for which it holds requests. TestProgressClearsRequest counted runs in several goroutines without a lock, which the race detector reported: a fault of the test.

--- a/gladepeer/exchange.go
+++ b/gladepeer/exchange.go
@@ -23,6 +23,8 @@
 	remoteDigests = 1
 	// inactiveProbePeriod is the mean number of intervals between exchanges with an address outside the live members.
 	inactiveProbePeriod = 4
+	// joinFanout is the number of addresses that a VM without live members tries in each interval.
+	joinFanout = 3
 	// pauseIntervals is the shortest pause of this VM that is detected, and the timeout of an exchange, in intervals.
 	pauseIntervals = 3
 )
@@ -135,7 +137,7 @@
 
 // inactiveAddress returns at most one address that belongs to no live member.
 //
-// It returns an address in every interval while there are no live members, and otherwise in one of
+// It returns joinFanout addresses in every interval while there are no live members, and otherwise one in one of
 // inactiveProbePeriod intervals on average. The caller holds n.mu.
 func (n *Node) inactiveAddress(live map[string][]*Member) []string {
 	if len(live) > 0 && rand.IntN(inactiveProbePeriod) > 0 {
@@ -157,7 +159,11 @@
 		}
 	}
 	delete(addresses, n.self.PeerAddress)
-	return randomSample(slices.Collect(maps.Keys(addresses)), 1)
+	count := 1
+	if len(live) == 0 {
+		count = joinFanout // some of the seeds may be down
+	}
+	return randomSample(slices.Collect(maps.Keys(addresses)), count)
 }
 
 // RendezvousWeight returns the rendezvous hash weight of a VM for a key. The VM with the highest weight is the first
--- a/internal/proxy/gladeforward/crash_test.go
+++ b/internal/proxy/gladeforward/crash_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -481,11 +482,11 @@
 // A generation loses two engines before its first event. It is no longer suspected once the third one has sent many events.
 func TestProgressClearsRequest(t *testing.T) {
 	runTest(t, func(w *harness) {
-		runs := 0
+		var runs atomic.Int32
 		for i := range 6 {
 			id := fmt.Sprint("e", i)
 			w.serve("llm", crashDomain(i), id, func(rw http.ResponseWriter, r *http.Request) {
-				if runs++; runs < 3 {
+				if runs.Add(1) < 3 {
 					w.network.Kill(id)
 					return
 				}
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -141,6 +141,8 @@
 	refusalPublishers = 2
 	// maxPeerWait is the longest time for which a VM that starts holds requests until it has heard what the others refuse.
 	maxPeerWait = 500 * time.Millisecond
+	// peerSettleTime is how long it goes on after it has heard of a first VM; the records of the others follow within that time.
+	peerSettleTime = 100 * time.Millisecond
 	// peerCheckInterval is how often it looks for that meanwhile.
 	peerCheckInterval = 20 * time.Millisecond
 )
@@ -150,8 +152,12 @@
 	done := make(chan struct{})
 	var task sync.WaitGroup
 	task.Go(func() {
+		firstHeard := time.Time{}
 		for began := time.Now(); ; {
 			members := f.node.Members()
+			if len(members) > 0 && firstHeard.IsZero() {
+				firstHeard = time.Now()
+			}
 			err := gladerefusal.Import(members, f.suspects)
 			if f.rank() < refusalPublishers {
 				err = errors.Join(err, gladerefusal.Publish(f.node, f.suspects))
@@ -161,7 +167,8 @@
 			}
 			wait := gladerefusal.Interval
 			if !f.heardPeers() {
-				if len(members) == 0 && time.Since(began) < maxPeerWait && !f.config.Settings.FirstStart {
+				settled := !firstHeard.IsZero() && time.Since(firstHeard) >= peerSettleTime
+				if !settled && time.Since(began) < maxPeerWait && !f.config.Settings.FirstStart {
 					wait = peerCheckInterval
 				} else {
 					close(f.peersHeard)
