--- a/gladepeer/exchange.go
+++ b/gladepeer/exchange.go
@@ -88,7 +88,7 @@
 	for _, domain := range n.relayTargets(live) {
 		addresses[randomSample(live[domain], 1)[0].PeerAddress] = true
 	}
-	for _, address := range n.inactiveAddress(live) {
+	for _, address := range n.inactiveAddresses(live) {
 		addresses[address] = true
 	}
 	delete(addresses, n.self.PeerAddress)
@@ -135,11 +135,11 @@
 	return ahead < relaysPerDomain
 }
 
-// inactiveAddress returns at most one address that belongs to no live member.
+// inactiveAddresses returns addresses that belong to no live member.
 //
 // It returns joinFanout addresses in every interval while there are no live members, and otherwise one in one of
 // inactiveProbePeriod intervals on average. The caller holds n.mu.
-func (n *Node) inactiveAddress(live map[string][]*Member) []string {
+func (n *Node) inactiveAddresses(live map[string][]*Member) []string {
 	if len(live) > 0 && rand.IntN(inactiveProbePeriod) > 0 {
 		return nil
 	}
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -152,29 +152,15 @@
 	done := make(chan struct{})
 	var task sync.WaitGroup
 	task.Go(func() {
-		firstHeard := time.Time{}
-		for began := time.Now(); ; {
-			members := f.node.Members()
+		began, firstHeard := time.Now(), time.Time{}
+		for {
+			members := f.shareRefusals()
 			if len(members) > 0 && firstHeard.IsZero() {
 				firstHeard = time.Now()
 			}
-			err := gladerefusal.Import(members, f.suspects)
-			if f.rank() < refusalPublishers {
-				err = errors.Join(err, gladerefusal.Publish(f.node, f.suspects))
-			}
-			if err != nil {
-				f.log.Warn("Refused requests not shared.", "reason", err)
-			}
 			wait := gladerefusal.Interval
 			if !f.heardPeers() {
-				settled := !firstHeard.IsZero() && time.Since(firstHeard) >= peerSettleTime
-				if !settled && time.Since(began) < maxPeerWait && !f.config.Settings.FirstStart {
-					wait = peerCheckInterval
-				} else {
-					close(f.peersHeard)
-					f.log.Info("Heard the other VMs.", "members", len(members), "afterMs", time.Since(began).Milliseconds(),
-						"refused", len(f.suspects.Refused()))
-				}
+				wait = f.settlePeers(began, firstHeard, len(members))
 			}
 			select {
 			case <-done:
@@ -189,6 +175,31 @@
 	})
 }
 
+// shareRefusals imports and publishes refusals once, and returns the other VMs.
+func (f *Front) shareRefusals() []gladepeer.Member {
+	members := f.node.Members()
+	err := gladerefusal.Import(members, f.suspects)
+	if f.rank() < refusalPublishers {
+		err = errors.Join(err, gladerefusal.Publish(f.node, f.suspects))
+	}
+	if err != nil {
+		f.log.Warn("Refused requests not shared.", "reason", err)
+	}
+	return members
+}
+
+// settlePeers closes peersHeard if this VM need not wait for the others any longer, and returns the time until the next look.
+func (f *Front) settlePeers(began, firstHeard time.Time, members int) time.Duration {
+	settled := !firstHeard.IsZero() && time.Since(firstHeard) >= peerSettleTime
+	if !settled && time.Since(began) < maxPeerWait && !f.config.Settings.FirstStart {
+		return peerCheckInterval
+	}
+	close(f.peersHeard)
+	f.log.Info("Heard the other VMs.", "members", members, "afterMs", time.Since(began).Milliseconds(),
+		"refused", len(f.suspects.Refused()))
+	return gladerefusal.Interval
+}
+
 func (f *Front) heardPeers() bool {
 	select {
 	case <-f.peersHeard:
