Take a server that the store no longer lists for cut off, not for crashed

A run that was lost on a server that had left the store's list counted as a crash under its request. Entries also lapse while servers live on, cut off from the store or from this VM; only a refused connection or a successor at the address shows that the process has ended.

--- a/gladesuspect/poison.go
+++ b/gladesuspect/poison.go
@@ -250,7 +250,10 @@
 	if err := t.refusal(fingerprint); err != nil || cleared { // another check of the same time may have refused it
 		return err
 	}
-	r := t.refuse(fingerprint, slices.Clone(t.deathsByRequest[fingerprint]))
+	r := Refused{
+		Fingerprint: fingerprint, Until: time.Now().Add(t.config.Retention), Servers: serverIDs(t.deathsByRequest[fingerprint]),
+	}
+	t.addRefused(r)
 	t.config.Log.Warn("Request refused as poison.", "fingerprint", fingerprint, "servers", r.Servers)
 	if t.config.OnRefused != nil {
 		go t.config.OnRefused(r)
@@ -267,13 +270,6 @@
 	return !reached || t.withdrawLostDomains(ctx, deaths)
 }
 
-// refuse stores the refusal.
-func (t *Tracker) refuse(fingerprint uint64, deaths []*death) Refused {
-	r := Refused{Fingerprint: fingerprint, Until: time.Now().Add(t.config.Retention), Servers: serverIDs(deaths)}
-	t.addRefused(r)
-	return r
-}
-
 func serverIDs(deaths []*death) []string {
 	ids := make([]string, len(deaths))
 	for i, d := range deaths {
--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -294,13 +294,13 @@
 	}
 }
 
-// Ended reports whether the process of a server has ended as far as is known: it is gone or replaced, or nothing listens at
-// its address.  A server that is only silent may be cut off.
-func (t *Table) Ended(id string, now time.Time) bool {
+// Ended reports whether the process of a server is known to have ended: nothing listens at its address, or another server
+// does.  A server that is silent or no longer listed may be cut off.
+func (t *Table) Ended(id string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.servers[id]
-	return e == nil || e.ended || e.replaced || !e.usableUntil.IsZero() && now.After(e.usableUntil)
+	return e != nil && (e.ended || e.replaced)
 }
 
 // DueForRetry returns the failed servers that should be retried, and postpones their next retry.
--- a/internal/proxy/gladeforward/plain.go
+++ b/internal/proxy/gladeforward/plain.go
@@ -102,7 +102,7 @@
 	if j.sends >= maxSends || j.mayHaveRun && j.sends >= max(1, j.route.Attempts) {
 		return false
 	}
-	j.awaitJudgement()
+	j.awaitClassification()
 	if j.maySend() != nil || !j.tryRetry() {
 		return false
 	}
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -88,7 +88,7 @@
 		case attemptNotRun: // the copy that was named is consumed and no new one was made
 			s.dropCopy()
 		}
-		s.awaitJudgement()
+		s.awaitClassification()
 		if s.ctx.Err() != nil || !s.checkSuspect() || !s.mayRepeat() {
 			return
 		}
--- a/internal/proxy/gladeforward/suspects.go
+++ b/internal/proxy/gladeforward/suspects.go
@@ -57,9 +57,9 @@
 var errLastServer = eris.New("it may crash the last healthy server")
 
 const (
-	// minSuspectDeaths is the number of deaths under a request from which it is kept from the last healthy server.
+	// minSuspectDeaths is the number of deaths under a request from which it is not sent to the last healthy server.
 	minSuspectDeaths = 2
-	// restartTime is how long after the last death it is; crashed servers restart within that time.
+	// restartTime is how long after the last death this holds; crashed servers restart within that time.
 	restartTime = 5 * time.Second
 )
 
@@ -94,8 +94,8 @@
 	server gladefleet.Server
 	down   <-chan struct{}
 	began  time.Time
-	// judged is closed once it is known whether the loss of the run counts against the request.
-	judged chan struct{}
+	// classified is closed once it is known whether the loss of the run counts against the request.
+	classified chan struct{}
 }
 
 // trackRun records that a server runs the request.  onRefused is called if it must be ended, as the request crashes its
@@ -103,7 +103,7 @@
 func (j *job) trackRun(place *gladefleet.Reservation, onRefused func()) *trackedRun {
 	return &trackedRun{
 		TrackedRun: j.config.Suspects.RecordRun(j.fingerprint, backendServer(place.Server), onRefused),
-		job:        j, server: place.Server, down: place.Down(), began: time.Now(), judged: make(chan struct{}),
+		job:        j, server: place.Server, down: place.Down(), began: time.Now(), classified: make(chan struct{}),
 	}
 }
 
@@ -119,24 +119,24 @@
 func (v *trackedRun) end(outcome runOutcome) {
 	if outcome != runLost {
 		v.End(outcome == runCompleted)
-		close(v.judged)
+		close(v.classified)
 		return
 	}
 	lostAt := time.Now()
 	go func() {
-		defer close(v.judged)
+		defer close(v.classified)
 		select {
 		case <-v.down:
 		case <-time.After(deathCheckDelay):
 		}
-		v.judge(lostAt)
+		v.classifyLoss(lostAt)
 	}()
 }
 
-// judge records whether the server died under a run that was lost.
-func (v *trackedRun) judge(lostAt time.Time) {
+// classifyLoss records whether the server died under a run that was lost.
+func (v *trackedRun) classifyLoss(lostAt time.Time) {
 	j := v.job
-	if !j.config.Fleet.Ended(v.server.ID, time.Now()) {
+	if !j.config.Fleet.Ended(v.server.ID) {
 		j.count("deaths.notCounted")
 		j.log("Lost run not counted.", "server", v.server.ID, "domain", v.server.FailureDomain, "fingerprint", j.fingerprint)
 		v.End(false)
@@ -150,23 +150,23 @@
 	})
 }
 
-// awaitJudgement waits until it is known whether the last lost run of a suspected request counts against it.
-func (j *job) awaitJudgement() {
-	if j.lost == 0 || j.lost+j.loggedDeaths < lostBeforeJudgement {
+// awaitClassification waits until it is known whether the last lost run of a suspected request counts against it.
+func (j *job) awaitClassification() {
+	if j.lost == 0 || j.lost+j.loggedDeaths < minLossesToWait {
 		return
 	}
 	expired, stop := j.deadlineTimer()
 	defer stop()
 	select {
-	case <-j.lastLost.judged:
+	case <-j.lastLost.classified:
 	case <-expired:
 	case <-j.ctx.Done():
 	}
 }
 
-// lostBeforeJudgement is the number of lost runs and known deaths of a request from which the next send waits for the
-// verdict; a first loss is no reason to delay a retry.
-const lostBeforeJudgement = 2
+// minLossesToWait is the number of lost runs and known deaths of a request from which the next send waits until the last loss
+// is classified; a first loss is no reason to delay a retry.
+const minLossesToWait = 2
 
 // runOutcome is the outcome of a run on one server.
 type runOutcome int
--- a/internal/proxy/gladefront/front_test.go
+++ b/internal/proxy/gladefront/front_test.go
@@ -22,6 +22,7 @@
 	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladefeed"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerefusal"
 	gladeplatform "github.com/eelgrassglade/eelgrassglade/platform"
 )
 
@@ -395,7 +396,7 @@
 	began := time.Now()
 	f.eventually("second VM refuses", func() bool { return refuses(second, fingerprint) })
 	f.Assert(time.Since(began) < time.Second, qt.IsTrue)
-	f.eventually("second VM publishes", func() bool { return len(second.node.Self().Facts["poison"]) > 0 })
+	f.eventually("second VM publishes", func() bool { return len(second.node.Self().Facts[gladerefusal.FactName]) > 0 })
 	stopFirst()
 	third, _ := f.startVM(3)
 	f.eventually("third VM answers", func() bool { status, _, _ := f.get(3, 8000, "/a/x"); return status > 0 })
--- a/internal/state/gladerefusal/refusal.go
+++ b/internal/state/gladerefusal/refusal.go
@@ -14,8 +14,8 @@
 const (
 	// Interval is how often a VM imports and publishes refusals.
 	Interval = time.Second
-	// factName is the name of the fact in which a VM publishes the requests that it refuses.
-	factName = "poison"
+	// FactName is the name of the fact in which a VM publishes the requests that it refuses.
+	FactName = "poison"
 	// maxPublished is the number of refusals in the fact, those that expire last.
 	maxPublished = 32
 )
@@ -25,7 +25,7 @@
 func Import(members []gladepeer.Member, tracker *gladesuspect.Tracker) error {
 	var undecoded error
 	for _, m := range members {
-		raw, ok := m.Facts[factName]
+		raw, ok := m.Facts[FactName]
 		if !ok {
 			continue
 		}
@@ -45,5 +45,5 @@
 	if len(refused) == 0 {
 		return nil
 	}
-	return node.Publish(factName, refused[max(0, len(refused)-maxPublished):])
+	return node.Publish(FactName, refused[max(0, len(refused)-maxPublished):])
 }
--- a/internal/state/gladerefusal/refusal_test.go
+++ b/internal/state/gladerefusal/refusal_test.go
@@ -19,7 +19,7 @@
 	raw, err := json.Marshal([]gladesuspect.Refused{{Fingerprint: 7, Until: time.Now().Add(time.Minute)}})
 	c.Assert(err, qt.IsNil)
 	member := func(name string, fact string) gladepeer.Member {
-		return gladepeer.Member{EntryVM: gladeapi.EntryVM{Name: name}, Facts: map[string]json.RawMessage{factName: json.RawMessage(fact)}}
+		return gladepeer.Member{EntryVM: gladeapi.EntryVM{Name: name}, Facts: map[string]json.RawMessage{FactName: json.RawMessage(fact)}}
 	}
 	tracker := gladesuspect.New(gladesuspect.Config{})
 	err = Import([]gladepeer.Member{member("other-build", `{"v":2}`), member("same-build", string(raw))}, tracker)
