Suspect no request that has just succeeded

A call that many callers repeat was lost on both servers that had crashed; it counted as one that may crash the last server and was kept from it at all VMs for 5 s, with no success anywhere that could clear it. A request that crashes its servers never finishes: a VM that has finished the request in the last 10 s neither counts nor reports a death under it.

--- a/gladesuspect/tracker.go
+++ b/gladesuspect/tracker.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
@@ -27,6 +28,10 @@
 	// reportWindow is the time within which all VMs report the same death; a silent server is found down later than one
 	// that closes its connections.
 	reportWindow = 3 * time.Second
+	// successWindow is how long a success shows a request to be harmless: one that crashes its servers never finishes.
+	successWindow = 10 * time.Second
+	// maxSuccesses is the number of requests whose last success is remembered.
+	maxSuccesses = 1024
 )
 
 // Config configures a Tracker.
@@ -78,6 +83,8 @@
 	deaths          []*death
 	deathsByRequest map[uint64][]*death
 	refused         map[uint64]Refused
+	// successes are the times of the last successes, by request.
+	successes *lru.Cache[uint64, time.Time]
 }
 
 // death is the death of one server, with the requests that it ran.
@@ -120,8 +127,13 @@
 	if c.Log == nil {
 		c.Log = hclog.NewNullLogger()
 	}
+	successes, err := lru.New[uint64, time.Time](maxSuccesses)
+	if err != nil {
+		panic(err) // the size is positive
+	}
 	return &Tracker{
 		config:          c,
+		successes:       successes,
 		runs:            map[string][]*TrackedRun{},
 		deathsByRequest: map[uint64][]*death{},
 		refused:         map[uint64]Refused{},
@@ -188,10 +200,21 @@
 	defer t.mu.Unlock()
 	t.removeRun(v)
 	if finished {
+		t.successes.Add(v.fingerprint, time.Now())
 		t.clearAndReport(v.fingerprint)
 	}
 }
 
+// FinishedRecently reports whether a run of a request has finished at this Tracker so recently that a death under the request
+// is no evidence against it.
+func (t *Tracker) FinishedRecently(fingerprint uint64) bool {
+	if t == nil {
+		return false
+	}
+	at, ok := t.successes.Peek(fingerprint)
+	return ok && time.Since(at) < successWindow
+}
+
 // Clear records that the run shows its request to be harmless: earlier deaths no longer count against it.
 func (v *TrackedRun) Clear() {
 	if v == nil {
--- a/internal/proxy/gladeforward/suspects.go
+++ b/internal/proxy/gladeforward/suspects.go
@@ -136,9 +136,11 @@
 // classifyLoss records whether the server died under a run that was lost.
 func (v *trackedRun) classifyLoss(lostAt time.Time) {
 	j := v.job
-	if !j.config.Fleet.Ended(v.server.ID) {
+	ended, harmless := j.config.Fleet.Ended(v.server.ID), j.config.Suspects.FinishedRecently(j.fingerprint)
+	if !ended || harmless {
 		j.count("deaths.notCounted")
-		j.log("Lost run not counted.", "server", v.server.ID, "domain", v.server.FailureDomain, "fingerprint", j.fingerprint)
+		j.log("Lost run not counted.", "server", v.server.ID, "domain", v.server.FailureDomain, "fingerprint", j.fingerprint,
+			"ended", ended, "finishedBefore", harmless)
 		v.End(false)
 		return
 	}
