--- a/gladestream/attempt.go
+++ b/gladestream/attempt.go
@@ -199,7 +199,8 @@
 	switch {
 	case err == nil:
 		return gladeapi.OutcomeDone
-	case ctx.Err() != nil, errors.Is(err, ErrEngineLeaving), errors.Is(err, ErrRejected), errors.Is(err, ErrNotResumable):
+	case ctx.Err() != nil, errors.Is(err, ErrEngineLeaving), errors.Is(err, ErrRejected), errors.Is(err, ErrNotResumable),
+		errors.Is(err, ErrGenerationEnded):
 		return gladeapi.OutcomeCancelled
 	case errors.Is(err, ErrStalled):
 		return gladeapi.OutcomeStalled
--- a/gladestream/execution.go
+++ b/gladestream/execution.go
@@ -140,7 +140,11 @@
 
 // openAndFollow opens an attempt and reads its stream until it ends or fails.
 func (x *execution) openAndFollow(ctx context.Context, p *engineAttempt) error {
-	o := x.openRequest(p)
+	o, err := x.openRequest(p)
+	if err != nil {
+		p.tracked.End(false)
+		return err
+	}
 	return x.runOnEngine(ctx, p, func(ctx context.Context, w *watchdog) error {
 		w.reset(x.firstTokenTimeout(o, x.firstTokenTimeouts))
 		s, err := x.config.Open(ctx, *o)
@@ -190,28 +194,32 @@
 	return err
 }
 
-func (x *execution) openRequest(p *engineAttempt) *OpenRequest {
-	delivered := x.journal.Begin(p.attempt, p.backend)
-	x.config.Check.That(x.journal.matchesTokens(delivered), gladecheck.OneGeneration, "%s: prefix differs", p.attempt.ID())
+// openRequest begins an attempt and returns what to send to its engine, or ErrGenerationEnded.
+func (x *execution) openRequest(p *engineAttempt) (*OpenRequest, error) {
+	delivered, err := x.journal.beginUnlessEnded(p.attempt, p.backend)
+	if err != nil {
+		return nil, err
+	}
+	x.config.Check.That(delivered.matchesPrefix(), gladecheck.OneGeneration, "%s: prefix differs", p.attempt.ID())
 	o := &OpenRequest{
 		Generation:   x.generation,
 		Backend:      p.backend,
 		Attempt:      p.attempt,
 		PromptTokens: x.journal.PromptTokens(),
-		Delivered:    delivered,
+		Delivered:    delivered.ids,
 		Priority:     x.generation.Priority,
 	}
-	if len(delivered) > 0 {
+	if len(delivered.ids) > 0 {
 		o.Priority += resumePriority
 		x.metrics.resumes.Inc(1)
 	}
 	if x.lastNumber > 1 {
 		x.metrics.recomputed.Inc(int64(estimateContextLen(o)))
 	}
-	if slices.ContainsFunc(delivered, func(id int32) bool { return id < 0 }) {
+	if slices.ContainsFunc(delivered.ids, func(id int32) bool { return id < 0 }) {
 		o.Texts = x.journal.texts()
 	}
-	return o
+	return o, nil
 }
 
 func (x *execution) record(event, format string, args ...any) {
--- a/gladestream/journal.go
+++ b/gladestream/journal.go
@@ -93,15 +93,51 @@
 func (j *Journal) Begin(a gladeapi.Attempt, b gladeapi.BackendServer) []int32 {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	return j.begin(a, b).ids
+}
+
+// beginUnlessEnded is Begin for an attempt that is not to be made if the generation has ended, as another VM may have taken it
+// over meanwhile.
+func (j *Journal) beginUnlessEnded(a gladeapi.Attempt, b gladeapi.BackendServer) (deliveredTokens, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.ended() {
+		return deliveredTokens{}, ErrGenerationEnded
+	}
+	return j.begin(a, b), nil
+}
+
+// begin is Begin for a caller that holds the lock.
+func (j *Journal) begin(a gladeapi.Attempt, b gladeapi.BackendServer) deliveredTokens {
 	j.attempt = a
 	j.backend = b
 	j.base = len(j.tokens)
 	j.joining = false
-	ids := make([]int32, len(j.tokens))
+	d := deliveredTokens{ids: make([]int32, len(j.tokens))}
 	for i := range j.tokens {
-		ids[i] = j.tokens[i].ID
+		d.ids[i] = j.tokens[i].ID
+		d.prefix = j.tokens[i].Prefix
 	}
-	return ids
+	return d
+}
+
+// deliveredTokens are the tokens before an attempt.
+type deliveredTokens struct {
+	ids []int32
+	// prefix is the journal's hash of them, zero without tokens.
+	prefix uint64
+}
+
+// matchesPrefix reports whether the identifiers give the journal's hash.
+func (d deliveredTokens) matchesPrefix() bool {
+	var digest xxhash.Digest
+	digest.Reset()
+	var b [4]byte
+	for _, id := range d.ids {
+		binary.LittleEndian.PutUint32(b[:], uint32(id))
+		_, _ = digest.Write(b[:])
+	}
+	return len(d.ids) == 0 || d.prefix == digest.Sum64()
 }
 
 // Join makes an attempt that another VM began the current one and returns how many of its tokens the journal holds.
@@ -360,23 +396,6 @@
 	return j.stopMatched
 }
 
-// matchesTokens reports whether ids are the journal's tokens, by their prefix hash.
-func (j *Journal) matchesTokens(ids []int32) bool {
-	var digest xxhash.Digest
-	digest.Reset()
-	var b [4]byte
-	for _, id := range ids {
-		binary.LittleEndian.PutUint32(b[:], uint32(id))
-		_, _ = digest.Write(b[:])
-	}
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if len(ids) != len(j.tokens) {
-		return false
-	}
-	return len(ids) == 0 || j.tokens[len(ids)-1].Prefix == digest.Sum64()
-}
-
 // Usage returns the token counts; a token counts once however many attempts computed it.
 func (j *Journal) Usage() gladeapi.Usage {
 	j.mu.Lock()
