End all connections of a killed host at once in the test network

TestVMDies failed beside load, in different cases, with one request to an engine more than allowed. The in-memory network closed the connections of a killed host one after the other, so that its process could see one end and send on another; a connection that was being opened was not closed at all. A process that is killed does neither. All its connections are now marked before the first is closed, writes fail from then on, and a connection is known to the network before it is accepted.

Tests only: gladewire is the test network.

--- a/gladewire/conn.go
+++ b/gladewire/conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
 type listener struct {
@@ -63,6 +64,8 @@
 	once    sync.Once
 	closed  chan struct{}
 	init    sync.Once
+	// ended reports that the network ends the connection; writes fail from then on.
+	ended atomic.Bool
 }
 
 // closedChan returns the channel that Close closes.
@@ -94,6 +97,9 @@
 
 func (c *conn) Write(b []byte) (int, error) {
 	c.waitWhilePaused()
+	if c.ended.Load() {
+		return 0, net.ErrClosed
+	}
 	return c.Conn.Write(b)
 }
 
--- a/gladewire/network.go
+++ b/gladewire/network.go
@@ -75,10 +75,21 @@
 func (h Host) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	n := h.network
 	to := hostOf(address)
+	near, far := net.Pipe()
+	a := &conn{Conn: near, network: n, local: h.name, remote: to}
+	b := &conn{Conn: far, network: n, local: to, remote: h.name}
 	n.mu.Lock()
 	l := n.listeners[address]
 	cut := n.cut[pair(h.name, to)]
 	terminated := n.terminated[h.name] != h.incarnation
+	if l != nil && !cut && !terminated {
+		// A kill from here on ends the connection, also before it is accepted.
+		if n.conns == nil {
+			n.conns = map[*conn]struct{}{}
+		}
+		n.conns[a] = struct{}{}
+		n.conns[b] = struct{}{}
+	}
 	n.mu.Unlock()
 	if terminated {
 		return nil, eris.Wrap(ErrTerminated, h.name)
@@ -90,24 +101,33 @@
 	if l == nil {
 		return nil, eris.Wrap(ErrRefused, address)
 	}
-	near, far := net.Pipe()
-	a := &conn{Conn: near, network: n, local: h.name, remote: to}
-	b := &conn{Conn: far, network: n, local: to, remote: h.name}
+	var err error
 	select {
 	case l.accept <- b:
+		return a, nil
 	case <-l.done:
-		return nil, eris.Wrap(ErrRefused, address)
+		err = eris.Wrap(ErrRefused, address)
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		err = ctx.Err()
 	}
-	n.mu.Lock()
-	if n.conns == nil {
-		n.conns = map[*conn]struct{}{}
+	_, _ = a.Close(), b.Close()
+	return nil, err
+}
+
+// endConns closes the connections that match, at once: none carries data after another has been seen to end. The caller holds
+// the lock, which endConns releases.
+func (n *Network) endConns(matches func(*conn) bool) {
+	var cs []*conn
+	for c := range n.conns {
+		if matches(c) {
+			c.ended.Store(true)
+			cs = append(cs, c)
+		}
 	}
-	n.conns[a] = struct{}{}
-	n.conns[b] = struct{}{}
 	n.mu.Unlock()
-	return a, nil
+	for _, c := range cs {
+		_ = c.Close()
+	}
 }
 
 // Kill closes all listeners and connections of a host. Its process can open new ones.
@@ -116,22 +136,14 @@
 	var ls []*listener
 	for address, l := range n.listeners {
 		if hostOf(address) == host {
+			delete(n.listeners, address)
 			ls = append(ls, l)
 		}
 	}
-	var cs []*conn
-	for c := range n.conns {
-		if c.local == host || c.remote == host {
-			cs = append(cs, c)
-		}
-	}
-	n.mu.Unlock()
+	n.endConns(func(c *conn) bool { return c.local == host || c.remote == host })
 	for _, l := range ls {
 		_ = l.Close()
 	}
-	for _, c := range cs {
-		_ = c.Close()
-	}
 }
 
 // Terminate kills a host and makes Dial and Listen of its process fail with ErrTerminated.
@@ -176,16 +188,7 @@
 		n.cut = map[[2]string]bool{}
 	}
 	n.cut[pair(a, b)] = true
-	var cs []*conn
-	for c := range n.conns {
-		if pair(c.local, c.remote) == pair(a, b) {
-			cs = append(cs, c)
-		}
-	}
-	n.mu.Unlock()
-	for _, c := range cs {
-		_ = c.Close()
-	}
+	n.endConns(func(c *conn) bool { return pair(c.local, c.remote) == pair(a, b) })
 }
 
 // Heal allows new connections between two hosts after Cut.
