Abandon a run that starts while its VM stops

TestVMDies/owner,_then_its_successor, and once another case, ended beside load with goroutines that remain. A VM that stops abandons its runs, and one that it was about to take over started after that: nobody stopped it, so that it looked for an engine until the generation's deadline. A run that starts after the service was closed is abandoned at once.

TestRunStartedAfterCloseIsStopped failed before. gladestandby is not part of the entry role.

--- a/gladestandby/owner.go
+++ b/gladestandby/owner.go
@@ -50,7 +50,8 @@
 	rankedAt time.Time
 }
 
-// OnStart replicates a run that has a key. It is meant for gladestream.Config.OnStart.
+// OnStart replicates a run that has a key. A run that starts after the service was closed is abandoned at once. OnStart is
+// meant for gladestream.Config.OnStart.
 func (s *Service) OnStart(run *gladestream.Run) {
 	g := run.Journal.Generation
 	if g.Key == "" {
@@ -62,8 +63,16 @@
 	o.epoch = s.takenEpochs[g.ID]
 	delete(s.takenEpochs, g.ID)
 	delete(s.pending, keyOf(g))
-	s.owned[keyOf(g)] = o
+	closed := s.ctx.Err() != nil
+	if !closed {
+		s.owned[keyOf(g)] = o
+	}
 	s.mu.Unlock()
+	if closed {
+		run.Journal.Abandon(ErrStopped)
+		o.stop()
+		return
+	}
 	if !s.config.ReleaseAtOnce && s.config.ProtectTokens == 0 && s.config.ProtectAfter == 0 {
 		run.Journal.Gate()
 	}
