Log which prompt parts a lost run and an answered one have

Cause: the log names a request by its id and a hash of the whole request. It cannot tell requests that share a part of their prompts from unrelated ones, nor whether a part has also been answered, so it cannot distinguish the hypotheses of the incident.

--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -443,7 +443,7 @@
 	}
 	if a.eventCount == 0 {
 		a.observe("firstEvent", now.Sub(a.incoming.LastByteAt))
-		a.log("First event.", "server", a.place.ID, "event", e.id)
+		a.log("First event.", "server", a.place.ID, "event", e.id, "parts", formatParts(a.call.Parts))
 	}
 	if result, ended := a.write(e.bytes); ended {
 		return result, true
--- a/internal/proxy/gladeforward/suspects.go
+++ b/internal/proxy/gladeforward/suspects.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -146,12 +147,25 @@
 	}
 	j.count("deaths.counted")
 	v.ServerDiedAt(lostAt)
-	j.log("Server crashed under it.", "server", v.server.ID, "domain", v.server.FailureDomain, "fingerprint", j.fingerprint)
+	j.log("Server crashed under it.", "server", v.server.ID, "domain", v.server.FailureDomain, "fingerprint", j.fingerprint,
+		"parts", formatParts(j.call.Parts), "lostMs", time.Since(lostAt).Milliseconds())
 	j.config.OnServerDeath(ServerDeath{
 		Fingerprint: j.fingerprint, Server: backendServer(v.server), Ran: lostAt.Sub(v.began), Age: time.Since(lostAt),
 	})
 }
 
+// maxLoggedParts is the number of prompt parts that a log line names.
+const maxLoggedParts = 16
+
+// formatParts returns the identifiers of prompt parts for a log line.
+func formatParts(parts []uint64) string {
+	names := make([]string, 0, min(len(parts), maxLoggedParts))
+	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+		names = append(names, strconv.FormatUint(p, 16))
+	}
+	return strings.Join(names, ",")
+}
+
 // awaitClassification waits until it is known whether the last lost run of a suspected request counts against it.
 func (j *job) awaitClassification() {
 	if j.lost == 0 || j.lost+j.loggedDeaths < minLossesToWait {
--- a/internal/proxy/gladesend/call.go
+++ b/internal/proxy/gladesend/call.go
@@ -2,13 +2,19 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // NoEvent is the event number of a stream that has no events yet.
 const NoEvent = -1
 
+// MaxParts is the largest number of parts of a prompt that a Call names.
+const MaxParts = 256
+
 // Call is a client's request, decoded from its header.
 type Call struct {
 	// ID identifies this attempt of the client.
@@ -29,6 +35,8 @@
 	OutputHint int
 	// Session identifies the last part of the prompt in its normalised form.
 	Session string
+	// Parts identify the parts of the prompt that requests share, in order: all but the last, MaxParts at most.
+	Parts []uint64
 	// Header holds the headers that are forwarded unchanged.
 	Header http.Header
 
@@ -45,6 +53,16 @@
 	return strings.ToLower(strings.TrimLeft(strings.TrimSpace(part), "0"))
 }
 
+// PartID returns the number by which a prompt part is known, from its identifier in hexadecimal. Identifiers that are no such
+// number of 64 bits are hashed.
+func PartID(part string) uint64 {
+	normalised := NormaliseSession(part)
+	if n, err := strconv.ParseUint(normalised, 16, 64); err == nil {
+		return n
+	}
+	return xxhash.Sum64String(normalised)
+}
+
 // SendParams holds the parameters of one send of a Call.
 type SendParams struct {
 	// Server is the identifier of the backend server.
