Failing test: requests that share a crashing part of their prompts are sent without end

Callers saw their generations broken off as one engine after the other crashed.

Cause: each request is judged by a hash of the whole of it, so requests that share only a part begin without a history.

--- a/internal/proxy/gladeforward/crash_fleet_test.go
+++ b/internal/proxy/gladeforward/crash_fleet_test.go
@@ -38,8 +38,12 @@
 	mu sync.Mutex
 	// crashes are the times of the crashes, and sends those at which servers received the request, by path.
 	crashes, sends map[string][]time.Time
+	// deadly are the prompt parts on which a server crashes.
+	deadly map[string]bool
 	// failures are the calls that were not served, by path.
 	failures map[string]int
+	// loads is the number of loads of prompts.
+	loads int
 	// starts is the number of servers started.
 	starts int
 	// live is the number of servers that run, and fewest the smallest number since it was set.
@@ -52,6 +56,7 @@
 		c := &crashFleet{
 			C: qt.New(t), queueTime: time.Millisecond, runTime: 50 * time.Millisecond,
 			crashes: map[string][]time.Time{}, sends: map[string][]time.Time{}, failures: map[string]int{},
+			deadly: map[string]bool{},
 		}
 		network := &gladewire.Network{}
 		for i := range vms {
@@ -111,8 +116,8 @@
 		c.mu.Unlock()
 	})
 	c.vms[0].listen(id, func(rw http.ResponseWriter, r *http.Request) {
-		path := r.URL.Path
-		crashing := strings.Contains(path, "crash")
+		path := c.crashKey(r)
+		crashing := path != ""
 		if crashing {
 			c.record(c.sends, path)
 		}
@@ -122,12 +127,12 @@
 			return
 		}
 		time.Sleep(c.runTime)
-		if crashing {
+		if path = c.crashKey(r); path != "" {
 			c.record(c.crashes, path)
 			crash()
 			abortConnection(rw, r)
 		}
-		if strings.HasPrefix(path, "/stream/") {
+		if strings.HasPrefix(r.URL.Path, "/stream/") {
 			streamEvents(20, eventPause, nil)(rw, r)
 			return
 		}
@@ -140,6 +145,22 @@
 	}
 }
 
+// crashKey returns the key of a crashing request in sends and crashes: its path, or the deadly part of its prompt. It returns an
+// empty string for other requests.
+func (c *crashFleet) crashKey(r *http.Request) string {
+	if strings.Contains(r.URL.Path, "crash") {
+		return r.URL.Path
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for p := range strings.SplitSeq(r.Header.Get(testParts), ",") {
+		if c.deadly[p] {
+			return p
+		}
+	}
+	return ""
+}
+
 func (c *crashFleet) record(times map[string][]time.Time, path string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/proxy/gladeforward/forward_test.go
+++ b/internal/proxy/gladeforward/forward_test.go
@@ -32,6 +32,7 @@
 	testID, testDeadline, testKey, testLast   = "T-Id", "T-Deadline", "T-Key", "T-Last"
 	testSeal, testNotRun, testCopy, testFrom  = "T-Seal", "T-Not-Run", "T-Copy", "T-From"
 	testServer, testOrganisation, testSession = "T-Server", "T-Organisation", "T-Session"
+	testParts                                 = "T-Parts"
 )
 
 func decodeCall(h http.Header) gladesend.Call {
@@ -42,6 +43,11 @@
 	if id, err := strconv.ParseInt(h.Get(testLast), 10, 64); err == nil {
 		c.LastEvent = id
 	}
+	if parts := h.Get(testParts); parts != "" {
+		for p := range strings.SplitSeq(parts, ",") {
+			c.Parts = append(c.Parts, gladesend.PartID(p))
+		}
+	}
 	c.PromptTokens = 5000
 	h.Del(testKey)
 	h.Del(testLast)
