Refuse requests by the parts of their prompts on which servers crash

Callers saw their generations broken off while one engine after the other crashed under requests that shared one part of their prompts.

Cause: evidence was keyed to the whole request. Requests of which no two are alike each began without a history, and each was sent until three engines had crashed under it.

Change: the tracker also records lost runs by the parts of their prompts (all but the last). A part is held after three deaths at different moments under two requests or more, without an answer since; a part in use before, after five and a pause of its answers. Parts that were always together are held together, so that requests with only one of them decide which it is. One trial at 6, 24, 96 s releases what was held wrongly. The stored parts are bounded. A resumed run's progress is no answer.

--- a/gladedaemon/suspects.go
+++ b/gladedaemon/suspects.go
@@ -39,6 +39,7 @@
 		}
 	})
 	d.kernel.OnDump("poison", func() any { return tracker.Refused() })
+	d.kernel.OnDump("poisonParts", func() any { return tracker.Held() })
 	return tracker, nil
 }
 
--- a/gladestream/choose.go
+++ b/gladestream/choose.go
@@ -55,7 +55,7 @@
 
 // chooseOnce chooses an engine under the constraints of the suspect tracker; it refuses poison requests.
 func (x *execution) chooseOnce(ctx context.Context) (gladeapi.Choice, *gladesuspect.TrackedRun, error) {
-	v, err := x.config.Suspects.Check(ctx, x.generation.Fingerprint)
+	v, err := x.config.Suspects.Check(ctx, x.tracked())
 	if errors.Is(err, gladesuspect.ErrPoison) {
 		x.metrics.poison.Inc(1)
 		return gladeapi.Choice{}, nil, gladesuspect.Refusal(err, x.ranState())
@@ -63,6 +63,7 @@
 	if err != nil {
 		return gladeapi.Choice{}, nil, x.endedError(ctx, err)
 	}
+	x.trial = v.Trial
 	return x.chooseWithFallback(ctx, &v)
 }
 
@@ -109,7 +110,7 @@
 	if err != nil {
 		return choice, nil, err
 	}
-	tracked, ok := x.config.Suspects.StartRun(x.generation.Fingerprint, choice.Backend, isolated)
+	tracked, ok := x.config.Suspects.StartRun(x.tracked(), choice.Backend, isolated)
 	if !ok {
 		choice.Release(gladeapi.OutcomeCancelled)
 		return choice, nil, errNotIsolated
--- a/gladestream/execution.go
+++ b/gladestream/execution.go
@@ -21,6 +21,10 @@
 	generation *gladeapi.Generation
 	// blocks are the hashes of the prompt's leading blocks.
 	blocks []uint64
+	// parts identify what the generation shares with others, for the tracker of suspects.
+	parts []uint64
+	// trial reports that the generation has held parts and may be sent once in spite of that.
+	trial bool
 	// lastNumber is the number of the latest attempt.
 	lastNumber int
 	// opened counts the attempts that may have reached an engine.
@@ -58,6 +62,9 @@
 	if x.config.Blocks != nil {
 		x.blocks = x.config.Blocks(x.generation)
 	}
+	if x.config.Parts != nil {
+		x.parts = x.config.Parts(x.generation)
+	}
 	if p.Attempt.Nonce != "" && x.config.Attach != nil {
 		x.join(ctx, p)
 	}
@@ -68,6 +75,13 @@
 	}
 }
 
+// tracked returns the generation as the tracker of suspects knows it.
+func (x *execution) tracked() gladesuspect.Request {
+	return gladesuspect.Request{
+		Fingerprint: x.generation.Fingerprint, Parts: x.parts, Resumed: x.journal.Len() > 0, Trial: x.trial && x.opened == 0,
+	}
+}
+
 // runAttempt makes one attempt and returns an error if no further one is possible.
 func (x *execution) runAttempt(ctx context.Context) error {
 	choice, tracked, err := x.waitForEngine(ctx)
@@ -163,7 +177,7 @@
 func (x *execution) join(ctx context.Context, placed Placement) {
 	after := x.journal.Join(placed)
 	p := &engineAttempt{attempt: placed.Attempt, backend: placed.Backend, startLen: x.journal.Len(), numbered: true}
-	p.tracked, _ = x.config.Suspects.StartRun(x.generation.Fingerprint, placed.Backend, false)
+	p.tracked, _ = x.config.Suspects.StartRun(x.tracked(), placed.Backend, false)
 	x.opened++
 	x.record("join", "%s on %s after %d tokens", p.attempt.ID(), p.backend.ID, after)
 	err := x.runOnEngine(ctx, p, func(ctx context.Context, w *watchdog) error {
--- a/gladestream/runner.go
+++ b/gladestream/runner.go
@@ -52,6 +52,8 @@
 	// Retry reports whether the retry budget allows another attempt of a generation without tokens;
 	// nil always allows it.
 	Retry func() bool
+	// Parts returns what identifies the parts of a generation that it shares with others, for Suspects; nil means that it shares none.
+	Parts func(*gladeapi.Generation) []uint64
 	// Suspects tracks requests that may crash engines; nil disables tracking.
 	Suspects *gladesuspect.Tracker
 	Timeouts Timeouts
--- a/gladesuspect/doc.go
+++ b/gladesuspect/doc.go
@@ -6,6 +6,13 @@
 // together with others of their failure domain, on which the request did not run, count against no request, and a success
 // clears the earlier deaths.
 //
-// The first death does not show which of the server's requests caused it. Deaths, successes and refusals at other VMs are
-// known only as far as ServerDiedElsewhere, ClearElsewhere and ImportRefused report them.
+// Requests that are not alike may share what crashes servers, such as a part of their prompts. A part is held once three servers have
+// died under at least two requests with it, at three moments, and no request with it was answered since the first of these deaths. A part
+// that was answered within a minute before is held after five deaths, 2.5 s after its last answer at the earliest. Parts that
+// were together in all of these deaths are held together: a request is refused if it has all of them, until an answer to a request with
+// one of them shows that it is another one. A held part is released by an answer that begins after the last death. If
+// nothing else does, a single request is sent as a trial after 6 s, 24 s, 96 s and so on, and the memory expires.
+//
+// The first death does not show which of the server's requests caused it. Deaths, successes, answers and refusals at other VMs are
+// known only as far as ServerDiedElsewhere, ClearElsewhere, PartsAnsweredElsewhere, ImportRefused and ImportHeld report them.
 package gladesuspect
--- a/gladesuspect/poison.go
+++ b/gladesuspect/poison.go
@@ -19,29 +19,52 @@
 	Avoid []string
 	// Forbid are the servers in Avoid on which StartRun refuses the request.
 	Forbid []string
+	// Trial is set if the request has held parts and may be sent once, to see whether servers still die on them.
+	Trial bool
 }
 
-// Check returns where a request may run next, or ErrPoison if it is refused. Before a first refusal it waits for the
-// Window, to see other deaths of the same time.
-func (t *Tracker) Check(ctx context.Context, fingerprint uint64) (Restrictions, error) {
-	if t == nil || fingerprint == 0 {
+// Check returns where a request may run next, or ErrPoison if it is refused, by itself or for its parts. Before a first refusal it
+// waits for the Window, to see other deaths of the same time.
+func (t *Tracker) Check(ctx context.Context, r Request) (Restrictions, error) {
+	if t == nil || r.Fingerprint == 0 {
 		return Restrictions{}, nil
 	}
 	t.mu.Lock()
-	err := t.refusal(fingerprint)
-	reached := t.reachesLimit(fingerprint)
+	trial, err := t.checkRefused(r)
+	reached := t.reachesLimit(r.Fingerprint)
+	_, suspected := t.parts.culprit(r.Parts, time.Now(), t.config.Window)
 	t.mu.Unlock()
 	if err != nil {
 		return Restrictions{}, err
 	}
 	if reached {
-		if err := t.confirmPoison(ctx, fingerprint); err != nil {
+		if err := t.confirmPoison(ctx, r.Fingerprint); err != nil {
+			return Restrictions{}, err
+		}
+	}
+	if suspected && !trial {
+		if err := t.confirmHeld(ctx, r); err != nil {
+			return Restrictions{}, err
+		}
+	}
+	if trial && !r.Trial {
+		if err := t.confirmTrial(ctx, r); err != nil {
 			return Restrictions{}, err
 		}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.restrictions(fingerprint), nil
+	v := t.restrictions(r.Fingerprint)
+	v.Trial = trial
+	return v, nil
+}
+
+// checkRefused returns ErrPoison if the request is refused already, by itself or for its parts.
+func (t *Tracker) checkRefused(r Request) (trial bool, err error) {
+	if err := t.refusal(r.Fingerprint); err != nil {
+		return false, err
+	}
+	return t.checkParts(r)
 }
 
 // refusal returns ErrPoison if the request is refused already. The caller holds the lock.
@@ -238,10 +261,8 @@
 func (t *Tracker) confirmPoison(ctx context.Context, fingerprint uint64) error {
 	cleared := t.cleared(ctx, fingerprint)
 	if !cleared {
-		select {
-		case <-time.After(t.config.Window):
-		case <-ctx.Done():
-			return ctx.Err()
+		if err := t.wait(ctx); err != nil {
+			return err
 		}
 		cleared = t.cleared(ctx, fingerprint)
 	}
--- a/gladesuspect/tracker.go
+++ b/gladesuspect/tracker.go
@@ -58,6 +58,10 @@
 	Down func(context.Context, gladeapi.BackendServer) bool
 	// OnRefused is called in a goroutine of its own with each new refusal by this Tracker.
 	OnRefused func(Refused)
+	// OnHeld is called in a goroutine of its own with each set of parts that this Tracker holds, and with each trial that it starts.
+	OnHeld func(HeldParts)
+	// OnAnswered is called in a goroutine of its own with the parts of answered requests that are suspected here.
+	OnAnswered func([]PartAnswer)
 	// OnCleared is called in a goroutine of its own when a run of this Tracker has cleared a suspected request.
 	OnCleared func(fingerprint uint64)
 	Log       hclog.Logger
@@ -85,6 +89,19 @@
 	refused         map[uint64]Refused
 	// successes are the times of the last successes, by request.
 	successes *lru.Cache[uint64, time.Time]
+	parts     partLog
+}
+
+// Request is what a Tracker knows of a request.
+type Request struct {
+	// Fingerprint is equal for repeats of the request; zero means that it is not tracked.
+	Fingerprint uint64
+	// Parts identify what the request shares with others, such as the parts of its prompt.
+	Parts []uint64
+	// Resumed reports that a run goes on from an earlier answer, so that its progress is no evidence that an answer can begin.
+	Resumed bool
+	// Trial reports that Check has allowed the request as a trial of held parts.
+	Trial bool
 }
 
 // death is the death of one server, with the requests that it ran.
@@ -108,6 +125,7 @@
 // TrackedRun is one run of a request on one server.
 type TrackedRun struct {
 	tracker     *Tracker
+	request     Request
 	fingerprint uint64
 	server      gladeapi.BackendServer
 	began       time.Time
@@ -127,13 +145,10 @@
 	if c.Log == nil {
 		c.Log = hclog.NewNullLogger()
 	}
-	successes, err := lru.New[uint64, time.Time](maxSuccesses)
-	if err != nil {
-		panic(err) // the size is positive
-	}
 	return &Tracker{
 		config:          c,
-		successes:       successes,
+		successes:       newCache[time.Time](maxSuccesses),
+		parts:           newPartLog(),
 		runs:            map[string][]*TrackedRun{},
 		deathsByRequest: map[uint64][]*death{},
 		refused:         map[uint64]Refused{},
@@ -143,7 +158,8 @@
 // StartRun records that a request runs on a server, until End or ServerDied is called on the TrackedRun. It returns
 // false if the request must not run with the suspects on that server. With isolate, it also returns false for a suspect
 // if the server runs any other suspect.
-func (t *Tracker) StartRun(fingerprint uint64, server gladeapi.BackendServer, isolate bool) (*TrackedRun, bool) {
+func (t *Tracker) StartRun(r Request, server gladeapi.BackendServer, isolate bool) (*TrackedRun, bool) {
+	fingerprint := r.Fingerprint
 	if t == nil || fingerprint == 0 {
 		return nil, true
 	}
@@ -155,34 +171,41 @@
 	if isolate && t.countedDeaths(fingerprint) > 0 && t.runsSuspect(server.ID, fingerprint) {
 		return nil, false
 	}
-	return t.addRun(fingerprint, server), true
+	return t.addRun(r, server), true
 }
 
 // RecordRun is StartRun for a request that runs on the server beside any suspects. If the request is refused before the
 // run has progressed, onRefused is called in a goroutine of its own.
-func (t *Tracker) RecordRun(fingerprint uint64, server gladeapi.BackendServer, onRefused func()) *TrackedRun {
-	if t == nil || fingerprint == 0 {
+func (t *Tracker) RecordRun(r Request, server gladeapi.BackendServer, onRefused func()) *TrackedRun {
+	if t == nil || r.Fingerprint == 0 {
 		return nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	v := t.addRun(fingerprint, server)
+	v := t.addRun(r, server)
 	v.onRefused = onRefused
 	return v
 }
 
-func (t *Tracker) addRun(fingerprint uint64, server gladeapi.BackendServer) *TrackedRun {
+func (t *Tracker) addRun(r Request, server gladeapi.BackendServer) *TrackedRun {
 	t.sequence++
-	v := &TrackedRun{tracker: t, fingerprint: fingerprint, server: server, began: time.Now(), sequence: t.sequence}
+	v := &TrackedRun{tracker: t, request: r, fingerprint: r.Fingerprint, server: server, began: time.Now(), sequence: t.sequence}
 	t.runs[server.ID] = append(t.runs[server.ID], v)
 	return v
 }
 
 // Progress records the number of tokens that the run has generated.
 func (v *TrackedRun) Progress(tokens int) {
-	if v != nil {
-		v.tokens.Store(int64(tokens))
+	if v == nil {
+		return
+	}
+	limit := int64(v.tracker.config.Progress)
+	if before := v.tokens.Swap(int64(tokens)); before > limit || int64(tokens) <= limit {
+		return
 	}
+	v.tracker.mu.Lock()
+	defer v.tracker.mu.Unlock()
+	v.tracker.recordAnswer(v)
 }
 
 // Progressed reports whether the run has more tokens than Config.Progress.
@@ -201,6 +224,9 @@
 	t.removeRun(v)
 	if finished {
 		t.successes.Add(v.fingerprint, time.Now())
+		if !v.Progressed() {
+			t.recordAnswer(v)
+		}
 		t.clearAndReport(v.fingerprint)
 	}
 }
@@ -262,12 +288,24 @@
 		d = t.newDeath(v.server, at)
 	}
 	t.addToDeath(d, v)
+	t.addPartLoss(v, at)
+}
+
+// addPartLoss records the loss of a run by the parts of its request, unless it had progressed.
+func (t *Tracker) addPartLoss(v *TrackedRun, at time.Time) {
+	if v.Progressed() {
+		return
+	}
+	t.parts.addLoss(v.server, at, v.fingerprint, v.request.Parts)
+	t.shareAnswers(v.request.Parts)
 }
 
 // Loss is a run of another VM that was lost because its server died.
 type Loss struct {
 	Fingerprint uint64
-	Server      gladeapi.BackendServer
+	// Parts are the parts of its request.
+	Parts  []uint64
+	Server gladeapi.BackendServer
 	// Began is when the run began; zero means at its end.
 	Began time.Time
 	// At is when the server died; zero means now.
@@ -293,7 +331,11 @@
 	if d == nil {
 		d = t.newDeath(l.Server, l.At)
 	}
-	t.addToDeath(d, &TrackedRun{tracker: t, fingerprint: l.Fingerprint, server: l.Server, began: l.Began})
+	v := &TrackedRun{
+		tracker: t, request: Request{Fingerprint: l.Fingerprint, Parts: l.Parts}, fingerprint: l.Fingerprint, server: l.Server, began: l.Began,
+	}
+	t.addToDeath(d, v)
+	t.addPartLoss(v, l.At)
 }
 
 // ServerFailed records that a server was found down, whether or not it ran a request. Failures of many servers of a failure
@@ -398,6 +440,7 @@
 		t.withdrawDeath(t.deaths[0])
 		t.deaths = t.deaths[1:]
 	}
+	t.parts.expire(now, t.config.Retention)
 	for fingerprint, r := range t.refused {
 		if now.After(r.Until) {
 			delete(t.refused, fingerprint)
--- a/gladesuspect/tracker_test.go
+++ b/gladesuspect/tracker_test.go
@@ -29,13 +29,13 @@
 }
 
 func enter(c *qt.C, t *Tracker, fingerprint uint64, s gladeapi.BackendServer) *TrackedRun {
-	v, ok := t.StartRun(fingerprint, s, false)
+	v, ok := t.StartRun(Request{Fingerprint: fingerprint}, s, false)
 	c.Assert(ok, qt.IsTrue)
 	return v
 }
 
 func check(t *Tracker, fingerprint uint64) (Restrictions, error) {
-	return t.Check(context.Background(), fingerprint)
+	return t.Check(context.Background(), Request{Fingerprint: fingerprint})
 }
 
 func TestRefusesAfterTwoDeathsUntilExpiry(t *testing.T) {
@@ -181,7 +181,7 @@
 			c.Assert(v.Suspect, qt.IsTrue)
 		}
 		alone := enter(c, tracker, poisonous, server(1))
-		_, ok := tracker.StartRun(harmless, server(1), false)
+		_, ok := tracker.StartRun(Request{Fingerprint: harmless}, server(1), false)
 		c.Assert(ok, qt.IsFalse)
 		v, err := check(tracker, harmless)
 		c.Assert(err, qt.IsNil)
@@ -285,11 +285,11 @@
 func Example() {
 	tracker := New(Config{Window: time.Millisecond})
 	for i := range 3 {
-		if _, err := tracker.Check(context.Background(), poisonous); err != nil {
+		if _, err := tracker.Check(context.Background(), Request{Fingerprint: poisonous}); err != nil {
 			fmt.Println(err)
 			return
 		}
-		v, _ := tracker.StartRun(poisonous, server(i), false)
+		v, _ := tracker.StartRun(Request{Fingerprint: poisonous}, server(i), false)
 		v.ServerDied()
 	}
 	// Output: 2 servers: backend servers died under this request
--- a/internal/proxy/gladeforward/crash_fleet_test.go
+++ b/internal/proxy/gladeforward/crash_fleet_test.go
@@ -42,6 +42,8 @@
 	deadly map[string]bool
 	// failures are the calls that were not served, by path.
 	failures map[string]int
+	// cut are the VMs that are cut off from the other VMs.
+	cut map[*harness]bool
 	// loads is the number of loads of prompts.
 	loads int
 	// starts is the number of servers started.
@@ -56,7 +58,7 @@
 		c := &crashFleet{
 			C: qt.New(t), queueTime: time.Millisecond, runTime: 50 * time.Millisecond,
 			crashes: map[string][]time.Time{}, sends: map[string][]time.Time{}, failures: map[string]int{},
-			deadly: map[string]bool{},
+			deadly: map[string]bool{}, cut: map[*harness]bool{},
 		}
 		network := &gladewire.Network{}
 		for i := range vms {
@@ -67,14 +69,23 @@
 					MaxDeaths: 3, Window: 100 * time.Millisecond, MinGap: 30 * time.Millisecond, Progress: 2,
 				},
 			}
-			w.start()
-			w.onDeath = func(d ServerDeath) {
+			toOthers := func(f func(*gladesuspect.Tracker)) {
 				for _, o := range c.vms {
-					if o != w {
-						time.AfterFunc(noticeDelay, func() { o.forwarder.config.Suspects.ServerDiedElsewhere(d.Loss()) })
+					if o != w && !c.isCut(o) && !c.isCut(w) {
+						time.AfterFunc(noticeDelay, func() { f(o.forwarder.config.Suspects) })
 					}
 				}
 			}
+			w.suspects.OnHeld = func(h gladesuspect.HeldParts) {
+				toOthers(func(t *gladesuspect.Tracker) { t.ImportHeld([]gladesuspect.HeldParts{h}) })
+			}
+			w.suspects.OnAnswered = func(a []gladesuspect.PartAnswer) {
+				toOthers(func(t *gladesuspect.Tracker) { t.PartsAnsweredElsewhere(a) })
+			}
+			w.start()
+			w.onDeath = func(d ServerDeath) {
+				toOthers(func(t *gladesuspect.Tracker) { t.ServerDiedElsewhere(d.Loss()) })
+			}
 			c.vms = append(c.vms, w)
 		}
 		defer c.close()
@@ -82,6 +93,13 @@
 	})
 }
 
+// isCut reports whether a VM is cut off from the other VMs.
+func (c *crashFleet) isCut(w *harness) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cut[w]
+}
+
 func (c *crashFleet) close() {
 	time.Sleep(30 * time.Second) // all requests and restarts are over
 	for _, w := range c.vms {
--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -145,6 +145,8 @@
 	mayHaveRun bool
 	// fingerprint is a hash that is equal for repeats of the request.
 	fingerprint uint64
+	// trial reports that the request has held parts and may be sent once in spite of that.
+	trial bool
 	// lost is the number of runs that were lost with little of an answer, and lastLost the last one.
 	lost     int
 	lastLost *trackedRun
--- a/internal/proxy/gladeforward/plain.go
+++ b/internal/proxy/gladeforward/plain.go
@@ -123,7 +123,7 @@
 	j.avoid = append(j.avoid, place.ID)
 	j.log("Sent.", "server", place.ID, "reason", place.Reason, "send", j.sends, "leftMs", s.TimeLeft.Milliseconds())
 	ctx, cancel := context.WithCancelCause(ctx)
-	tracked := j.trackRun(place, func() { cancel(gladesuspect.ErrPoison) })
+	tracked := j.trackRun(place, false, func() { cancel(gladesuspect.ErrPoison) })
 	go func() {
 		defer place.Release()
 		defer cancel(nil)
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladesend"
 )
@@ -189,7 +190,7 @@
 		copyDone: make(chan copyResult),
 	}
 	refused := make(chan struct{})
-	a.tracked, a.refused = s.trackRun(place, func() { close(refused) }), refused
+	a.tracked, a.refused = s.trackRun(place, s.lastEvent > 0 || from != "", func() { close(refused) }), refused
 	result := a.follow(items)
 	if result == attemptBroken && a.received == 0 {
 		s.dropCopy() // engines begin to copy a run once it has produced an event
@@ -443,7 +444,7 @@
 	}
 	if a.eventCount == 0 {
 		a.observe("firstEvent", now.Sub(a.incoming.LastByteAt))
-		a.log("First event.", "server", a.place.ID, "event", e.id, "parts", formatParts(a.call.Parts))
+		a.log("First event.", "server", a.place.ID, "event", e.id, "parts", gladesuspect.FormatParts(a.call.Parts))
 	}
 	if result, ended := a.write(e.bytes); ended {
 		return result, true
--- a/internal/proxy/gladeforward/suspects.go
+++ b/internal/proxy/gladeforward/suspects.go
@@ -4,7 +4,6 @@
 	"errors"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,8 +16,10 @@
 
 // ServerDeath reports that a server died while it ran a request.
 type ServerDeath struct {
-	Fingerprint uint64                 `json:"fingerprint"`
-	Server      gladeapi.BackendServer `json:"server"`
+	Fingerprint uint64 `json:"fingerprint"`
+	// Parts are the parts of the request's prompt but the last.
+	Parts  []uint64               `json:"parts,omitempty"`
+	Server gladeapi.BackendServer `json:"server"`
 	// Ran is how long the run had lasted, and Age the time since its end.
 	Ran time.Duration `json:"ran"`
 	Age time.Duration `json:"age"`
@@ -27,7 +28,7 @@
 // Loss returns the lost run of a report that arrives now.
 func (d ServerDeath) Loss() gladesuspect.Loss {
 	at := time.Now().Add(-max(0, d.Age))
-	return gladesuspect.Loss{Fingerprint: d.Fingerprint, Server: d.Server, Began: at.Add(-max(0, d.Ran)), At: at}
+	return gladesuspect.Loss{Fingerprint: d.Fingerprint, Parts: d.Parts, Server: d.Server, Began: at.Add(-max(0, d.Ran)), At: at}
 }
 
 // computeFingerprint hashes the parts of a request that are equal in its repeats, which may arrive at other VMs.
@@ -48,12 +49,33 @@
 		return true
 	case errors.Is(err, errLastServer):
 		j.refuseOrFail(err.Error())
+	case j.refuseHeld(err):
 	default:
 		j.fail(http.StatusBadGateway, "it crashes the servers that run it")
 	}
 	return false
 }
 
+// maxHeldRetryAfter is the longest Retry-After value of a request with held parts.
+const maxHeldRetryAfter = 30 * time.Second
+
+// refuseHeld refuses a request that has not run and has held parts, and reports whether it was one. Its caller may come back once
+// the next trial of these parts is due.
+func (j *job) refuseHeld(err error) bool {
+	var held *gladesuspect.HeldError
+	if !errors.As(err, &held) || j.mayHaveRun {
+		return false
+	}
+	after := min(max(noServerRetryAfter, held.RetryAfter), maxHeldRetryAfter).Round(time.Millisecond)
+	j.refuse(http.StatusServiceUnavailable, err.Error(), after)
+	return true
+}
+
+// tracked returns the request as the tracker of suspects knows it.
+func (j *job) tracked() gladesuspect.Request {
+	return gladesuspect.Request{Fingerprint: j.fingerprint, Parts: j.call.Parts, Trial: j.trial && j.sends == 0}
+}
+
 // errLastServer means that a request may crash the last healthy server of its service.
 var errLastServer = eris.New("it may crash the last healthy server")
 
@@ -72,7 +94,8 @@
 		j.log("Servers died under it.", "fingerprint", j.fingerprint, "deaths", e.Deaths, "counted", e.Counted,
 			"attributed", e.Attributed, "lastMs", time.Since(e.LastDeath).Milliseconds())
 	}
-	_, err := j.config.Suspects.Check(j.ctx, j.fingerprint)
+	v, err := j.config.Suspects.Check(j.ctx, j.tracked())
+	j.trial = v.Trial
 	if err == nil && e.Counted >= minSuspectDeaths && time.Since(e.LastDeath) < restartTime &&
 		j.config.Fleet.HealthyServers(j.service, j.config.Suspects.DeadServers(j.fingerprint), time.Now()) < 2 {
 		err = errLastServer
@@ -99,11 +122,13 @@
 	classified chan struct{}
 }
 
-// trackRun records that a server runs the request.  onRefused is called if it must be ended, as the request crashes its
+// trackRun records that a server runs the request, resumed if it goes on from an earlier answer.  onRefused is called if it must be ended, as the request crashes its
 // servers.
-func (j *job) trackRun(place *gladefleet.Reservation, onRefused func()) *trackedRun {
+func (j *job) trackRun(place *gladefleet.Reservation, resumed bool, onRefused func()) *trackedRun {
+	r := j.tracked()
+	r.Resumed, r.Trial = resumed, j.trial
 	return &trackedRun{
-		TrackedRun: j.config.Suspects.RecordRun(j.fingerprint, backendServer(place.Server), onRefused),
+		TrackedRun: j.config.Suspects.RecordRun(r, backendServer(place.Server), onRefused),
 		job:        j, server: place.Server, down: place.Down(), began: time.Now(), classified: make(chan struct{}),
 	}
 }
@@ -148,24 +173,12 @@
 	j.count("deaths.counted")
 	v.ServerDiedAt(lostAt)
 	j.log("Server crashed under it.", "server", v.server.ID, "domain", v.server.FailureDomain, "fingerprint", j.fingerprint,
-		"parts", formatParts(j.call.Parts), "lostMs", time.Since(lostAt).Milliseconds())
+		"parts", gladesuspect.FormatParts(j.call.Parts), "lostMs", time.Since(lostAt).Milliseconds())
 	j.config.OnServerDeath(ServerDeath{
-		Fingerprint: j.fingerprint, Server: backendServer(v.server), Ran: lostAt.Sub(v.began), Age: time.Since(lostAt),
+		Fingerprint: j.fingerprint, Parts: j.call.Parts, Server: backendServer(v.server), Ran: lostAt.Sub(v.began), Age: time.Since(lostAt),
 	})
 }
 
-// maxLoggedParts is the number of prompt parts that a log line names.
-const maxLoggedParts = 16
-
-// formatParts returns the identifiers of prompt parts for a log line.
-func formatParts(parts []uint64) string {
-	names := make([]string, 0, min(len(parts), maxLoggedParts))
-	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
-		names = append(names, strconv.FormatUint(p, 16))
-	}
-	return strings.Join(names, ",")
-}
-
 // awaitClassification waits until it is known whether the last lost run of a suspected request counts against it.
 func (j *job) awaitClassification() {
 	if j.lost == 0 || j.lost+j.loggedDeaths < minLossesToWait {
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -133,7 +133,8 @@
 	})
 	f.suspects = gladesuspect.New(gladesuspect.Config{
 		MaxDeaths: maxPoisonDeaths, Retention: poisonRetention, Window: poisonDecisionDelay, MinGap: poisonMinGap,
-		Progress: poisonProgress, OnRefused: f.reportRefusal, OnCleared: f.reportCleared, Log: f.log.Named("suspects"),
+		Progress: poisonProgress, OnRefused: f.reportRefusal, OnCleared: f.reportCleared,
+		OnHeld: f.reportHeld, OnAnswered: f.reportAnswered, Log: f.log.Named("suspects"),
 	})
 	if err := f.startPeers(); err != nil {
 		return err
@@ -250,6 +251,7 @@
 	gauge("connections.opened", f.pool.Dials())
 	gauge("suspects", int64(f.suspects.SuspectCount()))
 	gauge("suspects.refused", int64(len(f.suspects.Refused())))
+	gauge("suspects.refusedParts", int64(len(f.suspects.Held())))
 	if r := f.release.Load(); r != nil {
 		gauge("release.version", r.Version)
 		f.mu.Lock()
@@ -274,6 +276,8 @@
 	// Counts holds the requests and retries by service in the window of the retry budget.
 	Counts  map[string]gladebudget.Counts `json:"counts"`
 	Refused []gladesuspect.Refused        `json:"refused"`
+	// RefusedParts are the sets of prompt parts that are refused.
+	RefusedParts []gladesuspect.HeldParts `json:"refusedParts"`
 }
 
 // Dump returns the state of this process.
@@ -284,6 +288,7 @@
 	return Dump{
 		VM: f.config.Settings.VM, Ready: f.Ready(), State: f.state(), Reading: reading, Busy: f.server.Busy(),
 		Peers: f.node.Members(), Servers: f.fleet.Statuses(), Counts: f.budget.Counts(time.Now()), Refused: f.suspects.Refused(),
+		RefusedParts: f.suspects.Held(),
 	}
 }
 
--- a/internal/proxy/gladefront/front_test.go
+++ b/internal/proxy/gladefront/front_test.go
@@ -391,7 +391,7 @@
 	f.eventually("peers", func() bool { return first.vmCount() == 2 && second.vmCount() == 2 })
 	const fingerprint = 7
 	crashUnder(first, fingerprint, maxPoisonDeaths)
-	_, err := first.suspects.Check(t.Context(), fingerprint)
+	_, err := first.suspects.Check(t.Context(), gladesuspect.Request{Fingerprint: fingerprint})
 	f.Assert(err, qt.ErrorIs, gladesuspect.ErrPoison)
 	began := time.Now()
 	f.eventually("second VM refuses", func() bool { return refuses(second, fingerprint) })
@@ -413,7 +413,7 @@
 	const fingerprint = 7
 	crashUnder(first, fingerprint, maxPoisonDeaths-1)
 	crashUnder(second, fingerprint, maxPoisonDeaths-1)
-	v, _ := first.suspects.StartRun(fingerprint, gladeapi.BackendServer{ID: "i-9", FailureDomain: "shubra"}, false)
+	v, _ := first.suspects.StartRun(gladesuspect.Request{Fingerprint: fingerprint}, gladeapi.BackendServer{ID: "i-9", FailureDomain: "shubra"}, false)
 	v.End(true)
 	f.eventually("cleared", func() bool { return second.suspects.Evidence(fingerprint).Deaths == 0 })
 }
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -57,6 +57,10 @@
 		f.suspects.ImportRefused([]gladesuspect.Refused{r})
 	})
 	gladepeer.HandleNotice(node, clearedNotice, func(_ string, fingerprint uint64) { f.suspects.ClearElsewhere(fingerprint) })
+	gladepeer.HandleNotice(node, heldNotice, func(_ string, h gladesuspect.HeldParts) {
+		f.suspects.ImportHeld([]gladesuspect.HeldParts{h})
+	})
+	gladepeer.HandleNotice(node, answeredNotice, func(_ string, a []gladesuspect.PartAnswer) { f.suspects.PartsAnsweredElsewhere(a) })
 	f.startSharingRefusals()
 	gladepeer.HandleNotice(node, successorNotice, f.adoptSuccessor)
 	share, err := offsetPort(s.PeerAddress, sharePortOffset)
@@ -122,6 +126,10 @@
 	refusalNotice = "refusal"
 	// clearedNotice is the kind of notice that reports that a suspected request has finished.
 	clearedNotice = "cleared"
+	// heldNotice is the kind of notice that reports refused prompt parts, or a trial of them, to the other VMs.
+	heldNotice = "heldParts"
+	// answeredNotice is the kind of notice that reports that requests with suspected prompt parts were answered.
+	answeredNotice = "answeredParts"
 )
 
 func (f *Front) reportRefusal(r gladesuspect.Refused) {
@@ -130,6 +138,18 @@
 	}
 }
 
+func (f *Front) reportHeld(h gladesuspect.HeldParts) {
+	if err := gladepeer.Notify(f.node, heldNotice, h); err != nil {
+		f.log.Warn("Refused prompt parts not reported to the other VMs.", "set", h.ID, "reason", err)
+	}
+}
+
+func (f *Front) reportAnswered(a []gladesuspect.PartAnswer) {
+	if err := gladepeer.Notify(f.node, answeredNotice, a); err != nil {
+		f.log.Warn("Answered prompt parts not reported to the other VMs.", "parts", len(a), "reason", err)
+	}
+}
+
 func (f *Front) reportCleared(fingerprint uint64) {
 	if err := gladepeer.Notify(f.node, clearedNotice, fingerprint); err != nil {
 		f.log.Warn("Finished suspect not reported to the other VMs.", "fingerprint", fingerprint, "reason", err)
@@ -196,7 +216,7 @@
 	}
 	close(f.peersHeard)
 	f.log.Info("Heard the other VMs.", "members", members, "afterMs", time.Since(began).Milliseconds(),
-		"refused", len(f.suspects.Refused()))
+		"refused", len(f.suspects.Refused()), "refusedParts", len(f.suspects.Held()))
 	return gladerefusal.Interval
 }
 
