--- a/gladesuspect/parts.go
+++ b/gladesuspect/parts.go
@@ -315,4 +315,3 @@
 	oldest := slices.MinFunc(slices.Collect(maps.Values(l.held)), func(a, b *heldSet) int { return a.Until.Compare(b.Until) })
 	delete(l.held, oldest.ID)
 }
-
--- a/internal/proxy/gladeforward/crash_fleet_test.go
+++ b/internal/proxy/gladeforward/crash_fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -42,6 +43,9 @@
 	deadly map[string]bool
 	// failures are the calls that were not served, by path.
 	failures map[string]int
+	// crashers crash the live servers, and domains are the failure domains of all servers, by identifier.
+	crashers map[string]func()
+	domains  map[string]string
 	// cut are the VMs that are cut off from the other VMs.
 	cut map[*harness]bool
 	// loads is the number of loads of prompts.
@@ -58,7 +62,7 @@
 		c := &crashFleet{
 			C: qt.New(t), queueTime: time.Millisecond, runTime: 50 * time.Millisecond,
 			crashes: map[string][]time.Time{}, sends: map[string][]time.Time{}, failures: map[string]int{},
-			deadly: map[string]bool{}, cut: map[*harness]bool{},
+			deadly: map[string]bool{}, cut: map[*harness]bool{}, crashers: map[string]func(){}, domains: map[string]string{},
 		}
 		network := &gladewire.Network{}
 		for i := range vms {
@@ -129,10 +133,15 @@
 		})
 		c.vms[0].network.Kill(id)
 		c.mu.Lock()
+		delete(c.crashers, id)
 		c.live--
 		c.fewest = min(c.fewest, c.live)
 		c.mu.Unlock()
 	})
+	c.mu.Lock()
+	c.crashers[id] = crash
+	c.domains[id] = domain
+	c.mu.Unlock()
 	c.vms[0].listen(id, func(rw http.ResponseWriter, r *http.Request) {
 		path := c.crashKey(r)
 		crashing := path != ""
@@ -185,6 +194,20 @@
 	times[path] = append(times[path], time.Now())
 }
 
+// crashServers crashes up to n live servers of a failure domain at once, whatever they run.
+func (c *crashFleet) crashServers(domain string, n int) {
+	c.mu.Lock()
+	ids := slices.DeleteFunc(slices.Sorted(maps.Keys(c.crashers)), func(id string) bool { return c.domains[id] != domain })
+	var crash []func()
+	for _, id := range ids[:min(n, len(ids))] {
+		crash = append(crash, c.crashers[id])
+	}
+	c.mu.Unlock()
+	for _, f := range crash {
+		f()
+	}
+}
+
 // repeat sends a request at an interval to the VMs in turn, and returns after the given time.
 func (c *crashFleet) repeat(path string, interval, total time.Duration) {
 	var calls sync.WaitGroup
--- a/internal/proxy/gladefront/front_test.go
+++ b/internal/proxy/gladefront/front_test.go
@@ -417,3 +417,44 @@
 	v.End(true)
 	f.eventually("cleared", func() bool { return second.suspects.Evidence(fingerprint).Deaths == 0 })
 }
+
+// crashOnPart records at a VM that servers died under requests of which no two are alike, with one part in common.
+func crashOnPart(f *Front, part uint64) {
+	for i := range uint64(4) {
+		f.suspects.ServerDiedElsewhere(gladesuspect.Loss{
+			Fingerprint: 100 + i, Parts: []uint64{part}, Server: gladeapi.BackendServer{ID: fmt.Sprint("i-", i), FailureDomain: "shubra"},
+		})
+		time.Sleep(2 * poisonDecisionDelay)
+	}
+}
+
+func refusesPart(f *Front, part uint64) bool {
+	return slices.ContainsFunc(f.suspects.Held(), func(h gladesuspect.HeldParts) bool { return slices.Equal(h.Parts, []uint64{part}) })
+}
+
+// The VM that has found that servers crash on a part of a prompt stops, and others start later. All must refuse the part, until a request
+// with it is answered at one of them.
+func TestHeldPartOutlivesVMAndIsReleasedAtAll(t *testing.T) {
+	f := newTestFleet(t)
+	f.publish(3, "/a/")
+	first, stopFirst := f.startVM(1)
+	second, _ := f.startVM(2)
+	f.eventually("peers", func() bool { return first.vmCount() == 2 && second.vmCount() == 2 })
+	const part = 0xd
+	crashOnPart(first, part)
+	request := gladesuspect.Request{Fingerprint: 7, Parts: []uint64{part}}
+	_, err := first.suspects.Check(t.Context(), request)
+	f.Assert(err, qt.ErrorIs, gladesuspect.ErrPoison)
+	began := time.Now()
+	f.eventually("second VM refuses", func() bool { return refusesPart(second, part) })
+	f.Assert(time.Since(began) < time.Second, qt.IsTrue)
+	f.eventually("second VM publishes", func() bool { return len(second.node.Self().Facts[gladerefusal.HeldFactName]) > 0 })
+	stopFirst()
+	third, _ := f.startVM(3)
+	f.eventually("third VM answers", func() bool { status, _, _ := f.get(3, 8000, "/a/x"); return status > 0 })
+	f.Assert(refusesPart(third, part), qt.IsTrue)
+	third.suspects.RecordRun(request, gladeapi.BackendServer{ID: "i-9", FailureDomain: "shubra"}, nil).End(true)
+	f.eventually("released", func() bool { return !refusesPart(second, part) && !refusesPart(third, part) })
+	f.eventually("fact is empty", func() bool { return string(second.node.Self().Facts[gladerefusal.HeldFactName]) == "[]" })
+	f.Assert(refusesPart(second, part) || refusesPart(third, part), qt.IsFalse)
+}
