Date a server's death by the loss of its runs, not by when it is found down

Callers' requests crashed a fourth server where three are allowed.

Cause: the death was recorded when a probe found the server down, 0.4 ms after its run was lost. The retry had begun in between, so the next death did not seem to follow from it.

Change: the earliest loss of a run dates the death.

Figures: TestRetryBeforeServerIsFoundDownFollowsItsDeath failed before, passes now.

--- a/gladesuspect/tracker.go
+++ b/gladesuspect/tracker.go
@@ -287,6 +287,7 @@
 	if d == nil {
 		d = t.newDeath(v.server, at)
 	}
+	t.predate(d, at)
 	t.addToDeath(d, v)
 	t.addPartLoss(v, at)
 }
@@ -331,6 +332,7 @@
 	if d == nil {
 		d = t.newDeath(l.Server, l.At)
 	}
+	t.predate(d, l.At)
 	v := &TrackedRun{
 		tracker: t, request: Request{Fingerprint: l.Fingerprint, Parts: l.Parts}, fingerprint: l.Fingerprint, server: l.Server, began: l.Began,
 	}
@@ -391,12 +393,27 @@
 func (t *Tracker) newDeath(server gladeapi.BackendServer, at time.Time) *death {
 	t.sequence++
 	d := &death{server: server, at: at, sequence: t.sequence, runs: map[uint64]lostRun{}}
+	t.insertDeath(d)
+	return d
+}
+
+func (t *Tracker) insertDeath(d *death) {
 	i := len(t.deaths)
-	for i > 0 && t.deaths[i-1].at.After(at) {
+	for i > 0 && t.deaths[i-1].at.After(d.at) {
 		i--
 	}
 	t.deaths = slices.Insert(t.deaths, i, d)
-	return d
+}
+
+// predate sets the time of a death to that of the loss of a run, which comes before the server is found down. A retry may have begun
+// between the two.
+func (t *Tracker) predate(d *death, at time.Time) {
+	if !at.Before(d.at) {
+		return
+	}
+	t.deaths = slices.DeleteFunc(t.deaths, func(o *death) bool { return o == d })
+	d.at = at
+	t.insertDeath(d)
 }
 
 // addToDeath adds a lost run to a death. The first one brings with it the other runs of this VM on the server.
--- a/gladesuspect/tracker_test.go
+++ b/gladesuspect/tracker_test.go
@@ -316,3 +316,24 @@
 		c.Assert(tracker.Refused()[0].Servers, qt.HasLen, 3)
 	})
 }
+
+// A retry begins within a millisecond of the loss of its first run, before the server is found down. The deaths follow one another all the
+// same.
+func TestRetryBeforeServerIsFoundDownFollowsItsDeath(t *testing.T) {
+	virtual(t, func(c *qt.C) {
+		tracker := New(Config{MaxDeaths: 3, MinGap: 30 * time.Millisecond})
+		v := enter(c, tracker, poisonous, server(0))
+		for i := range 3 {
+			_, err := check(tracker, poisonous)
+			c.Assert(err, qt.IsNil)
+			time.Sleep(time.Second)
+			lost, lostAt := v, time.Now()
+			v = enter(c, tracker, poisonous, server(i+1))
+			time.Sleep(time.Millisecond)
+			tracker.ServerFailed(server(i))
+			lost.ServerDiedAt(lostAt)
+		}
+		_, err := check(tracker, poisonous)
+		c.Assert(err, qt.ErrorIs, ErrPoison)
+	})
+}
