--- a/internal/proxy/gladeforward/crash_test.go
+++ b/internal/proxy/gladeforward/crash_test.go
@@ -285,7 +285,7 @@
 				w.call(http.MethodPost, "/stream/x", nil)
 			}
 			w.Assert(len(w.serversRun()) > 4, qt.IsTrue)
-			w.Assert(w.deaths, qt.HasLen, 0)
+			w.Assert(w.reportedDeaths(), qt.HasLen, 0)
 		})
 	}
 }
@@ -307,6 +307,6 @@
 			})
 		}
 		w.Assert(w.call(http.MethodPost, "/stream/x", nil).body, qt.Equals, eventText(1, 40))
-		w.Assert(w.deaths, qt.HasLen, 2)
+		w.Assert(w.reportedDeaths(), qt.HasLen, 2)
 	})
 }
--- a/internal/proxy/gladeforward/forward_test.go
+++ b/internal/proxy/gladeforward/forward_test.go
@@ -228,6 +228,13 @@
 	}
 }
 
+// reportedDeaths returns the deaths reported to the other VMs so far.
+func (w *harness) reportedDeaths() []ServerDeath {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.deaths)
+}
+
 func (w *harness) heldAt(_ context.Context, address string) (map[string]int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
