Hold shared passages, callers and models on which engines crash in our own API

Callers of the own API would see their generations fail one after the other, and then 'no engine available', as requests that share a document crash the engines.

Cause: the same as for prompt parts on the users' platform: the tracker knew generations by a hash of target and prompt only.

Change: gladeroute.HashParts names organisation, target and the passages of a prompt by their content, wherever they stand; the daemon gives them to the tracker.

--- a/gladedaemon/streams.go
+++ b/gladedaemon/streams.go
@@ -51,6 +51,7 @@
 	}
 	runner := gladestream.NewRunner(gladestream.Config{
 		Blocks: gladeroute.HashGenerationBlocks,
+		Parts:  gladeroute.HashParts,
 		Retry:  budget.TryRetry,
 		OnStart: func(run *gladestream.Run) {
 			standby.OnStart(run)
