Hold the narrowest set of prompt parts that explains the deaths

Callers whose prompts only begin like those with a deadly part were refused for 6 s, until a trial was answered.

Cause: the part in most deaths was held first. A part that very many requests share is in most deaths, whatever the cause: other requests had crashed servers on which harmless prompts with the same first part ran, before any of these was ever answered.

Two VMs that hold the same parts by themselves have one set, so one trial. The soak sends requests with a deadly part, and sound ones with the same first part, at VMs that are restarted.

--- a/gladestream/parts_test.go
+++ b/gladestream/parts_test.go
@@ -50,6 +50,6 @@
 				lost++
 			}
 		}
-	p.Assert(lost <= maxEnginesLost, qt.IsTrue, qt.Commentf("%d engines lost", lost))
+		p.Assert(lost <= maxEnginesLost, qt.IsTrue, qt.Commentf("%d engines lost", lost))
 	})
 }
--- a/gladesuspect/held.go
+++ b/gladesuspect/held.go
@@ -209,7 +209,7 @@
 		if len(h.Parts) == 0 || now.After(h.Until) || t.parts.released.Contains(h.ID) {
 			continue
 		}
-		if known := t.parts.held[h.ID]; known != nil {
+		if known := t.parts.heldAs(h); known != nil {
 			known.merge(h, now)
 			continue
 		}
--- a/gladesuspect/parts.go
+++ b/gladesuspect/parts.go
@@ -39,6 +39,8 @@
 	server gladeapi.BackendServer
 	at     time.Time
 	runs   []partRun
+	// causes are the fingerprints of the requests that are refused for the death by themselves.
+	causes []uint64
 }
 
 // partRun is a lost run that may have caused a death.
@@ -176,43 +178,76 @@
 	together []uint64
 }
 
-// culprit returns the suspect to hold that explains most deaths and is not held yet. It looks no further if no server died on the
-// parts of the request in question.
+// culprit returns the suspect to hold next, which is not held yet. It looks no further if no server died on the parts of the request in
+// question.
 func (l *partLog) culprit(parts []uint64, now time.Time, gap time.Duration) (suspect, bool) {
 	best := suspect{}
 	if !slices.ContainsFunc(parts, l.isSuspected) {
 		return best, false
 	}
 	for p, all := range l.byPart {
-		if len(all) < max(minPartDeaths, len(best.deaths)) || len(all) == len(best.deaths) && slices.Contains(best.together, p) {
+		if len(all) < minPartDeaths || len(all) == len(best.deaths) && slices.Contains(best.together, p) {
 			continue
 		}
 		deaths := l.deathsOn(p)
-		if len(deaths) < max(1, len(best.deaths)) || !l.enough(p, deaths, now, gap) {
+		if !l.enough(p, deaths, now, gap) {
 			continue
 		}
 		s := suspect{part: p, deaths: deaths, together: l.together(p, deaths)}
-		if s.precedes(best) && l.holding(s.together) == nil {
+		if s.precedes(best) && !l.hasNarrower(s) && l.holding(s.together) == nil {
 			best = s
 		}
 	}
 	return best, len(best.deaths) > 0
 }
 
-// precedes orders suspects by the deaths that they explain, and then by the number of parts, to refuse as few requests as possible.
+// precedes orders suspects by the number of parts, as more parts refuse fewer requests, and then by the deaths that they explain. A part
+// that very many requests share is in most deaths, whatever the cause.
 func (s suspect) precedes(o suspect) bool {
 	return cmp.Or(
-		cmp.Compare(len(o.deaths), len(s.deaths)), cmp.Compare(len(o.together), len(s.together)), cmp.Compare(s.part, o.part),
+		cmp.Compare(len(o.together), len(s.together)), cmp.Compare(len(o.deaths), len(s.deaths)), cmp.Compare(s.part, o.part),
 	) < 0
 }
 
+// hasNarrower reports whether the few deaths on a suspect may be those on another part that came with it in several requests, so that it is
+// too early to hold all requests with this one.
+func (l *partLog) hasNarrower(s suspect) bool {
+	if len(s.deaths) >= minAnsweredPartDeaths {
+		return false
+	}
+	requests := map[uint64]map[uint64]bool{}
+	for _, d := range s.deaths {
+		for _, r := range d.runs {
+			if slices.Contains(r.parts, s.part) {
+				addRequest(requests, r)
+			}
+		}
+	}
+	for p, fingerprints := range requests {
+		if len(fingerprints) >= minPartRequests && !slices.Contains(s.together, p) && !l.lastAnswer(p).After(s.deaths[0].at) {
+			return true
+		}
+	}
+	return false
+}
+
+// addRequest adds the request of a run to those with each of its parts.
+func addRequest(requests map[uint64]map[uint64]bool, r partRun) {
+	for _, p := range r.parts {
+		if requests[p] == nil {
+			requests[p] = map[uint64]bool{}
+		}
+		requests[p][r.fingerprint] = true
+	}
+}
+
 // isSuspected reports whether a server died on a part since it was last answered.
 func (l *partLog) isSuspected(part uint64) bool {
 	deaths := l.byPart[part]
 	return len(deaths) > 0 && deaths[len(deaths)-1].at.After(l.lastAnswer(part))
 }
 
-// deathsOn returns the deaths on a part since it was last answered that no held set without it explains.
+// deathsOn returns the deaths on a part since it was last answered that no held set explains.
 func (l *partLog) deathsOn(part uint64) []*partDeath {
 	answered := l.lastAnswer(part)
 	var deaths []*partDeath
@@ -228,15 +263,30 @@
 	return slices.ContainsFunc(d.runs, func(r partRun) bool { return containsAll(r.parts, parts) })
 }
 
+// isExplained reports whether a request without the part that is refused by itself, or one with held parts, was among the runs of a death.
 func (l *partLog) isExplained(d *partDeath, part uint64) bool {
+	for _, f := range d.causes {
+		if !slices.ContainsFunc(d.runs, func(r partRun) bool { return r.fingerprint == f && slices.Contains(r.parts, part) }) {
+			return true
+		}
+	}
 	for _, h := range l.held {
-		if !slices.Contains(h.Parts, part) && d.has(h.Parts...) {
+		if d.has(h.Parts...) {
 			return true
 		}
 	}
 	return false
 }
 
+// explain records that a request is refused by itself for the deaths of servers.
+func (l *partLog) explain(fingerprint uint64, servers []string) {
+	for _, d := range l.deaths {
+		if slices.Contains(servers, d.server.ID) && !slices.Contains(d.causes, fingerprint) {
+			d.causes = append(d.causes, fingerprint)
+		}
+	}
+}
+
 // enough reports whether deaths on a part suffice to hold it. They must be of several moments, as servers that are lost together
 // may all run requests with the same harmless part, and of several requests.
 func (l *partLog) enough(part uint64, deaths []*partDeath, now time.Time, gap time.Duration) bool {
@@ -300,6 +350,29 @@
 	return changed
 }
 
+// heldAs returns the held set that another VM reports, or nil. If both VMs have held the same parts by themselves, the set is known by
+// the smaller identifier from then on.
+func (l *partLog) heldAs(h HeldParts) *heldSet {
+	if known := l.held[h.ID]; known != nil {
+		return known
+	}
+	for id, o := range l.held {
+		if !slices.Equal(o.Parts, h.Parts) {
+			continue
+		}
+		if h.ID > id {
+			l.released.Add(h.ID, struct{}{})
+			return o
+		}
+		delete(l.held, id)
+		l.released.Add(id, struct{}{})
+		o.ID = h.ID
+		l.held[h.ID] = o
+		return o
+	}
+	return nil
+}
+
 // add holds a set, instead of the held sets that contain it.
 func (l *partLog) add(h *heldSet) {
 	for id, o := range l.held {
--- a/gladesuspect/parts_test.go
+++ b/gladesuspect/parts_test.go
@@ -203,6 +203,58 @@
 	})
 }
 
+// Two VMs hold the same part by themselves. It is one set, with one trial at a time, and once it is released an older report of
+// either VM does not hold it again.
+func TestPartHeldAtTwoVMsIsOneSet(t *testing.T) {
+	virtual(t, func(c *qt.C) {
+		a, b := New(Config{MaxDeaths: 3, Progress: 2}), New(Config{MaxDeaths: 3, Progress: 2})
+		hold(c, a)
+		hold(c, b)
+		first, second := a.Held(), b.Held()
+		a.ImportHeld(second)
+		b.ImportHeld(first)
+		c.Assert(a.Held()[0].ID, qt.Equals, b.Held()[0].ID)
+		time.Sleep(firstTrialDelay)
+		v, err := a.Check(context.Background(), Request{Fingerprint: 20, Parts: []uint64{deadlyPart}})
+		c.Assert(err, qt.IsNil)
+		c.Assert(v.Trial, qt.IsTrue)
+		b.ImportHeld(a.Held())
+		c.Assert(checkParts(b, 21, deadlyPart), qt.ErrorIs, ErrPoison)
+		for _, v := range []*Tracker{a, b} {
+			v.PartsAnsweredElsewhere([]PartAnswer{{Part: deadlyPart}})
+			v.ImportHeld(first)
+			v.ImportHeld(second)
+			c.Assert(v.Held(), qt.HasLen, 0)
+		}
+	})
+}
+
+// Servers die under a request that is refused by itself, and with them harmless requests whose first part is also in those with a deadly
+// part, and was never answered before. Only the deadly part may be held.
+func TestSharedPartLostForOtherCausesIsNotHeld(t *testing.T) {
+	virtual(t, func(c *qt.C) {
+		tracker := New(Config{MaxDeaths: 3, Progress: 2})
+		for f := range uint64(5) {
+			s := server(int(1000 + f))
+			v := tracker.RecordRun(Request{Fingerprint: 500}, s, nil)
+			harmless := tracker.RecordRun(Request{Fingerprint: 600 + f, Parts: []uint64{sharedPart, otherPart}}, s, nil)
+			v.ServerDied()
+			harmless.ServerDied()
+			time.Sleep(time.Second)
+			if f > 1 {
+				_, err := check(tracker, 500)
+				c.Assert(err, qt.ErrorIs, ErrPoison)
+			}
+			if f < 3 {
+				crashOn(tracker, f+1, sharedPart, deadlyPart)
+			}
+		}
+		c.Assert(checkParts(tracker, 11, sharedPart, deadlyPart), qt.ErrorIs, ErrPoison)
+		c.Assert(checkParts(tracker, 12, sharedPart, otherPart), qt.IsNil)
+		c.Assert(tracker.Held(), qt.HasLen, 1)
+	})
+}
+
 // A generation that began before its part crashed servers goes on from a copy of its run. That does not show that an answer can begin on
 // the part.
 func TestResumedRunDoesNotReleasePart(t *testing.T) {
--- a/gladesuspect/poison.go
+++ b/gladesuspect/poison.go
@@ -303,6 +303,7 @@
 // those servers, as the cause is known. If there are more than maxRefused, it removes the one that expires first.
 func (t *Tracker) addRefused(r Refused) {
 	t.refused[r.Fingerprint] = r
+	t.parts.explain(r.Fingerprint, r.Servers)
 	for _, d := range slices.Clone(t.deathsByRequest[r.Fingerprint]) {
 		t.withdrawDeath(d)
 		d.explained = true
--- a/internal/proxy/gladeforward/stream_test.go
+++ b/internal/proxy/gladeforward/stream_test.go
@@ -255,7 +255,7 @@
 		w.Assert(len(w.serversRun()) <= 4, qt.IsTrue, qt.Commentf("%v", w.serversRun()))
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		w.Assert(len(w.reportedDeaths()) >= 3, qt.IsTrue)
+		w.Assert(len(w.deaths) >= 3, qt.IsTrue)
 	})
 }
 
--- a/internal/proxy/gladesoak/fakes_test.go
+++ b/internal/proxy/gladesoak/fakes_test.go
@@ -278,8 +278,8 @@
 		f.recorder.lateRequests = append(f.recorder.lateRequests, attempt)
 		f.recorder.mu.Unlock()
 	}
-	if strings.HasSuffix(r.URL.Path, "/crash") {
-		f.runCrash(r)
+	if key := crashKey(r); key != "" {
+		f.runCrash(r, key)
 		return
 	}
 	f.recorder.recordRun(attempt)
@@ -288,7 +288,7 @@
 	}
 	w.Header().Set("Attempt-Id", attempt)
 	w.Header().Set("Server-Seal", "seal")
-	if r.URL.Path == "/stream/x" {
+	if strings.HasPrefix(r.URL.Path, "/stream/") {
 		f.stream(w, r, attempt)
 		return
 	}
