Show how old a VM's release may be, and the connection of an unanswered call

Cause: the record of the incident could not say when a VM last knew that its release was the newest, nor on what connection its calls went unanswered.

Change: gladeage keeps the time at which the release in force was last known to be the newest. Readers say in their updates how old their own view is. Metrics release.newest, unconfirmedMs, worstUnconfirmedMs and behindMs; a line with its inputs when the age nears the bound, and one when that is over. ErrNoAnswer names the age of the connection and the time since bytes came on it. No change of logic.

--- a/gladepeer/call.go
+++ b/gladepeer/call.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
@@ -85,5 +87,17 @@
 	case eris.Is(err, ErrTooLarge):
 		return answer, eris.Wrapf(err, "%s at %s", method, address)
 	}
-	return answer, eris.Wrapf(ErrNoAnswer, "%s at %s: %v", method, address, err)
+	return answer, eris.Wrapf(ErrNoAnswer, "%s at %s%s: %v", method, address, n.describe(conn), err)
+}
+
+// describe returns the age of a connection and the time since bytes were last received on it, for errors.
+func (n *Node) describe(c *jsonrpc2.Conn) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	q := n.conns[c]
+	if q == nil {
+		return ""
+	}
+	const unit = time.Millisecond
+	return fmt.Sprintf(" (connection opened %v ago, last heard %v ago)", time.Since(q.openedAt).Round(unit), time.Since(q.lastHeard()).Round(unit))
 }
--- a/gladepeer/link.go
+++ b/gladepeer/link.go
@@ -122,11 +122,12 @@
 }
 
 func (n *Node) serve(ctx context.Context, c net.Conn) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(newQueuedConn(c, 2*n.config.MessageBytes, n.counters), codec{limit: uint64(n.config.MessageBytes)})
+	queued := newQueuedConn(c, 2*n.config.MessageBytes, n.counters)
+	stream := jsonrpc2.NewBufferedStream(queued, codec{limit: uint64(n.config.MessageBytes)})
 	logger := n.log.Named("link").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
 	conn := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(n.dispatch)), jsonrpc2.SetLogger(logger))
 	n.mu.Lock()
-	n.conns[conn] = struct{}{}
+	n.conns[conn] = queued
 	n.mu.Unlock()
 	go func() {
 		<-conn.DisconnectNotify()
@@ -157,7 +158,7 @@
 func (n *Node) closeLinks() {
 	n.mu.Lock()
 	conns := n.conns
-	n.conns = map[*jsonrpc2.Conn]struct{}{}
+	n.conns = map[*jsonrpc2.Conn]*queuedConn{}
 	n.mu.Unlock()
 	for c := range conns {
 		_ = c.Close()
--- a/gladepeer/node.go
+++ b/gladepeer/node.go
@@ -105,7 +105,8 @@
 	// listed holds the VMs from another source, such as the platform's list, by name.
 	listed map[string]gladeapi.EntryVM
 	links  map[string]*link
-	conns  map[*jsonrpc2.Conn]struct{}
+	// conns holds the open connections and what carries them.
+	conns map[*jsonrpc2.Conn]*queuedConn
 	// exchanging holds the addresses with an exchange in progress.
 	exchanging map[string]bool
 	// nextRemoteDomain counts the digests of other failure domains, which take turns.
@@ -161,7 +162,7 @@
 		forgotten:      forgotten,
 		listed:         map[string]gladeapi.EntryVM{},
 		links:          map[string]*link{},
-		conns:          map[*jsonrpc2.Conn]struct{}{},
+		conns:          map[*jsonrpc2.Conn]*queuedConn{},
 		exchanging:     map[string]bool{},
 		noticeHandlers: map[string]func(string, json.RawMessage) error{},
 		seenNotices:    seenNotices,
--- a/gladepeer/queue.go
+++ b/gladepeer/queue.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,13 +19,16 @@
 	wake     chan struct{}
 	done     chan struct{}
 	once     sync.Once
+	openedAt time.Time
+	// heardAt is when bytes were last received, in nanoseconds since openedAt.
+	heardAt atomic.Int64
 
 	mu      sync.Mutex
 	pending []byte
 }
 
 func newQueuedConn(c net.Conn, limit int64, counters *counters) *queuedConn {
-	q := &queuedConn{Conn: c, counters: counters, limit: limit, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	q := &queuedConn{Conn: c, counters: counters, limit: limit, wake: make(chan struct{}, 1), done: make(chan struct{}), openedAt: time.Now()}
 	go func() {
 		for q.flush() {
 		}
@@ -69,10 +73,16 @@
 
 func (q *queuedConn) Read(b []byte) (int, error) {
 	n, err := q.Conn.Read(b)
+	if n > 0 {
+		q.heardAt.Store(int64(time.Since(q.openedAt)))
+	}
 	q.counters.receivedBytes.Inc(int64(n))
 	return n, err
 }
 
+// lastHeard returns when bytes were last received, or when the connection was opened if none were.
+func (q *queuedConn) lastHeard() time.Time { return q.openedAt.Add(time.Duration(q.heardAt.Load())) }
+
 func (q *queuedConn) Close() error {
 	q.once.Do(func() { close(q.done) })
 	return q.Conn.Close()
--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -64,8 +64,8 @@
 // readForDomain follows the release and the servers in the store while this VM is the reader of its failure domain.
 func (f *Front) readForDomain(ctx context.Context, store *gladeplatform.Store) {
 	wait := f.watchWait()
-	servers := followConfig(f, store, gladeplatform.KindServers, wait, gladeplatform.DecodeServer, f.onServers, f.onServerChanges)
-	releases := followConfig(f, store, gladeplatform.KindConfig, wait, decodeRelease, f.onReleases, f.onReleaseChanges)
+	servers := followConfig(f, store, gladeplatform.KindServers, wait, gladeplatform.DecodeServer, f.onServers, f.onServerChanges, func() {})
+	releases := followConfig(f, store, gladeplatform.KindConfig, wait, decodeRelease, f.onReleases, f.onReleaseChanges, f.confirmRelease)
 	for ctx.Err() == nil {
 		if !f.feed.ShouldRead(false, time.Now()) {
 			select {
@@ -151,7 +151,7 @@
 // followConfig returns the configuration of a Follow of one kind over the platform's store.
 func followConfig[T any](
 	f *Front, store *gladeplatform.Store, kind string, wait time.Duration, decode func(gladeplatform.Object) (T, error),
-	onList func([]gladeview.Item[entry[T]], int64), onChanges func([]gladeview.Change[entry[T]], int64),
+	onList func([]gladeview.Item[entry[T]], int64), onChanges func([]gladeview.Change[entry[T]], int64), onCurrent func(),
 ) gladeview.FollowConfig[entry[T]] {
 	item := func(o gladeplatform.Object) gladeview.Item[entry[T]] {
 		v, err := decode(o)
@@ -188,7 +188,7 @@
 			}
 			return changes, c.Revision, err
 		},
-		OnList: onList, OnChanges: onChanges,
+		OnList: onList, OnChanges: onChanges, OnCurrent: onCurrent,
 		OnLost: func(err error) {
 			f.log.Warn("Lost the store.", "kind", kind, "reason", err)
 			f.setUnreachable(kind, true)
@@ -242,9 +242,47 @@
 		return
 	}
 	r := i.Value.value
-	f.applyRelease(r, "store")
+	f.mu.Lock()
+	f.storeRelease = r.Version
+	f.mu.Unlock()
+	f.applyRelease(r, fromStore)
+}
+
+// confirmRelease records that the store has just said that the release that it gave last is the newest.
+func (f *Front) confirmRelease() {
+	now := bootTime()
+	f.mu.Lock()
+	version := f.storeRelease
+	f.confirmedAt = now
+	f.mu.Unlock()
+	f.age.Confirm(version, now, now)
 }
 
+// observeRelease records what a reader's update says of the newest release.
+func (f *Front) observeRelease(u gladefeed.Update) {
+	now := bootTime()
+	if u.Reading {
+		f.age.Confirm(u.Release, now.Add(-time.Duration(u.AgeMillis)*time.Millisecond), now)
+	} else {
+		f.age.Learn(u.Release, now)
+	}
+}
+
+// checkRelease logs when the release may be out of date.
+func (f *Front) checkRelease() {
+	f.age.Check(bootTime(), func() []any {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return []any{
+			"reading", f.reading, "storeRefused", f.storeRefused, "unreachable", f.unreachable[gladeplatform.KindConfig], "rank", f.rank(),
+			"readerHeardMs", time.Since(f.feed.LastHeard()).Milliseconds(),
+		}
+	})
+}
+
+// fromStore is the source of a release that this VM has read from the store itself.
+const fromStore = "store"
+
 // applyRelease puts a release in force unless the one in force is as new.
 func (f *Front) applyRelease(r *gladerelease.Release, from string) {
 	f.mu.Lock()
@@ -255,8 +293,9 @@
 	}
 	f.release.Store(r)
 	f.releaseSince = time.Now()
+	f.age.Apply(r.Version, bootTime())
 	if f.feed != nil { // the feed opens after the relay, which may already deliver a release
-		go f.feed.Publish(gladefeed.Update{Before: f.revision, Revision: f.revision, Release: r.Version})
+		go f.feed.Publish(gladefeed.Update{Before: f.revision, Revision: f.revision, Release: r.Version, Reading: f.reading && from == fromStore})
 	}
 	f.log.Info("Release in force.", "release", r.Version, "from", from, "routes", len(r.Routes), "organisationKeys", len(r.Organisations))
 }
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -24,6 +24,7 @@
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladeforward"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladesend"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladeserve"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladeage"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladefeed"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelay"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
@@ -83,6 +84,7 @@
 	engine   *gladeplatform.Engine
 	relay    *gladerelay.Relay
 	feed     *gladefeed.Feed
+	age      *gladeage.Tracker
 	stopping atomic.Bool
 	// peersHeard is closed once this VM has received what the others refuse, or has waited for it long enough.
 	peersHeard chan struct{}
@@ -96,6 +98,9 @@
 	revision     int64
 	// releaseSince is when the current release was put in force.
 	releaseSince time.Time
+	// storeRelease is the version that the store gave last, and confirmedAt when it last said that it is the newest.
+	storeRelease int64
+	confirmedAt  time.Time
 	// unreachable holds, by kind, whether the store cannot be reached.
 	unreachable map[string]bool
 	// reading is set while this VM reads the store for its failure domain.
@@ -113,6 +118,7 @@
 			FailureDomain: c.Settings.FailureDomain, FailureDomains: len(c.Settings.FailureDomains),
 			AddressReuse: c.Settings.AddressReuse, BootTime: bootTime,
 		}),
+		age: gladeage.New(gladeage.Config{Bound: c.Settings.ReleaseBound, Log: c.Log.Named("age")}),
 	}
 	if err := f.open(); err != nil {
 		f.close()
@@ -259,6 +265,11 @@
 	f.limitGauges(gauge)
 	if r := f.release.Load(); r != nil {
 		gauge("release.version", r.Version)
+		age := f.age.State(bootTime())
+		gauge("release.newest", age.Newest)
+		gauge("release.unconfirmedMs", age.Age.Milliseconds())
+		gauge("release.worstUnconfirmedMs", age.Worst.Milliseconds())
+		gauge("release.behindMs", age.Behind.Milliseconds())
 		f.mu.Lock()
 		gauge("release.ageSeconds", int64(now.Sub(f.releaseSince).Seconds()))
 		f.mu.Unlock()
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -81,7 +81,11 @@
 		Node: node, State: f.state, Release: f.release.Load, Servers: f.knownServers,
 		OnRelease: func(r *gladerelease.Release, from string) { f.applyRelease(r, from) },
 		OnServers: f.onPeerServers,
-		Log:       f.log.Named("relay"),
+		OnNewest: func(version int64) {
+			f.age.Learn(version, bootTime())
+			f.checkRelease()
+		},
+		Log: f.log.Named("relay"),
 	})
 	f.relay = relay
 	f.cleanup(closeRelay)
@@ -320,7 +324,7 @@
 func (f *Front) readState() (gladefeed.Update, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	u := gladefeed.Update{Before: f.revision, Revision: f.revision}
+	u := gladefeed.Update{Before: f.revision, Revision: f.revision, Reading: true, AgeMillis: bootTime().Sub(f.confirmedAt).Milliseconds()}
 	if r := f.release.Load(); r != nil {
 		u.Release = r.Version
 	}
@@ -329,6 +333,7 @@
 
 // onUpdate applies a reader's update, or requests the whole list if an earlier update was missed.
 func (f *Front) onUpdate(u gladefeed.Update) {
+	f.observeRelease(u)
 	f.mu.Lock()
 	known, serversKnown := f.revision, f.serversKnown
 	if serversKnown && u.Before <= known && u.Revision > known {
--- a/internal/state/gladefeed/feed.go
+++ b/internal/state/gladefeed/feed.go
@@ -46,8 +46,12 @@
 	Before   int64    `json:"before"`
 	Revision int64    `json:"revision"`
 	Changes  []Change `json:"changes,omitempty"`
-	// Release is the version in force at the reader.
+	// Release is the version in force at the sender.
 	Release int64 `json:"release"`
+	// Reading reports that the sender reads the store, and AgeMillis the time in milliseconds since the store last said that
+	// Release is the newest.
+	Reading   bool  `json:"reading,omitempty"`
+	AgeMillis int64 `json:"ageMillis,omitempty"`
 }
 
 // Config configures a Feed.
@@ -167,6 +171,13 @@
 	f.config.OnUpdate(u)
 }
 
+// LastHeard returns when an update was last received, the zero time if none was.
+func (f *Feed) LastHeard() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lastHeard
+}
+
 func (f *Feed) recordHeard(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/state/gladerelay/relay.go
+++ b/internal/state/gladerelay/relay.go
@@ -60,7 +60,9 @@
 	OnRelease func(r *gladerelease.Release, from string)
 	// OnServers receives the list of servers of a peer; from is the peer's name.
 	OnServers func(s Servers, from string)
-	Log       hclog.Logger
+	// OnNewest receives the newest version that the peers have published, at each check of their states.
+	OnNewest func(version int64)
+	Log      hclog.Logger
 }
 
 // Relay exchanges releases and lists of servers with peers.
@@ -107,6 +109,7 @@
 	own := r.config.State()
 	r.publish(own, now)
 	release, servers := r.newest()
+	r.config.OnNewest(release.state.Release)
 	if release.state.Release > own.Release && r.shouldAskRelease(release.state.Release, own, now) {
 		r.FetchRelease(ctx, release.vm)
 	}
--- a/internal/state/gladeview/follow.go
+++ b/internal/state/gladeview/follow.go
@@ -44,6 +44,8 @@
 	OnList func(items []Item[T], revision int64)
 	// OnChanges receives changes and the revision after them.
 	OnChanges func(changes []Change[T], revision int64)
+	// OnCurrent is called after each answer of the store, once what it says has been reported.
+	OnCurrent func()
 	// OnLost is called with the error at the first failed call of an outage.
 	OnLost func(error)
 	// OnRecovered is called after an outage with its duration.
@@ -66,6 +68,7 @@
 			continue
 		}
 		f.OnList(items, revision)
+		f.OnCurrent()
 		f.watch(ctx, revision)
 	}
 }
@@ -83,6 +86,9 @@
 		revision = max(revision, next)
 		if len(changes) > 0 {
 			f.OnChanges(changes, revision)
+		}
+		f.OnCurrent()
+		if len(changes) > 0 {
 			sleep(ctx, batchDelay)
 		}
 	}
