Tests: a store that tells VMs apart by their own address of it

Cause: fakeStore rejected callers by their source address; on loopback every call comes from 127.0.0.1, so that TestVMWithoutStoreReceivesStateFromPeers never rejected one. Counting watches by source address had the same fault.

Change: each VM of a test has its own address of the store. The test now has a VM that comes first among the readers and so calls the store, and asserts that calls were rejected.

--- a/internal/proxy/gladefront/front_test.go
+++ b/internal/proxy/gladefront/front_test.go
@@ -19,6 +19,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+	"github.com/eelgrassglade/eelgrassglade/gladepeer"
 	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladefeed"
@@ -33,8 +34,19 @@
 	changed  chan struct{}
 	revision int64
 	changes  []change
-	rejected map[string]bool // by the caller's host
-	watches  map[string]int  // watches of servers, by the caller's host
+	// rejects holds the VMs whose calls are rejected, and rejections their number; hangs holds the kinds whose watches by a VM are
+	// not answered, and hung their number.  All are keyed by the VM's host.
+	rejects    map[int]bool
+	rejections map[int]int
+	hangs      map[int][]string
+	hung       map[int]int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{
+		objects: map[string]map[string]json.RawMessage{}, changed: make(chan struct{}),
+		rejects: map[int]bool{}, rejections: map[int]int{}, hangs: map[int][]string{}, hung: map[int]int{},
+	}
 }
 
 type change struct {
@@ -59,17 +71,31 @@
 	return map[string]any{"meta": map[string]any{"name": name, "revision": s.revision}, "spec": s.objects[kind][name]}
 }
 
-// ServeHTTP answers lists and watches.
-func (s *fakeStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+// set changes the faults of the store.
+func (s *fakeStore) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+// serve answers lists and watches of the VM on a host.
+func (s *fakeStore) serve(host int, w http.ResponseWriter, r *http.Request) {
 	kind := strings.TrimPrefix(r.URL.Path, "/v1/objects/")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.rejected[host] {
+	if s.rejects[host] {
+		s.rejections[host]++
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	watch := r.URL.Query().Get("watch")
+	if watch != "" && slices.Contains(s.hangs[host], kind) {
+		s.hung[host]++
+		s.mu.Unlock()
+		<-r.Context().Done()
+		s.mu.Lock()
+		return
+	}
 	if watch == "" {
 		items := []any{}
 		for name := range s.objects[kind] {
@@ -78,9 +104,6 @@
 		_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "at": s.revision})
 		return
 	}
-	if kind == gladeplatform.KindServers {
-		s.watches[host]++
-	}
 	after, _ := strconv.ParseInt(watch, 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	events := s.eventsAfter(kind, after)
@@ -118,8 +141,8 @@
 	grace time.Duration
 	// bound is the limit on releases and leaving servers.
 	bound time.Duration
-	// closeStoreListener makes the store accept no more connections; those that it has stay open.
-	closeStoreListener func()
+	// closeStoreListener makes the store accept no more connections of the VM on a host; those that it has stay open.
+	closeStoreListener map[int]func()
 	// domain returns the failure domain of a VM.
 	domain func(host int) string
 }
@@ -130,10 +153,9 @@
 func newTestFleet(t testing.TB) *testFleet {
 	f := &testFleet{
 		C: qt.New(t), grace: 500 * time.Millisecond, addressPrefix: fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(250)),
-		store:  &fakeStore{objects: map[string]map[string]json.RawMessage{}, changed: make(chan struct{}), rejected: map[string]bool{}, watches: map[string]int{}},
+		store: newFakeStore(), closeStoreListener: map[int]func(){},
 		domain: func(int) string { return "shubra" },
 	}
-	f.closeStoreListener = f.listen(200, f.store)
 	f.listen(201, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(20 * time.Millisecond)
 		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
@@ -143,12 +165,16 @@
 	return f
 }
 
+func vmName(host int) string { return "vm-" + strconv.Itoa(host) }
+
 func (f *testFleet) address(host, port int) string {
 	return f.addressPrefix + strconv.Itoa(host) + ":" + strconv.Itoa(port)
 }
 
-func (f *testFleet) listen(host int, h http.Handler) (closeListener func()) {
-	l, err := net.Listen("tcp", f.address(host, 8000))
+func (f *testFleet) listen(host int, h http.Handler) { f.listenAt(f.address(host, 8000), h) }
+
+func (f *testFleet) listenAt(address string, h http.Handler) (closeListener func()) {
+	l, err := net.Listen("tcp", address)
 	f.Assert(err, qt.IsNil)
 	s := &http.Server{Handler: h}
 	go func() { _ = s.Serve(l) }()
@@ -156,19 +182,27 @@
 	return func() { _ = l.Close() }
 }
 
+// releaseText returns a release with one route as the store holds it.
+func releaseText(version int, prefix string) string { return fmt.Sprintf(config, version, prefix) }
+
 // publish writes a release and the backend server to the store.
 func (f *testFleet) publish(version int, prefix string) {
-	f.store.put(gladeplatform.KindConfig, gladeplatform.ConfigName, fmt.Sprintf(config, version, prefix))
+	f.store.put(gladeplatform.KindConfig, gladeplatform.ConfigName, releaseText(version, prefix))
 	f.store.put(gladeplatform.KindServers, "i-1", fmt.Sprintf(
 		`{"service":"app","addr":%q,"zone":"shubra","slots":6,"state":"ready","cold_left_ms":0,"seq":1,"born":1}`, f.address(201, 8000)))
 }
 
 // startVM starts a VM and returns it with a function that stops it and waits for its exit.
 func (f *testFleet) startVM(host int) (*Front, func()) {
+	// Each VM has its own address of the store, because every caller on loopback has the same source address.
+	store := f.address(200, 8000+host)
+	if f.closeStoreListener[host] == nil {
+		f.closeStoreListener[host] = f.listenAt(store, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.store.serve(host, w, r) }))
+	}
 	front, closeFront, err := New(Config{
 		Settings: gladeplatform.Settings{
-			VM: "vm-" + strconv.Itoa(host), FailureDomain: f.domain(host), EntryAddress: f.address(host, 8000), ReadyAddress: f.address(host, 8001),
-			PeerAddress: f.address(host, 7200), Seeds: f.seeds, StoreAddress: f.address(200, 8000), StopGrace: f.grace, DrainBound: f.bound, ReleaseBound: f.bound,
+			VM: vmName(host), FailureDomain: f.domain(host), EntryAddress: f.address(host, 8000), ReadyAddress: f.address(host, 8001),
+			PeerAddress: f.address(host, 7200), Seeds: f.seeds, StoreAddress: store, StopGrace: f.grace, DrainBound: f.bound, ReleaseBound: f.bound,
 			RetryShare: 1, RetryReserve: 100, RetryWindow: 10 * time.Second,
 		},
 		MetricsAddress: f.address(host, 9464), Log: hclog.NewNullLogger(),
@@ -257,16 +291,19 @@
 	f.publish(3, "/a/")
 	first, _ := f.startVM(1)
 	f.eventually("first ready", first.Ready)
-	f.store.mu.Lock()
-	f.store.rejected[f.addressPrefix+"2"] = true
-	f.store.mu.Unlock()
-	second, _ := f.startVM(2)
+	host := 2
+	for gladepeer.RendezvousWeight(readerKey, vmName(host)) < gladepeer.RendezvousWeight(readerKey, vmName(1)) {
+		host++ // a VM that comes first in the order of readers, so that it calls the store
+	}
+	f.store.set(func() { f.store.rejects[host] = true })
+	second, _ := f.startVM(host)
 	f.eventually("second ready", second.Ready)
-	f.Assert(f.serves(2, "/a/x"), qt.IsTrue)
+	f.Assert(f.serves(host, "/a/x"), qt.IsTrue)
 	f.publish(5, "/b/")
 	began := time.Now()
-	f.eventually("newer release", func() bool { return f.serves(2, "/b/x") })
+	f.eventually("newer release", func() bool { return f.serves(host, "/b/x") })
 	f.Assert(time.Since(began) < 2*time.Second, qt.IsTrue)
+	f.store.set(func() { f.Assert(f.store.rejections[host] > 0, qt.IsTrue) })
 }
 
 // Guards against every VM of a failure domain reading the store, and against none doing so after the reader stops.
@@ -313,7 +350,7 @@
 	f.eventually("the VM reads", reads)
 	time.Sleep(3 * storeCheckInterval)
 	f.Assert(reads(), qt.IsTrue)
-	f.closeStoreListener()
+	f.closeStoreListener[1]()
 	f.eventually("the cut is noticed", func() bool { return !reads() })
 }
 
