--- a/gladewire/conn.go
+++ b/gladewire/conn.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 type listener struct {
@@ -66,6 +67,8 @@
 	init    sync.Once
 	// ended reports that the network ends the connection; writes fail from then on.
 	ended atomic.Bool
+	// lost reports that the other end has lost power, or this one: nothing arrives any more, and no end is told.
+	lost atomic.Bool
 }
 
 // closedChan returns the channel that Close closes.
@@ -100,6 +103,14 @@
 	if c.ended.Load() {
 		return 0, net.ErrClosed
 	}
+	if c.lost.Load() {
+		select {
+		case <-c.closedChan():
+			return 0, net.ErrClosed
+		default:
+			return len(b), nil // as into a socket's buffer
+		}
+	}
 	return c.Conn.Write(b)
 }
 
@@ -110,6 +121,9 @@
 		delete(c.network.conns, c)
 		c.network.mu.Unlock()
 	})
+	if c.lost.Load() {
+		return c.Conn.SetDeadline(time.Unix(1, 0)) // ends this end's calls only
+	}
 	return c.Conn.Close()
 }
 
--- a/gladewire/network.go
+++ b/gladewire/network.go
@@ -133,6 +133,15 @@
 // Kill closes all listeners and connections of a host. Its process can open new ones.
 func (n *Network) Kill(host string) {
 	n.mu.Lock()
+	ls := n.removeListeners(host)
+	n.endConns(func(c *conn) bool { return c.local == host || c.remote == host })
+	for _, l := range ls {
+		_ = l.Close()
+	}
+}
+
+// removeListeners removes the listeners of a host and returns them. The caller holds the lock.
+func (n *Network) removeListeners(host string) []*listener {
 	var ls []*listener
 	for address, l := range n.listeners {
 		if hostOf(address) == host {
@@ -140,10 +149,7 @@
 			ls = append(ls, l)
 		}
 	}
-	n.endConns(func(c *conn) bool { return c.local == host || c.remote == host })
-	for _, l := range ls {
-		_ = l.Close()
-	}
+	return ls
 }
 
 // Terminate kills a host and makes Dial and Listen of its process fail with ErrTerminated.
@@ -151,12 +157,34 @@
 // Network.Host then returns the Dial and Listen functions of the next process.
 func (n *Network) Terminate(host string) {
 	n.mu.Lock()
+	n.terminate(host)
+	n.mu.Unlock()
+	n.Kill(host)
+}
+
+// terminate ends the right of a host's process to dial and to listen. The caller holds the lock.
+func (n *Network) terminate(host string) {
 	if n.terminated == nil {
 		n.terminated = map[string]int{}
 	}
 	n.terminated[host]++
+}
+
+// PowerOff ends a host without a word: its connections stay open at their other ends, where writes are lost and nothing is
+// received any more. Dial and Listen of its process fail with ErrTerminated, as after Terminate.
+func (n *Network) PowerOff(host string) {
+	n.mu.Lock()
+	n.terminate(host)
+	ls := n.removeListeners(host)
+	for c := range n.conns {
+		if c.local == host || c.remote == host {
+			c.lost.Store(true)
+		}
+	}
 	n.mu.Unlock()
-	n.Kill(host)
+	for _, l := range ls {
+		_ = l.Close()
+	}
 }
 
 // Pause blocks all traffic to and from a host until Resume is called.
--- a/gladewire/network_test.go
+++ b/gladewire/network_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -74,3 +76,44 @@
 		c.Assert(l.Close(), qt.IsNil)
 	}
 }
+
+// A host loses power. Its peers are not told: what they write is lost, they receive nothing, and they close their end by
+// themselves. A process that starts there afterwards can be reached by new connections.
+func TestPowerOffEndsNoConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var n Network
+		l, err := n.Host("server").Listen("tcp", "server:1")
+		c.Assert(err, qt.IsNil)
+		go serveAll(l)
+		client := n.Host("client")
+		conn, err := client.Dial(t.Context(), "tcp", "server:1")
+		c.Assert(err, qt.IsNil)
+		ended := make(chan error, 1)
+		go func() {
+			_, err := conn.Read(make([]byte, 1))
+			ended <- err
+		}()
+		n.PowerOff("server")
+		time.Sleep(time.Hour)
+		c.Assert(ended, qt.HasLen, 0)
+		_, err = conn.Write([]byte("x"))
+		c.Assert(err, qt.IsNil)
+		_, err = client.Dial(t.Context(), "tcp", "server:1")
+		c.Assert(err, qt.ErrorIs, ErrRefused)
+		next, err := n.Host("server").Listen("tcp", "server:1")
+		c.Assert(err, qt.IsNil)
+		go serveAll(next)
+		second, err := client.Dial(t.Context(), "tcp", "server:1")
+		c.Assert(err, qt.IsNil)
+		time.Sleep(time.Second)
+		c.Assert(ended, qt.HasLen, 0)
+		c.Assert(conn.Close(), qt.IsNil)
+		c.Assert(<-ended, qt.IsNotNil)
+		_, err = conn.Write([]byte("x"))
+		c.Assert(err, qt.IsNotNil)
+		c.Assert(second.Close(), qt.IsNil)
+		c.Assert(next.Close(), qt.IsNil)
+		n.Kill("server")
+	})
+}
--- /dev/null
+++ b/internal/proxy/gladefront/return_test.go
@@ -0,0 +1,133 @@
+package gladefront
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/eelgrassglade/eelgrassglade/gladeapi"
+	"github.com/eelgrassglade/eelgrassglade/gladepeer"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladedatagram"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladefeed"
+	gladeplatform "github.com/eelgrassglade/eelgrassglade/platform"
+)
+
+// silentVM is a member of the failure domain that tells the others what it has read, and whose calls go unanswered, as on a
+// connection to its former process.
+type silentVM struct {
+	f      *testFleet
+	asked  atomic.Int64
+	socket *gladedatagram.Socket[gladefeed.Update]
+	close  func()
+}
+
+func (f *testFleet) startSilentVM(host int) *silentVM {
+	v := &silentVM{f: f}
+	node, closeNode, err := gladepeer.New(gladepeer.Config{
+		Self: gladeapi.EntryVM{
+			Name: "vm-silent", FailureDomain: f.domain(host), PeerAddress: f.address(host, 7200), EntryAddress: f.address(host, 8000), Incarnation: "1",
+		},
+		Seeds: f.seeds, Interval: peerInterval, Suspicion: peerSuspicion, Log: hclog.NewNullLogger(),
+	})
+	f.Assert(err, qt.IsNil)
+	ask := func(ctx context.Context, _ string, _ struct{}) (struct{}, error) {
+		v.asked.Add(1)
+		<-ctx.Done()
+		return struct{}{}, ctx.Err()
+	}
+	gladepeer.Handle(node, "release", ask)
+	gladepeer.Handle(node, "servers", ask)
+	socket, closeSocket, err := gladedatagram.Open(gladedatagram.Config[gladefeed.Update]{
+		Address: f.address(host, 7200+feedPortOffset), OnReceive: func(gladefeed.Update) {}, Log: hclog.NewNullLogger(),
+	})
+	f.Assert(err, qt.IsNil)
+	v.socket = socket
+	v.close = func() {
+		closeSocket()
+		closeNode()
+	}
+	f.Cleanup(v.close)
+	return v
+}
+
+// announce sends an update of the store's newest state, as a reader that has just listed it.
+func (v *silentVM) announce(version int64, hosts ...int) {
+	v.f.store.mu.Lock()
+	revision := v.f.store.revision
+	v.f.store.mu.Unlock()
+	var addresses []string
+	for _, h := range hosts {
+		addresses = append(addresses, v.f.address(h, 7200+feedPortOffset))
+	}
+	u := gladefeed.Update{VM: "vm-silent", Before: revision, Revision: revision, Release: version, Reading: true}
+	v.f.Check(v.socket.Send(u, addresses), qt.IsNil)
+}
+
+// releaseDelays follows how long VMs take to put releases in force.
+type releaseDelays struct {
+	published []time.Time // by version
+	worst     map[int]time.Duration
+}
+
+// observe updates the worst delays by the versions in force now.
+func (d *releaseDelays) observe(fronts map[int]*Front) {
+	for host, front := range fronts {
+		version := int64(0)
+		if r := front.release.Load(); r != nil {
+			version = r.Version
+		}
+		if version+1 < int64(len(d.published)) {
+			d.worst[host] = max(d.worst[host], time.Since(d.published[version+1]))
+		}
+	}
+}
+
+// storm publishes a release at each interval, calls each in every step, and returns the worst delay of each VM.
+func (f *testFleet) storm(fronts map[int]*Front, interval, lasts time.Duration, each func(version int64, since time.Duration)) map[int]time.Duration {
+	const step = 10 * time.Millisecond
+	d := releaseDelays{published: make([]time.Time, 2), worst: map[int]time.Duration{}} // version 1 is in force
+	began := time.Now()
+	for next := began; time.Since(began) < lasts; time.Sleep(step) {
+		if !time.Now().Before(next) {
+			d.published = append(d.published, time.Now())
+			f.store.put(gladeplatform.KindConfig, gladeplatform.ConfigName, releaseText(len(d.published)-1, "/a/"))
+			next = next.Add(interval)
+		}
+		each(int64(len(d.published)-1), time.Since(began))
+		d.observe(fronts)
+	}
+	return d.worst
+}
+
+// Guards against VMs that stay at an old release while one VM tells them of newer ones and does not answer their calls: its
+// updates were handled one at a time, a call each, and those of the reader waited behind them.
+func TestVMThatDoesNotAnswerHoldsUpNoRelease(t *testing.T) {
+	f := newTestFleet(t)
+	f.publish(1, "/a/")
+	fronts := map[int]*Front{}
+	for host := 1; host <= 4; host++ {
+		fronts[host], _ = f.startVM(host)
+	}
+	for _, front := range fronts {
+		f.eventually("ready", func() bool { return front.Ready() && front.vmCount() == 4 })
+	}
+	silent := f.startSilentVM(9)
+	for _, front := range fronts {
+		f.eventually("the silent VM is known", func() bool { return front.vmCount() == 5 })
+	}
+	last := time.Duration(0)
+	worst := f.storm(fronts, 150*time.Millisecond, 6*time.Second, func(version int64, since time.Duration) {
+		if since-last > 200*time.Millisecond && since < 2*time.Second {
+			silent.announce(version, 1, 2, 3, 4)
+			last = since
+		}
+	})
+	f.Check(silent.asked.Load() > 0, qt.IsTrue) // the calls were really made, and none was answered
+	for host, delay := range worst {
+		f.Check(delay < 2*time.Second, qt.IsTrue, qt.Commentf("vm-%d is %v behind", host, delay))
+	}
+}
