Call a returned VM on a new connection

Cause: a link keeps its connection until the network ends it. A VM that loses power ends none, and a connection that it held before stays open and silent after its return, until a retransmission meets the new process.

Change: once a later incarnation is known at an address, connections to the former process are closed and the dial backoff ends. A connection with an unanswered call and no byte for 500 ms is not used for new calls; calls in progress on it may still be answered. Metric peer.silentConnections, and a line.

--- a/gladepeer/call.go
+++ b/gladepeer/call.go
@@ -56,10 +56,11 @@
 	return newest
 }
 
-// envelope holds the body of a call and the sender's name.
+// envelope holds the body of a call and the sender's name and incarnation.
 type envelope[T any] struct {
-	From string `json:"from"`
-	Body T      `json:"body"`
+	From        string `json:"from"`
+	Incarnation string `json:"incarnation,omitempty"`
+	Body        T      `json:"body"`
 }
 
 func callAddress[Q, A any](ctx context.Context, n *Node, address, method string, q Q) (A, error) {
@@ -75,7 +76,8 @@
 		n.counters.failures.Inc(1)
 		return answer, err
 	}
-	err = conn.Call(ctx, method, envelope[Q]{From: n.self.Name, Body: q}, &answer)
+	began := time.Now()
+	err = conn.Call(ctx, method, envelope[Q]{From: n.self.Name, Incarnation: n.self.Incarnation, Body: q}, &answer)
 	if err == nil {
 		return answer, nil
 	}
@@ -87,7 +89,9 @@
 	case eris.Is(err, ErrTooLarge):
 		return answer, eris.Wrapf(err, "%s at %s", method, address)
 	}
-	return answer, eris.Wrapf(ErrNoAnswer, "%s at %s%s: %v", method, address, n.describe(conn), err)
+	err = eris.Wrapf(ErrNoAnswer, "%s at %s%s: %v", method, address, n.describe(conn), err)
+	n.retireIfSilent(conn, began)
+	return answer, err
 }
 
 // describe returns the age of a connection and the time since bytes were last received on it, for errors.
--- a/gladepeer/link.go
+++ b/gladepeer/link.go
@@ -20,6 +20,9 @@
 	writeTimeout = 5 * time.Second
 	minBackoff   = 50 * time.Millisecond
 	maxBackoff   = 2 * time.Second
+	// silenceLimit is the time without a byte after which a connection with an unanswered call is no longer used. The process at
+	// its other end may be gone without having closed it.
+	silenceLimit = 500 * time.Millisecond
 )
 
 // link holds the shared connection to one address.
@@ -47,7 +50,7 @@
 	case <-ctx.Done():
 		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", address, ctx.Err())
 	}
-	if l.conn != nil && !isClosed(l.conn) {
+	if n.usable(l.conn) {
 		return l.conn, nil
 	}
 	if time.Now().Before(l.retryAt) {
@@ -61,24 +64,85 @@
 		l.retryAt = time.Now().Add(l.backoff)
 		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", address, err)
 	}
+	if !n.isCurrent(address, l) { // a new process was found at the address meanwhile
+		_ = c.Close()
+		return n.connection(ctx, address)
+	}
 	l.backoff = 0
-	l.conn = n.serve(context.WithoutCancel(ctx), c)
+	l.conn = n.serve(context.WithoutCancel(ctx), c, address)
 	return l.conn, nil
 }
 
+func (n *Node) isCurrent(address string, l *link) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.links[address] == l
+}
+
+// usable reports whether new calls may use a connection.
+func (n *Node) usable(c *jsonrpc2.Conn) bool {
+	if c == nil || isClosed(c) {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	q := n.conns[c]
+	return q != nil && !q.retired.Load()
+}
+
+// retireIfSilent makes new calls use another connection if nothing has been received on this one since a call on it began. Calls
+// in progress may still be answered.
+func (n *Node) retireIfSilent(c *jsonrpc2.Conn, began time.Time) {
+	n.mu.Lock()
+	q := n.conns[c]
+	n.mu.Unlock()
+	if q == nil || q.lastHeard().After(began) || time.Since(q.lastHeard()) < silenceLimit || q.retired.Swap(true) {
+		return
+	}
+	n.counters.silent.Inc(1)
+	n.log.Info("Connection without an answer is replaced.", "address", q.address, "openedMs", time.Since(q.openedAt).Milliseconds(),
+		"heardMs", time.Since(q.lastHeard()).Milliseconds())
+	time.AfterFunc(n.config.CallTimeout, func() { _ = c.Close() })
+}
+
+// replaceLink ends the connections to the former process at the address of a new incarnation, and the dial backoff. The caller
+// holds n.mu.
+func (n *Node) replaceLink(m *Member) {
+	for c, q := range n.conns {
+		if q.address == m.PeerAddress && q.incarnation != m.Incarnation && time.Since(q.lastHeard()) > n.config.Interval {
+			q.retired.Store(true)
+			go func() { _ = c.Close() }()
+		}
+	}
+	l := n.links[m.PeerAddress]
+	if l == nil {
+		return
+	}
+	select {
+	case l.sem <- struct{}{}:
+		l.backoff, l.retryAt = 0, time.Time{}
+		<-l.sem
+	default: // a dial of the former process may take until its time limit
+		delete(n.links, m.PeerAddress)
+	}
+}
+
 // reuseAccepted uses an accepted connection for calls to its sender, unless an open connection to the sender exists.
 //
 // It also ends the dial backoff of a link, because the sender is evidently reachable.
-func (n *Node) reuseAccepted(from string, c *jsonrpc2.Conn) {
+func (n *Node) reuseAccepted(from, incarnation string, c *jsonrpc2.Conn) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if _, ok := n.conns[c]; !ok {
+	q := n.conns[c]
+	if q == nil {
 		return
 	}
+	q.incarnation = incarnation
 	m := n.member(from)
 	if m == nil {
 		return
 	}
+	q.address = m.PeerAddress
 	l := n.links[m.PeerAddress]
 	if l == nil {
 		n.links[m.PeerAddress] = &link{sem: make(chan struct{}, 1), conn: c}
@@ -86,17 +150,16 @@
 	}
 	select {
 	case l.sem <- struct{}{}:
-		l.replace(c)
+		if l.conn == nil || isClosed(l.conn) || n.conns[l.conn] == nil || n.conns[l.conn].retired.Load() {
+			l.replace(c)
+		}
 		<-l.sem
 	default:
 	}
 }
 
-// replace sets the connection of a link without an open connection. The caller holds l.sem.
+// replace sets the connection of a link and ends its dial backoff. The caller holds l.sem.
 func (l *link) replace(c *jsonrpc2.Conn) {
-	if l.conn != nil && !isClosed(l.conn) {
-		return
-	}
 	l.conn = c
 	l.backoff = 0
 	l.retryAt = time.Time{}
@@ -117,12 +180,14 @@
 		if err != nil {
 			return
 		}
-		n.serve(ctx, c)
+		n.serve(ctx, c, "")
 	}
 }
 
-func (n *Node) serve(ctx context.Context, c net.Conn) *jsonrpc2.Conn {
+// serve answers calls on a connection to an address, empty for an accepted connection.
+func (n *Node) serve(ctx context.Context, c net.Conn, address string) *jsonrpc2.Conn {
 	queued := newQueuedConn(c, 2*n.config.MessageBytes, n.counters)
+	queued.address = address
 	stream := jsonrpc2.NewBufferedStream(queued, codec{limit: uint64(n.config.MessageBytes)})
 	logger := n.log.Named("link").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
 	conn := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(n.dispatch)), jsonrpc2.SetLogger(logger))
@@ -149,9 +214,9 @@
 	if err := json.Unmarshal(*r.Params, &sender); err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 	}
-	n.reuseAccepted(sender.From, c)
+	n.reuseAccepted(sender.From, sender.Incarnation, c)
 	// The sender may be unknown until the handler has merged its member record.
-	defer n.reuseAccepted(sender.From, c)
+	defer n.reuseAccepted(sender.From, sender.Incarnation, c)
 	return h(ctx, *r.Params)
 }
 
@@ -208,6 +273,7 @@
 	calls         metrics.Counter
 	failures      metrics.Counter
 	pauses        metrics.Counter
+	silent        metrics.Counter
 	members       metrics.Gauge
 }
 
@@ -218,6 +284,7 @@
 		calls:         metrics.GetOrRegisterCounter("peer.calls", r),
 		failures:      metrics.GetOrRegisterCounter("peer.failures", r),
 		pauses:        metrics.GetOrRegisterCounter("peer.pauses", r),
+		silent:        metrics.GetOrRegisterCounter("peer.silentConnections", r),
 		members:       metrics.GetOrRegisterGauge("peer.members", r),
 	}
 }
--- a/gladepeer/queue.go
+++ b/gladepeer/queue.go
@@ -22,6 +22,10 @@
 	openedAt time.Time
 	// heardAt is when bytes were last received, in nanoseconds since openedAt.
 	heardAt atomic.Int64
+	// retired is set when new calls use another connection.
+	retired atomic.Bool
+	// address and incarnation are those of the peer, empty while they are unknown. Node.mu guards them.
+	address, incarnation string
 
 	mu      sync.Mutex
 	pending []byte
--- a/gladepeer/table.go
+++ b/gladepeer/table.go
@@ -230,6 +230,9 @@
 			return
 		}
 		m := r.Member
+		if n.isSuccessor(&m) {
+			n.replaceLink(&m)
+		}
 		n.memberByID[id] = &m
 		n.log.Info("Member added.", "vm", m.Name, "failureDomain", m.FailureDomain)
 		return
@@ -247,6 +250,22 @@
 	*old = next
 }
 
+// isSuccessor reports whether a new member has been heard later than every other incarnation at its address, of which there
+// is at least one. The caller holds n.mu.
+func (n *Node) isSuccessor(m *Member) bool {
+	found := false
+	for _, o := range n.memberByID {
+		if o.PeerAddress != m.PeerAddress {
+			continue
+		}
+		if !m.Heard.After(o.Heard) {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
 func valid(r *memberRecord) bool {
 	for _, s := range []string{r.Name, r.FailureDomain, r.PeerAddress} {
 		if s == "" || len(s) > maxNameBytes {
