--- a/internal/fleet/gladefleet/server.go
+++ b/internal/fleet/gladefleet/server.go
@@ -1,7 +1,10 @@
 package gladefleet
 
 import (
+	"encoding/binary"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Server is a backend server as the store lists it.
@@ -87,6 +90,26 @@
 	backoffUntil time.Time
 }
 
+// digest returns a hash of what the store says of the server, apart from what changes by itself.
+func (s *Server) digest() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, text := range []string{s.ID, s.Service, s.Address, s.FailureDomain} {
+		_, _ = d.WriteString(text)
+		_, _ = d.Write([]byte{0})
+	}
+	leaving := uint64(0)
+	if s.Leaving {
+		leaving = 1
+	}
+	var numbers []byte
+	for _, n := range []uint64{uint64(s.Slots), uint64(s.Started), leaving} {
+		numbers = binary.LittleEndian.AppendUint64(numbers, n)
+	}
+	_, _ = d.Write(numbers)
+	return d.Sum64()
+}
+
 // Share is the load that one VM has placed on a server. Runs is a number of requests; the other fields are in tokens.
 type Share struct {
 	Runs   int `json:"runs,omitempty"`
--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -134,6 +134,19 @@
 	return true
 }
 
+// Digest returns a hash of the listed servers, which is equal at VMs that have the same list.
+func (t *Table) Digest() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	digest := uint64(0)
+	for _, e := range t.servers {
+		if e.usableUntil.IsZero() {
+			digest ^= e.digest()
+		}
+	}
+	return max(1, digest)
+}
+
 // MarkReplaced records that another server now uses the address of a server.
 func (t *Table) MarkReplaced(id string) {
 	t.mu.Lock()
--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -25,6 +25,10 @@
 	// startRetryAfter is the Retry-After value while this VM has no release; it receives one within a second of its
 	// start.
 	startRetryAfter = time.Second
+	// behindRetryAfter is the Retry-After value while this VM is known not to have the newest release; it requests that at once.
+	behindRetryAfter = 500 * time.Millisecond
+	// releaseWaitShare is the part of a request's time for which it may wait for a newer release.
+	releaseWaitShare = 3
 	// noServerRetryAfter is the Retry-After value when no server can take a request; a crashed server restarts in about
 	// that time.
 	noServerRetryAfter = time.Second
@@ -44,9 +48,12 @@
 type Config struct {
 	// Release returns the release in force, or nil if none is known yet.
 	Release func() *gladerelease.Release
-	Fleet   *gladefleet.Table
-	Client  *gladesend.Client
-	Engine  Engine
+	// AwaitRelease waits, at most for the limit, until the newest release that is known to exist is in force. It returns the one in
+	// force, and false if that is older. Nil means that the one in force is always the newest.
+	AwaitRelease func(ctx context.Context, limit time.Duration) (*gladerelease.Release, bool)
+	Fleet        *gladefleet.Table
+	Client       *gladesend.Client
+	Engine       Engine
 	// Budget limits how many requests are sent again.
 	Budget *gladebudget.Budget
 	// Limits keeps the limits that backend servers name; the zero value keeps none.
@@ -182,21 +189,31 @@
 	f.observe("latency."+j.route.Kind.String(), time.Since(x.LastByteAt))
 }
 
+// refusal is why a release does not allow a request: a final status, so that the caller does not come back.
+type refusal struct {
+	status int
+	reason string
+}
+
 // admit sets the request's route, organisation and time limit.  It refuses the request and returns false if there is no
 // route for it or its key is unknown.
 func (j *job) admit() bool {
-	path, _, _ := strings.Cut(j.call.Target, "?")
-	j.route = j.release.Match(hostName(j.call.Host), path)
-	if j.route == nil {
-		j.refuse(http.StatusNotFound, "no route", 0)
-		return false
+	refused := j.resolve()
+	if refused != nil && j.config.AwaitRelease != nil {
+		release, newest := j.config.AwaitRelease(j.ctx, j.releaseWait())
+		if release.Version > j.release.Version {
+			j.release = release
+			refused = j.resolve()
+		}
+		if refused != nil && !newest { // a newer release may allow it
+			j.refuse(http.StatusServiceUnavailable, "release is behind: "+refused.reason, behindRetryAfter)
+			return false
+		}
 	}
-	organisation, known := j.release.Organisations[j.call.Key]
-	if !known && j.release.Restricted && !j.route.Public {
-		j.refuse(http.StatusUnauthorized, "unknown key", 0)
+	if refused != nil {
+		j.refuse(refused.status, refused.reason, 0)
 		return false
 	}
-	j.organisation = organisation.Name
 	j.fingerprint = j.computeFingerprint()
 	j.service = j.route.Service(j.call.ID)
 	if j.route.Timeout > 0 {
@@ -211,6 +228,29 @@
 	return true
 }
 
+// resolve sets the request's route and organisation by its release, or returns why the release does not allow the request.
+func (j *job) resolve() *refusal {
+	path, _, _ := strings.Cut(j.call.Target, "?")
+	j.route = j.release.Match(hostName(j.call.Host), path)
+	if j.route == nil {
+		return &refusal{http.StatusNotFound, "no route"}
+	}
+	organisation, known := j.release.Organisations[j.call.Key]
+	if !known && j.release.Restricted && !j.route.Public {
+		return &refusal{http.StatusUnauthorized, "unknown key"}
+	}
+	j.organisation = organisation.Name
+	return nil
+}
+
+// releaseWait returns the longest time for which the request may wait for a newer release: callers need the rest to come back.
+func (j *job) releaseWait() time.Duration {
+	if !j.call.HasTimeLimit {
+		return defaultTimeout
+	}
+	return time.Until(j.incoming.LastByteAt.Add(j.call.TimeLeft / releaseWaitShare))
+}
+
 // capDeadline sets the deadline unless an earlier one is set.
 func (j *job) capDeadline(t time.Time) {
 	if !j.hasDeadline || t.Before(j.deadline) {
--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -5,11 +5,13 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/eelgrassglade/eelgrassglade/gladepeer"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladefeed"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
@@ -40,17 +42,22 @@
 	err   error
 }
 
+// openStore prepares the calls to the platform's store.
+func (f *Front) openStore() {
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleStoreConns, MaxResponseHeaderBytes: maxResponseHeaderBytes}
+	f.cleanup(transport.CloseIdleConnections)
+	f.store = &gladeplatform.Store{Address: f.config.Settings.StoreAddress, Client: &http.Client{Transport: transport}}
+	f.releases = followConfig(f, gladeplatform.KindConfig, decodeRelease, f.onReleases, f.onReleaseChanges, f.confirmRelease)
+}
+
 // startFollowing starts the task that keeps the release and the backend servers up to date.
 func (f *Front) startFollowing() {
 	ctx, cancel := context.WithCancel(context.Background())
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleStoreConns, MaxResponseHeaderBytes: maxResponseHeaderBytes}
-	store := &gladeplatform.Store{Address: f.config.Settings.StoreAddress, Client: &http.Client{Transport: transport}}
 	var tasks sync.WaitGroup
-	tasks.Go(func() { f.readForDomain(ctx, store) })
+	tasks.Go(func() { f.readForDomain(ctx) })
 	f.cleanup(func() {
 		cancel()
 		tasks.Wait()
-		transport.CloseIdleConnections()
 	})
 }
 
@@ -62,10 +69,8 @@
 }
 
 // readForDomain follows the release and the servers in the store while this VM is the reader of its failure domain.
-func (f *Front) readForDomain(ctx context.Context, store *gladeplatform.Store) {
-	wait := f.watchWait()
-	servers := followConfig(f, store, gladeplatform.KindServers, wait, gladeplatform.DecodeServer, f.onServers, f.onServerChanges, func() {})
-	releases := followConfig(f, store, gladeplatform.KindConfig, wait, decodeRelease, f.onReleases, f.onReleaseChanges, f.confirmRelease)
+func (f *Front) readForDomain(ctx context.Context) {
+	servers := followConfig(f, gladeplatform.KindServers, gladeplatform.DecodeServer, f.onServers, f.onServerChanges, func() {})
 	for ctx.Err() == nil {
 		if !f.feed.ShouldRead(false, time.Now()) {
 			select {
@@ -79,7 +84,7 @@
 		reading, cancel := context.WithCancel(ctx)
 		var tasks sync.WaitGroup
 		tasks.Go(func() { gladeview.Follow(reading, servers) })
-		tasks.Go(func() { gladeview.Follow(reading, releases) })
+		tasks.Go(func() { gladeview.Follow(reading, f.releases) })
 		tasks.Go(func() { f.checkStoreConnection(reading) })
 		for reading.Err() == nil && f.feed.ShouldRead(true, time.Now()) {
 			select {
@@ -150,9 +155,10 @@
 
 // followConfig returns the configuration of a Follow of one kind over the platform's store.
 func followConfig[T any](
-	f *Front, store *gladeplatform.Store, kind string, wait time.Duration, decode func(gladeplatform.Object) (T, error),
+	f *Front, kind string, decode func(gladeplatform.Object) (T, error),
 	onList func([]gladeview.Item[entry[T]], int64), onChanges func([]gladeview.Change[entry[T]], int64), onCurrent func(),
 ) gladeview.FollowConfig[entry[T]] {
+	wait := f.watchWait()
 	item := func(o gladeplatform.Object) gladeview.Item[entry[T]] {
 		v, err := decode(o)
 		return gladeview.Item[entry[T]]{Name: o.Meta.Name, Value: entry[T]{value: v, err: err}}
@@ -161,7 +167,7 @@
 		List: func(ctx context.Context) ([]gladeview.Item[entry[T]], int64, error) {
 			var items []gladeview.Item[entry[T]]
 			for after := ""; ; {
-				p, err := f.listPage(ctx, store, kind, after)
+				p, err := f.listPage(ctx, kind, after)
 				if err != nil {
 					return nil, 0, err
 				}
@@ -178,7 +184,7 @@
 			ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 			defer cancel()
 			f.countCall("store.watch." + kind)
-			c, err := store.Watch(ctx, kind, revision, wait)
+			c, err := f.store.Watch(ctx, kind, revision, wait)
 			if errors.Is(err, gladeview.ErrHistoryGone) {
 				f.log.Warn("The store has lost its history; listing anew.", "kind", kind, "revision", revision)
 			}
@@ -200,12 +206,12 @@
 	}
 }
 
-func (f *Front) listPage(ctx context.Context, store *gladeplatform.Store, kind, after string) (gladeplatform.Page, error) {
+func (f *Front) listPage(ctx context.Context, kind, after string) (gladeplatform.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	f.countCall("store.list." + kind)
 	began := time.Now()
-	page, err := store.List(ctx, kind, after)
+	page, err := f.store.List(ctx, kind, after)
 	h := metrics.GetOrRegisterHistogram("store.latency."+kind, f.metrics, metrics.NewUniformSample(latencySampleSize))
 	h.Update(time.Since(began).Microseconds())
 	return page, err
@@ -273,9 +279,13 @@
 	f.age.Check(bootTime(), func() []any {
 		f.mu.Lock()
 		defer f.mu.Unlock()
+		heard := int64(-1)
+		if f.feed != nil {
+			heard = time.Since(f.feed.LastHeard()).Milliseconds()
+		}
 		return []any{
 			"reading", f.reading, "storeRefused", f.storeRefused, "unreachable", f.unreachable[gladeplatform.KindConfig], "rank", f.rank(),
-			"readerHeardMs", time.Since(f.feed.LastHeard()).Milliseconds(),
+			"readerHeardMs", heard,
 		}
 	})
 }
@@ -283,7 +293,8 @@
 // fromStore is the source of a release that this VM has read from the store itself.
 const fromStore = "store"
 
-// applyRelease puts a release in force unless the one in force is as new.
+// applyRelease puts a release in force unless the one in force is as new, and tells the failure domain of it unless the domain
+// did so.
 func (f *Front) applyRelease(r *gladerelease.Release, from string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -291,15 +302,76 @@
 	if old != nil && old.Version >= r.Version {
 		return
 	}
+	u := gladefeed.Update{Before: f.revision, Revision: f.revision, Release: r.Version, Reading: f.reading && from == fromStore}
+	if old != nil {
+		if change, ok := gladerelease.Diff(old, r); ok {
+			f.history.Add(change)
+			u.ReleaseChange = &change
+		} else {
+			f.history.Reset()
+		}
+	}
 	f.release.Store(r)
 	f.releaseSince = time.Now()
 	f.age.Apply(r.Version, bootTime())
-	if f.feed != nil { // the feed opens after the relay, which may already deliver a release
-		go f.feed.Publish(gladefeed.Update{Before: f.revision, Revision: f.revision, Release: r.Version, Reading: f.reading && from == fromStore})
+	close(f.releaseChanged)
+	f.releaseChanged = make(chan struct{})
+	if f.feed != nil && !f.inDomain(from) { // the feed opens after the relay, which may already deliver a release
+		go f.feed.Publish(u)
 	}
 	f.log.Info("Release in force.", "release", r.Version, "from", from, "routes", len(r.Routes), "organisationKeys", len(r.Organisations))
 }
 
+// inDomain reports whether a VM is another one of this failure domain.
+func (f *Front) inDomain(vm string) bool {
+	return slices.ContainsFunc(f.node.Members(), func(m gladepeer.Member) bool {
+		return m.Name == vm && m.FailureDomain == f.config.Settings.FailureDomain
+	})
+}
+
+// readRelease reads the release from the store once.
+func (f *Front) readRelease(ctx context.Context) error {
+	items, revision, err := f.releases.List(ctx)
+	if err == nil {
+		f.onReleases(items, revision)
+	}
+	return err
+}
+
+const (
+	// maxReleaseWait is the longest time for which a request waits for a release that is known to exist.
+	maxReleaseWait = 300 * time.Millisecond
+	// behindTooLong is the time after which requests no longer wait for such a release: whoever had it may be lost.
+	behindTooLong = 2 * time.Second
+)
+
+// awaitRelease waits until the newest release that is known to exist is in force, for a limited time.  It returns the release in
+// force, and false if that is older.
+func (f *Front) awaitRelease(ctx context.Context, limit time.Duration) (*gladerelease.Release, bool) {
+	age := f.age.State(bootTime())
+	newest := age.Newest
+	if age.Behind > behindTooLong {
+		limit = 0
+	}
+	timer := time.NewTimer(min(limit, maxReleaseWait))
+	defer timer.Stop()
+	for {
+		f.mu.Lock()
+		r, changed := f.release.Load(), f.releaseChanged
+		f.mu.Unlock()
+		if r.Version >= newest {
+			return r, true
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return r, false
+		case <-ctx.Done():
+			return r, false
+		}
+	}
+}
+
 func (f *Front) onServers(items []gladeview.Item[entry[gladefleet.Server]], revision int64) {
 	var servers []gladefleet.Server
 	for _, i := range items {
@@ -307,28 +379,41 @@
 			servers = append(servers, i.Value.value)
 		}
 	}
+	f.serversMu.Lock()
 	f.mu.Lock()
 	known, stale := f.serversKnown, f.serversKnown && revision < f.revision
+	before := f.revision
 	f.mu.Unlock()
 	if stale {
+		f.serversMu.Unlock()
 		return // a peer has sent a newer revision; the watch brings what follows
 	}
-	update := gladefeed.Update{Before: revision, Revision: revision}
+	update := gladefeed.Update{Before: revision, Revision: revision, Reading: true}
 	changes, complete := f.replaceServers(servers, time.Now())
-	f.mu.Lock()
 	if known && complete {
 		// The other VMs have followed up to about the same revision.  With the changes since, they need not all request the
 		// whole list from this VM, whose link would be busy for seconds.
-		update.Before, update.Changes = min(f.revision, revision), changes
+		update.Before, update.Changes = min(before, revision), changes
 	}
+	f.mu.Lock()
 	f.serversKnown, f.revision = true, revision
 	f.mu.Unlock()
-	f.feed.Publish(update)
+	update.Digest = f.fleet.Digest()
+	f.serversMu.Unlock()
+	f.publishServers(update)
 }
 
 func (f *Front) onServerChanges(changes []gladeview.Change[entry[gladefleet.Server]], revision int64) {
 	now := time.Now()
-	update := gladefeed.Update{Revision: revision}
+	update := gladefeed.Update{Revision: revision, Reading: true}
+	f.serversMu.Lock()
+	f.mu.Lock()
+	update.Before = f.revision
+	f.mu.Unlock()
+	if revision <= update.Before {
+		f.serversMu.Unlock()
+		return // another reader has sent these changes and later ones
+	}
 	for _, c := range changes {
 		if c.Deleted || !f.decoded(c.Item) {
 			f.removeServer(c.Name, now, false)
@@ -339,9 +424,22 @@
 		update.Changes = append(update.Changes, gladefeed.Change{Server: &c.Value.value})
 	}
 	f.mu.Lock()
-	update.Before, f.revision = f.revision, max(f.revision, revision)
+	f.revision = revision
+	f.mu.Unlock()
+	update.Digest = f.fleet.Digest()
+	f.serversMu.Unlock()
+	f.publishServers(update)
+}
+
+// publishServers sends an update of the servers to the failure domain.
+func (f *Front) publishServers(u gladefeed.Update) {
+	if r := f.release.Load(); r != nil {
+		u.Release = r.Version
+	}
+	f.mu.Lock()
+	u.AgeMillis = bootTime().Sub(f.confirmedAt).Milliseconds()
 	f.mu.Unlock()
-	f.feed.Publish(update)
+	f.feed.Publish(u)
 }
 
 // decoded reports whether an entry was decoded to a backend server, and logs the error if not.
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -28,6 +28,7 @@
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladefeed"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelay"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladeview"
 	gladeplatform "github.com/eelgrassglade/eelgrassglade/platform"
 )
 
@@ -92,7 +93,17 @@
 	killAt atomic.Pointer[time.Time]
 	group  run.Group
 
+	// serversMu is held while the list of servers and its revision change, so that they belong together.  It comes before mu.
+	serversMu sync.Mutex
+	store     *gladeplatform.Store
+	// releases reads the release from the store.
+	releases gladeview.FollowConfig[entry[*gladerelease.Release]]
+	// history holds the latest changes of the release.
+	history gladerelease.History
+
 	mu sync.Mutex
+	// releaseChanged is closed and replaced when a release is put in force.
+	releaseChanged chan struct{}
 	// serversKnown is set once the backend servers are known, up to revision.
 	serversKnown bool
 	revision     int64
@@ -114,6 +125,7 @@
 func New(c Config) (*Front, func(), error) {
 	f := &Front{
 		config: c, log: c.Log, metrics: metrics.NewRegistry(), unreachable: map[string]bool{}, peersHeard: make(chan struct{}),
+		releaseChanged: make(chan struct{}),
 		fleet: gladefleet.New(gladefleet.Config{
 			FailureDomain: c.Settings.FailureDomain, FailureDomains: len(c.Settings.FailureDomains),
 			AddressReuse: c.Settings.AddressReuse, BootTime: bootTime,
@@ -150,6 +162,7 @@
 	}
 	f.cleanup(engines.CloseIdleConnections)
 	f.engine = &gladeplatform.Engine{Client: &http.Client{Transport: engines}, OnAnswer: f.onEngineAnswer}
+	f.openStore()
 	if err := f.startPeers(); err != nil {
 		return err
 	}
@@ -158,7 +171,7 @@
 	f.pool = pool
 	f.cleanup(closePool)
 	forwarder, closeForwarder := gladeforward.New(gladeforward.Config{
-		Release: f.release.Load, Fleet: f.fleet,
+		Release: f.release.Load, AwaitRelease: f.awaitRelease, Fleet: f.fleet,
 		Client:   &gladesend.Client{Pool: pool, Encode: gladeplatform.EncodeSend, Decode: gladeplatform.DecodeAnswer, OnAnswer: f.onAnswer},
 		Engine:   gladeforward.Engine{Copy: f.engine.Copy, Free: f.engine.Free, CachedTokens: f.engine.Held},
 		Budget:   f.budget,
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -78,9 +78,8 @@
 	f.cleanup(closeSharer)
 	f.sharer = sharer
 	relay, closeRelay := gladerelay.New(gladerelay.Config{
-		Node: node, State: f.state, Release: f.release.Load, Servers: f.knownServers,
-		OnRelease: func(r *gladerelease.Release, from string) { f.applyRelease(r, from) },
-		OnServers: f.onPeerServers,
+		Node: node, State: f.state, Reading: f.isReading, Release: f.release.Load, History: &f.history, Servers: f.knownServers,
+		ReadRelease: f.readRelease, OnRelease: f.onPeerRelease, OnServers: f.onPeerServers,
 		OnNewest: func(version int64) {
 			f.age.Learn(version, bootTime())
 			f.checkRelease()
@@ -105,7 +104,8 @@
 	}
 	feed, closeFeed, err := gladefeed.New(gladefeed.Config{
 		VM: s.VM, Address: address, Peers: func() []string { return f.domainPeers(feedPortOffset) },
-		StartupWait: delay, Rank: f.rank, Progress: f.readState, OnUpdate: f.onUpdate, Log: f.log.Named("feed"),
+		StartupWait: delay, Rank: f.rank, Progress: f.readState,
+		Behind: func() time.Duration { return f.age.State(bootTime()).Behind }, OnUpdate: f.onUpdate, Log: f.log.Named("feed"),
 	})
 	if err != nil {
 		return err
@@ -322,28 +322,71 @@
 
 // readState returns the revision and release that this VM has read, and whether it reads the store now.
 func (f *Front) readState() (gladefeed.Update, bool) {
+	f.serversMu.Lock()
+	digest := f.fleet.Digest()
+	f.mu.Lock()
+	revision := f.revision
+	f.mu.Unlock()
+	f.serversMu.Unlock()
+	now := bootTime()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	u := gladefeed.Update{Before: f.revision, Revision: f.revision, Reading: true, AgeMillis: bootTime().Sub(f.confirmedAt).Milliseconds()}
+	age := now.Sub(f.confirmedAt)
+	u := gladefeed.Update{Before: revision, Revision: revision, Digest: digest, Reading: true, AgeMillis: age.Milliseconds()}
 	if r := f.release.Load(); r != nil {
 		u.Release = r.Version
 	}
-	return u, f.serversKnown && f.reading && !f.storeRefused && !f.unreachable[gladeplatform.KindServers] && !f.unreachable[gladeplatform.KindConfig]
+	reached := !f.storeRefused && !f.unreachable[gladeplatform.KindServers] && !f.unreachable[gladeplatform.KindConfig]
+	// A VM that was frozen has answers of before; its watches end at once, but heartbeats may come first.
+	return u, f.serversKnown && f.reading && reached && age <= f.watchWait()+watchSlack
 }
 
-// onUpdate applies a reader's update, or requests the whole list if an earlier update was missed.
+// onUpdate applies the update of another VM. What this VM misses is requested without holding up later updates.
 func (f *Front) onUpdate(u gladefeed.Update) {
 	f.observeRelease(u)
+	f.applyReleaseChange(u)
+	var missing gladerelay.State
+	if r := f.release.Load(); r == nil || r.Version < u.Release {
+		missing.Release = u.Release
+	}
+	if !f.applyServerChanges(u) {
+		missing.Servers = u.Revision
+	}
+	if missing != (gladerelay.State{}) {
+		f.relay.Announce(u.VM, missing)
+	}
+}
+
+// applyReleaseChange applies the change of the release in an update if it follows the release in force.
+func (f *Front) applyReleaseChange(u gladefeed.Update) {
+	r := f.release.Load()
+	if r == nil || u.ReleaseChange == nil || u.ReleaseChange.Before != r.Version {
+		return
+	}
+	next, err := r.Apply(*u.ReleaseChange)
+	if err != nil {
+		f.log.Error("Change of the release cannot be applied; the release is requested.", "peer", u.VM, "reason", err)
+		return
+	}
+	f.applyRelease(next, u.VM)
+}
+
+// applyServerChanges applies the changes of servers in an update, and returns false if changes before them are missing.
+func (f *Front) applyServerChanges(u gladefeed.Update) bool {
+	f.serversMu.Lock()
+	defer f.serversMu.Unlock()
 	f.mu.Lock()
 	known, serversKnown := f.revision, f.serversKnown
-	if serversKnown && u.Before <= known && u.Revision > known {
-		f.revision = u.Revision
-	}
 	f.mu.Unlock()
-	f.fetchRelease(u)
 	switch {
-	case serversKnown && u.Revision <= known:
-	case serversKnown && u.Before <= known:
+	case !serversKnown:
+		return false
+	case u.Revision <= known:
+		return true
+	case u.Before > known && (u.Digest == 0 || u.Digest != f.fleet.Digest()):
+		return false
+	}
+	if u.Before <= known {
 		now := time.Now()
 		for _, c := range u.Changes {
 			if c.Server != nil {
@@ -352,21 +395,24 @@
 				f.removeServer(c.Removed, now, false)
 			}
 		}
-	default:
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		defer cancel()
-		f.relay.FetchServers(ctx, u.VM)
 	}
+	f.mu.Lock()
+	f.revision = max(f.revision, u.Revision)
+	f.mu.Unlock()
+	return true
 }
 
-// fetchRelease requests the reader's release unless this VM already has it.
-func (f *Front) fetchRelease(u gladefeed.Update) {
-	if r := f.release.Load(); r != nil && r.Version >= u.Release {
-		return
+// onPeerRelease puts the release of a peer in force; nil means that this VM had it already.
+func (f *Front) onPeerRelease(r *gladerelease.Release, from string) {
+	if r != nil {
+		f.applyRelease(r, from)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	f.relay.FetchRelease(ctx, u.VM)
+}
+
+func (f *Front) isReading() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reading
 }
 
 const (
@@ -422,6 +468,8 @@
 }
 
 func (f *Front) knownServers() gladerelay.Servers {
+	f.serversMu.Lock()
+	defer f.serversMu.Unlock()
 	f.mu.Lock()
 	revision := f.revision
 	f.mu.Unlock()
@@ -436,15 +484,19 @@
 
 // onPeerServers replaces the servers by a peer's list unless this VM's own is as new.
 func (f *Front) onPeerServers(s gladerelay.Servers, from string) {
+	f.serversMu.Lock()
+	defer f.serversMu.Unlock()
 	f.mu.Lock()
-	if f.serversKnown && s.Revision <= f.revision || len(s.Servers) == 0 {
-		f.mu.Unlock()
+	known := f.serversKnown && s.Revision <= f.revision
+	f.mu.Unlock()
+	if known || len(s.Servers) == 0 {
 		return
 	}
-	f.revision, f.serversKnown = s.Revision, true
-	f.mu.Unlock()
 	f.log.Info("Received backend servers from a peer.", "peer", from, "revision", s.Revision, "servers", len(s.Servers))
 	f.replaceServers(s.Servers, time.Now())
+	f.mu.Lock()
+	f.revision, f.serversKnown = s.Revision, true
+	f.mu.Unlock()
 }
 
 // replaceServers updates the table to hold exactly the listed servers.  It returns the changes, and whether they tell
--- a/internal/proxy/gladefront/return_test.go
+++ b/internal/proxy/gladefront/return_test.go
@@ -127,6 +127,7 @@
 		}
 	})
 	f.Check(silent.asked.Load() > 0, qt.IsTrue) // the calls were really made, and none was answered
+	t.Logf("worst delays: %v", worst)
 	for host, delay := range worst {
 		f.Check(delay < 2*time.Second, qt.IsTrue, qt.Commentf("vm-%d is %v behind", host, delay))
 	}
--- a/internal/state/gladefeed/feed.go
+++ b/internal/state/gladefeed/feed.go
@@ -11,6 +11,7 @@
 
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladedatagram"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
 )
 
 const (
@@ -21,6 +22,8 @@
 	readerTimeout = 700 * time.Millisecond
 	// takeoverStagger is the additional wait of each further VM, so that only one takes over.
 	takeoverStagger = 80 * time.Millisecond
+	// behindLimit is how long a newer release may be known before a VM that does not have it reads the store itself.
+	behindLimit = 600 * time.Millisecond
 	// maxRank is the largest number of preceding VMs that counts for this wait.
 	maxRank = 6
 	// maxPublishers is the number of VMs that send what they read, so that a new reader is received before every VM
@@ -52,6 +55,10 @@
 	// Release is the newest.
 	Reading   bool  `json:"reading,omitempty"`
 	AgeMillis int64 `json:"ageMillis,omitempty"`
+	// ReleaseChange leads to Release, if that is new and the change fits into a datagram.
+	ReleaseChange *gladerelease.Change `json:"releaseChange,omitempty"`
+	// Digest is that of the sender's list of servers, zero if it is not known. A VM that has the same list need not request it.
+	Digest uint64 `json:"digest,omitempty"`
 }
 
 // Config configures a Feed.
@@ -68,7 +75,9 @@
 	// Progress returns an update without changes that holds this VM's revision, and reports whether the VM reaches the
 	// store.
 	Progress func() (Update, bool)
-	// OnUpdate receives the updates of readers.
+	// Behind returns for how long this VM has known of a newer release than its own, zero if it knows of none.
+	Behind func() time.Duration
+	// OnUpdate receives the updates of other VMs. It must not block: further updates wait behind it.
 	OnUpdate func(Update)
 	Log      hclog.Logger
 }
@@ -80,8 +89,8 @@
 	startupDeadline time.Time
 
 	mu sync.Mutex
-	// lastHeard is when an update was last received.
-	// heardSince is when the first update after the last silence was received.
+	// lastHeard is when an update of a reader was last received.
+	// heardSince is when the first such update after the last silence was received.
 	lastHeard, heardSince time.Time
 	// recent holds the changes published since recentSince.
 	recent      Update
@@ -157,8 +166,8 @@
 	u.VM = f.config.VM
 	peers := f.config.Peers()
 	err := f.socket.Send(u, peers)
-	if errors.Is(err, gladedatagram.ErrTooLarge) { // receivers ask for the changes that they miss
-		u.Before, u.Changes = u.Revision, nil
+	if errors.Is(err, gladedatagram.ErrTooLarge) { // receivers ask for what they miss
+		u.Before, u.Changes, u.ReleaseChange = u.Revision, nil, nil
 		err = f.socket.Send(u, peers)
 	}
 	if err != nil {
@@ -167,11 +176,13 @@
 }
 
 func (f *Feed) receive(u Update) {
-	f.recordHeard(time.Now())
+	if u.Reading {
+		f.recordHeard(time.Now())
+	}
 	f.config.OnUpdate(u)
 }
 
-// LastHeard returns when an update was last received, the zero time if none was.
+// LastHeard returns when an update of a reader was last received, the zero time if none was.
 func (f *Feed) LastHeard() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -193,12 +204,13 @@
 		return false
 	}
 	rank := min(f.config.Rank(), maxRank)
-	if rank == 0 {
+	stagger := time.Duration(rank) * takeoverStagger
+	if rank == 0 || f.config.Behind() > behindLimit+stagger {
 		return true
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if now.Sub(f.lastHeard) > readerTimeout+time.Duration(rank)*takeoverStagger {
+	if now.Sub(f.lastHeard) > readerTimeout+stagger {
 		return true
 	}
 	return reading && now.Sub(f.heardSince) < minReaderUptime
--- a/internal/state/gladefeed/feed_test.go
+++ b/internal/state/gladefeed/feed_test.go
@@ -8,13 +8,15 @@
 	"github.com/hashicorp/go-hclog"
 )
 
+func upToDate() time.Duration { return 0 }
+
 // When the reader dies among many VMs, one VM must take over while the others wait. None reads while a reader is
 // received.
 func TestVMsTakeOverReadingInOrder(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
 	feed := func(rank int) *Feed {
-		f := &Feed{config: Config{Rank: func() int { return rank }}}
+		f := &Feed{config: Config{Rank: func() int { return rank }, Behind: upToDate}}
 		f.recordHeard(now.Add(-time.Hour))
 		f.recordHeard(now)
 		return f
@@ -41,7 +43,7 @@
 	c := qt.New(t)
 	f, closeFeed, err := New(Config{
 		VM: "a", Address: "127.0.0.1:0", StartupWait: time.Minute, Rank: func() int { return 0 }, Peers: func() []string { return nil },
-		Progress: func() (Update, bool) { return Update{}, true }, OnUpdate: func(Update) {}, Log: hclog.NewNullLogger(),
+		Progress: func() (Update, bool) { return Update{}, true }, Behind: upToDate, OnUpdate: func(Update) {}, Log: hclog.NewNullLogger(),
 	})
 	c.Assert(err, qt.IsNil)
 	defer closeFeed()
--- a/internal/state/gladerelay/relay.go
+++ b/internal/state/gladerelay/relay.go
@@ -1,8 +1,10 @@
 package gladerelay
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,11 +26,23 @@
 	pollInterval = 200 * time.Millisecond
 	// watchGrace is how long to wait for a release from this VM's own watch before asking a peer that has it.
 	watchGrace = 300 * time.Millisecond
+	// gapDelay is how long to wait for an update that closes a gap before asking for the whole list.
+	gapDelay = 50 * time.Millisecond
 	// serversInterval is how often a VM that cannot reach the store asks for the servers.
 	serversInterval = 700 * time.Millisecond
 	callTimeout     = time.Second
+	// largeTimeout bounds a call for a large answer over a slow link.
+	largeTimeout = 3 * time.Second
 	// publishInterval limits how often a new revision of the servers alone is published.
 	publishInterval = 2 * time.Second
+	// announcementTime is how long an announcement counts.
+	announcementTime = 2 * time.Second
+
+	// maxSmallAnswer is the size in bytes up to which an answer is sent to every VM that asks. With a larger one, a failure domain
+	// of a hundred VMs would keep its reader's link busy for longer than a release may take.
+	maxSmallAnswer = 32 << 10
+	// minLinkRate is the rate in bytes a second of the slowest link of a VM. Larger answers follow each other at this rate.
+	minLinkRate = 10_000_000 / 8
 )
 
 // State is how recent the data of a VM is.
@@ -52,11 +66,16 @@
 	Node *gladepeer.Node
 	// State returns how recent this VM's data is.
 	State func() State
-	// Release returns the release in force at this VM.
+	// Reading reports whether this VM reads the store itself.
+	Reading func() bool
+	// Release returns the release in force at this VM, and History holds the changes that led to it.
 	Release func() *gladerelease.Release
+	History *gladerelease.History
 	// Servers returns this VM's list of servers.
 	Servers func() Servers
-	// OnRelease receives the release of a peer; from is the peer's name.
+	// ReadRelease reads the release from the store once.
+	ReadRelease func(context.Context) error
+	// OnRelease receives a newer release; from is the name of the peer that had it.
 	OnRelease func(r *gladerelease.Release, from string)
 	// OnServers receives the list of servers of a peer; from is the peer's name.
 	OnServers func(s Servers, from string)
@@ -67,25 +86,56 @@
 
 // Relay exchanges releases and lists of servers with peers.
 type Relay struct {
-	config         Config
-	pendingSince   time.Time
+	config   Config
+	releases *fetcher[*gladerelease.Release]
+	servers  *fetcher[Servers]
+	// wake holds a value when the states should be checked at once.
+	wake chan struct{}
+	// readingStore is held while the release is read from the store.
+	readingStore sync.Mutex
+
 	serversAskedAt time.Time
 	publishedAt    time.Time
 	published      State
+	pendingSince   time.Time
 	pendingVersion int64
+
+	mu sync.Mutex
+	// announced holds what readers have said that they have.
+	announced map[string]announcement
+	// encoded is the release in force, encoded for peers.
+	encoded        json.RawMessage
+	encodedVersion int64
+	// largeUntil is when the large answers that were sent have passed the link.
+	largeUntil time.Time
+}
+
+// announcement is what a reader says that it has, since a time.
+type announcement struct {
+	State
+
+	since time.Time
 }
 
 // New registers the peer calls, starts polling the states of the peers, and returns the clean-up function.
 func New(c Config) (*Relay, func()) {
-	gladepeer.Handle(c.Node, methodRelease, func(context.Context, string, struct{}) (*gladerelease.Release, error) {
-		return c.Release(), nil
+	var tasks sync.WaitGroup
+	r := &Relay{config: c, wake: make(chan struct{}, 1), announced: map[string]announcement{}}
+	r.releases = &fetcher[*gladerelease.Release]{
+		kind: "release", call: r.callRelease, deliver: c.OnRelease, wake: r.wakeUp, tasks: &tasks, log: c.Log,
+		asked: map[string]bool{}, pausedUntil: map[string]time.Time{},
+	}
+	r.servers = &fetcher[Servers]{
+		kind: "servers", call: r.callServers, deliver: c.OnServers, wake: r.wakeUp, tasks: &tasks, log: c.Log,
+		asked: map[string]bool{}, pausedUntil: map[string]time.Time{},
+	}
+	gladepeer.Handle(c.Node, methodRelease, func(_ context.Context, _ string, q releaseQuestion) (releaseAnswer, error) {
+		return r.serveRelease(q)
 	})
-	gladepeer.Handle(c.Node, methodServers, func(context.Context, string, struct{}) (Servers, error) {
-		return c.Servers(), nil
+	gladepeer.Handle(c.Node, methodServers, func(context.Context, string, struct{}) (serversAnswer, error) {
+		return r.serveServers()
 	})
-	r := &Relay{config: c}
 	ctx, cancel := context.WithCancel(context.Background())
-	var tasks sync.WaitGroup
 	tasks.Go(func() {
 		ticker := time.NewTicker(pollInterval)
 		defer ticker.Stop()
@@ -94,8 +144,9 @@
 			case <-ctx.Done():
 				return
 			case <-ticker.C:
-				r.poll(ctx, time.Now())
+			case <-r.wake:
 			}
+			r.poll(ctx, time.Now())
 		}
 	})
 	return r, func() {
@@ -104,18 +155,50 @@
 	}
 }
 
+func (r *Relay) wakeUp() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Announce records what a reader of this failure domain says that it has. What this VM misses is asked for without further wait,
+// and without holding up the caller.
+func (r *Relay) Announce(vm string, s State) {
+	now := time.Now()
+	r.mu.Lock()
+	a := r.announced[vm]
+	if a.State != s || now.Sub(a.since) > announcementTime {
+		r.announced[vm] = announcement{s, now}
+	}
+	r.mu.Unlock()
+	r.wakeUp()
+}
+
 // poll publishes this VM's state and asks peers that have newer data.
 func (r *Relay) poll(ctx context.Context, now time.Time) {
 	own := r.config.State()
 	r.publish(own, now)
-	release, servers := r.newest()
-	r.config.OnNewest(release.state.Release)
-	if release.state.Release > own.Release && r.shouldAskRelease(release.state.Release, own, now) {
-		r.FetchRelease(ctx, release.vm)
+	sources := r.sources(now)
+	var release, servers, announcedRelease, announcedServers int64
+	for _, s := range sources {
+		release, servers = max(release, s.Release), max(servers, s.Servers)
+		if !s.since.IsZero() {
+			announcedRelease = max(announcedRelease, s.Release)
+		}
+		if !s.since.IsZero() && now.Sub(s.since) >= gapDelay {
+			announcedServers = max(announcedServers, s.Servers)
+		}
 	}
-	if (own.Lost || own.Servers == 0) && servers.state.Servers > own.Servers && now.Sub(r.serversAskedAt) > serversInterval {
+	r.config.OnNewest(release)
+	urgent := announcedRelease > own.Release && !r.config.Reading()
+	if release > own.Release && (r.watchOverdue(release, own, now) || urgent) {
+		r.releases.ask(ctx, r.candidates(sources, func(s State) int64 { return s.Release }, own.Release), now)
+	}
+	poll := (own.Lost || own.Servers == 0) && servers > own.Servers && now.Sub(r.serversAskedAt) > serversInterval
+	if poll || announcedServers > own.Servers {
 		r.serversAskedAt = now
-		r.FetchServers(ctx, servers.vm)
+		r.servers.ask(ctx, r.candidates(sources, func(s State) int64 { return s.Servers }, own.Servers), now)
 	}
 }
 
@@ -131,60 +214,67 @@
 	}
 }
 
-// shouldAskRelease reports whether a peer should be asked for a release. It gives this VM's own watch time to receive
-// the release first. That time begins anew only once this VM has the version that it began with: releases may follow each other
-// faster.
-func (r *Relay) shouldAskRelease(version int64, own State, now time.Time) bool {
+// watchOverdue reports whether this VM's own watch has had time to bring a release that a peer has. That time begins anew only
+// once this VM has the version that it began with: releases may follow each other faster.
+func (r *Relay) watchOverdue(version int64, own State, now time.Time) bool {
 	if own.Release >= r.pendingVersion {
 		r.pendingVersion, r.pendingSince = version, now
 	}
 	return own.Lost || own.Release == 0 || now.Sub(r.pendingSince) >= watchGrace
 }
 
-// peerState is the state that a peer has published.
-type peerState struct {
-	vm    string
-	state State
+// source is a peer and what it has; since is when a reader announced that, zero for a published state.
+type source struct {
+	announcement
+
+	vm string
+	// remote reports that the peer is in another failure domain.
+	remote bool
 }
 
-// newest returns the peer with the newest release and the peer with the newest servers.
-func (r *Relay) newest() (release, servers peerState) {
+// sources returns what the live peers have.
+func (r *Relay) sources(now time.Time) []source {
+	domain := r.config.Node.Self().FailureDomain
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var sources []source
 	for _, m := range r.config.Node.Members() {
-		var s State
-		if raw, ok := m.Facts[Fact]; !ok || json.Unmarshal(raw, &s) != nil {
-			continue // the peer has published nothing yet
+		s := source{vm: m.Name, remote: m.FailureDomain != domain}
+		if raw, ok := m.Facts[Fact]; ok && json.Unmarshal(raw, &s.State) != nil {
+			continue // written by another build
 		}
-		if s.Release > release.state.Release {
-			release = peerState{m.Name, s}
-		}
-		if s.Servers > servers.state.Servers {
-			servers = peerState{m.Name, s}
+		if a, ok := r.announced[m.Name]; ok && now.Sub(a.since) <= announcementTime {
+			s.since = a.since
+			s.Release, s.Servers = max(s.Release, a.Release), max(s.Servers, a.Servers)
 		}
+		sources = append(sources, s)
 	}
-	return release, servers
-}
-
-// FetchRelease requests the release in force at a peer.
-func (r *Relay) FetchRelease(ctx context.Context, vm string) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	release, err := gladepeer.Call[struct{}, *gladerelease.Release](ctx, r.config.Node, vm, methodRelease, struct{}{})
-	if err != nil || release == nil {
-		r.config.Log.Warn("Release cannot be fetched from the peer.", "peer", vm, "reason", err)
-		return
+	for vm, a := range r.announced {
+		if now.Sub(a.since) > announcementTime {
+			delete(r.announced, vm)
+		}
 	}
-	release.Index()
-	r.config.OnRelease(release, vm)
+	return sources
 }
 
-// FetchServers requests the list of servers known to a peer.
-func (r *Relay) FetchServers(ctx context.Context, vm string) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	servers, err := gladepeer.Call[struct{}, Servers](ctx, r.config.Node, vm, methodServers, struct{}{})
-	if err != nil {
-		r.config.Log.Warn("Backend servers cannot be fetched from the peer.", "peer", vm, "reason", err)
-		return
+// candidates returns the peers that have newer data than this VM, in the order in which to ask them: this failure domain first,
+// then the newest. Different VMs ask peers that have the same in different order.
+func (r *Relay) candidates(sources []source, version func(State) int64, own int64) []string {
+	newer := slices.DeleteFunc(slices.Clone(sources), func(s source) bool { return version(s.State) <= own })
+	self := r.config.Node.Self().Name
+	slices.SortFunc(newer, func(a, b source) int {
+		if a.remote != b.remote {
+			if b.remote {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(version(b.State), version(a.State)),
+			cmp.Compare(gladepeer.RendezvousWeight(self, b.vm), gladepeer.RendezvousWeight(self, a.vm)))
+	})
+	vms := make([]string, len(newer))
+	for i, s := range newer {
+		vms[i] = s.vm
 	}
-	r.config.OnServers(servers, vm)
+	return vms
 }
--- a/internal/state/gladerelay/relay_test.go
+++ b/internal/state/gladerelay/relay_test.go
@@ -1,6 +1,8 @@
 package gladerelay
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -19,9 +21,13 @@
 // releaseBound is the time within which a release must be in force everywhere.
 const releaseBound = 2 * time.Second
 
+// errStore means that a VM cannot read the store.
+var errStore = errors.New("no access to the store")
+
 // relayVM is a VM with a membership and a relay.
 type relayVM struct {
 	release atomic.Pointer[gladerelease.Release]
+	history gladerelease.History
 	node    *gladepeer.Node
 	relay   *Relay
 	close   func()
@@ -29,7 +35,7 @@
 
 // apply puts a release in force unless the one in force is as new.
 func (v *relayVM) apply(r *gladerelease.Release, _ string) {
-	if old := v.release.Load(); old == nil || old.Version < r.Version {
+	if old := v.release.Load(); r != nil && (old == nil || old.Version < r.Version) {
 		v.release.Store(r)
 	}
 }
@@ -53,7 +59,8 @@
 	v := &relayVM{node: node}
 	relay, closeRelay := New(Config{
 		Node:  node,
-		State: func() State { return State{Release: v.version(), Servers: 1} }, Release: v.release.Load,
+		State: func() State { return State{Release: v.version(), Servers: 1} }, Release: v.release.Load, History: &v.history,
+		Reading: func() bool { return false }, ReadRelease: func(context.Context) error { return errStore },
 		Servers: func() Servers { return Servers{} }, OnRelease: v.apply, OnServers: func(Servers, string) {},
 		OnNewest: func(int64) {}, Log: hclog.NewNullLogger(),
 	})
--- /dev/null
+++ b/internal/state/gladerelease/change.go
@@ -0,0 +1,202 @@
+package gladerelease
+
+import (
+	"maps"
+	"reflect"
+	"slices"
+	"sync"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrOtherBase means that a change does not lead on from a release.
+var ErrOtherBase = eris.New("the change follows another release")
+
+// Change holds what differs between two releases. It costs a small part of a release, of which most stays the same.
+type Change struct {
+	// Before is the version that the change follows, and Version the one that it leads to.
+	Before  int64 `json:"before"`
+	Version int64 `json:"version"`
+	// Routes holds new and changed routes, and RemovedRoutes the names of removed ones.
+	Routes        []Route  `json:"routes,omitempty"`
+	RemovedRoutes []string `json:"removedRoutes,omitempty"`
+	// Services and Organisations hold new and changed values; the others the keys of removed ones.
+	Services             map[string]Service      `json:"services,omitempty"`
+	RemovedServices      []string                `json:"removedServices,omitempty"`
+	Organisations        map[string]Organisation `json:"organisations,omitempty"`
+	RemovedOrganisations []string                `json:"removedOrganisations,omitempty"`
+	// Limits is nil if they stay the same.
+	Limits     *Limits `json:"limits,omitempty"`
+	Restricted bool    `json:"restricted,omitempty"`
+}
+
+// Diff returns the change from one release to another. It returns false if a change cannot express the difference: names of
+// routes that are not unique, or another order of the routes that remain.
+func Diff(before, after *Release) (Change, bool) {
+	c := Change{Before: before.Version, Version: after.Version, Restricted: after.Restricted}
+	old, ok := routesByName(before.Routes)
+	if !ok {
+		return Change{}, false
+	}
+	next, ok := routesByName(after.Routes)
+	if !ok {
+		return Change{}, false
+	}
+	for i := range after.Routes {
+		r := &after.Routes[i]
+		if o := old[r.Name]; o == nil || !reflect.DeepEqual(*o, *r) {
+			c.Routes = append(c.Routes, *r)
+		}
+	}
+	for i := range before.Routes {
+		if name := before.Routes[i].Name; next[name] == nil {
+			c.RemovedRoutes = append(c.RemovedRoutes, name)
+		}
+	}
+	same := func(a, b Route) bool { return a.Name == b.Name }
+	if !slices.EqualFunc(applyRoutes(before.Routes, c), after.Routes, same) {
+		return Change{}, false
+	}
+	c.Services, c.RemovedServices = diffMaps(before.Services, after.Services)
+	c.Organisations, c.RemovedOrganisations = diffMaps(before.Organisations, after.Organisations)
+	if before.Limits != after.Limits {
+		c.Limits = &after.Limits
+	}
+	return c, true
+}
+
+func routesByName(routes []Route) (map[string]*Route, bool) {
+	byName := make(map[string]*Route, len(routes))
+	for i := range routes {
+		byName[routes[i].Name] = &routes[i]
+	}
+	return byName, len(byName) == len(routes)
+}
+
+func diffMaps[V any](before, after map[string]V) (changed map[string]V, removed []string) {
+	for k, v := range after {
+		if o, ok := before[k]; !ok || !reflect.DeepEqual(o, v) {
+			if changed == nil {
+				changed = map[string]V{}
+			}
+			changed[k] = v
+		}
+	}
+	for k := range before {
+		if _, ok := after[k]; !ok {
+			removed = append(removed, k)
+		}
+	}
+	slices.Sort(removed)
+	return changed, removed
+}
+
+// applyRoutes returns the routes after a change: those that remain in their order, then the new ones.
+func applyRoutes(routes []Route, c Change) []Route {
+	changed, _ := routesByName(c.Routes)
+	removed := make(map[string]bool, len(c.RemovedRoutes))
+	for _, name := range c.RemovedRoutes {
+		removed[name] = true
+	}
+	next := make([]Route, 0, len(routes)+len(c.Routes))
+	for i := range routes {
+		name := routes[i].Name
+		switch r := changed[name]; {
+		case removed[name]:
+		case r != nil:
+			next = append(next, *r)
+			delete(changed, name)
+		default:
+			next = append(next, routes[i])
+		}
+	}
+	for i := range c.Routes {
+		if changed[c.Routes[i].Name] != nil {
+			next = append(next, c.Routes[i])
+		}
+	}
+	return next
+}
+
+// Apply returns the release after a change, ready for Match, or ErrOtherBase if the change follows another version.
+func (r *Release) Apply(c Change) (*Release, error) {
+	if c.Before != r.Version || c.Version <= c.Before {
+		return nil, eris.Wrapf(ErrOtherBase, "%d to %d, not from %d", c.Before, c.Version, r.Version)
+	}
+	next := &Release{
+		Version: c.Version, Routes: applyRoutes(r.Routes, c), Limits: r.Limits, Restricted: c.Restricted,
+		Services:      applyMap(r.Services, c.Services, c.RemovedServices),
+		Organisations: applyMap(r.Organisations, c.Organisations, c.RemovedOrganisations),
+	}
+	if c.Limits != nil {
+		next.Limits = *c.Limits
+	}
+	next.Index()
+	return next, nil
+}
+
+// applyMap returns a map after a change; it shares a map that stays the same.
+func applyMap[V any](values, changed map[string]V, removed []string) map[string]V {
+	if len(changed) == 0 && len(removed) == 0 {
+		return values
+	}
+	next := make(map[string]V, len(values)+len(changed))
+	maps.Copy(next, values)
+	maps.Copy(next, changed)
+	for _, k := range removed {
+		delete(next, k)
+	}
+	return next
+}
+
+const (
+	// maxHistory is the number of changes that a History keeps.
+	maxHistory = 32
+	// maxHistoryItems bounds the routes, services and organisations in them.
+	maxHistoryItems = 4096
+)
+
+// History keeps the newest changes of a VM's release, for VMs that miss some. Its zero value is empty.
+type History struct {
+	mu      sync.Mutex
+	changes []Change
+	items   int
+}
+
+// size returns the number of values in a change.
+func (c Change) size() int {
+	return len(c.Routes) + len(c.RemovedRoutes) + len(c.Services) + len(c.RemovedServices) + len(c.Organisations) + len(c.RemovedOrganisations)
+}
+
+// Add adds the change to the newest release.
+func (h *History) Add(c Change) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if last := len(h.changes) - 1; last >= 0 && h.changes[last].Version != c.Before {
+		h.changes, h.items = nil, 0
+	}
+	h.changes = append(h.changes, c)
+	h.items += c.size()
+	for len(h.changes) > maxHistory || h.items > maxHistoryItems {
+		h.items -= h.changes[0].size()
+		h.changes = slices.Delete(h.changes, 0, 1)
+	}
+}
+
+// Reset forgets all changes, after a difference that no Change expresses.
+func (h *History) Reset() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.changes, h.items = nil, 0
+}
+
+// Since returns the changes that lead from a version to the newest release, or nil if they are not known.
+func (h *History) Since(version int64) []Change {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at := slices.IndexFunc(h.changes, func(c Change) bool { return c.Before == version })
+	if at < 0 {
+		return nil
+	}
+	return slices.Clone(h.changes[at:])
+}
--- /dev/null
+++ b/internal/state/gladerelease/change_test.go
@@ -0,0 +1,108 @@
+package gladerelease
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// randomRelease returns a release with random routes, services and keys.
+func randomRelease(r *rand.Rand, version int64) *Release {
+	release := &Release{
+		Version: version, Services: map[string]Service{}, Organisations: map[string]Organisation{}, Restricted: r.IntN(2) > 0,
+		Limits: Limits{HeaderBytes: r.IntN(2), BodyBytes: 7},
+	}
+	for i := range 8 {
+		if r.IntN(3) > 0 {
+			route := Route{Name: fmt.Sprint("r-", i), Host: "h", PathPrefix: fmt.Sprintf("/%d/", i), Timeout: time.Duration(r.IntN(2)), Attempts: r.IntN(2)}
+			if r.IntN(2) > 0 {
+				route.Shares = []Share{{Service: "s", Weight: r.IntN(2)}}
+			}
+			release.Routes = append(release.Routes, route)
+		}
+		if r.IntN(3) > 0 {
+			release.Services[fmt.Sprint("s-", i)] = Service{Name: fmt.Sprint("s-", i), Engine: &Engine{Slots: r.IntN(2)}}
+		}
+		if r.IntN(3) > 0 {
+			release.Organisations[fmt.Sprint("key-", i)] = Organisation{Name: fmt.Sprint("o-", r.IntN(2))}
+		}
+	}
+	release.Index()
+	return release
+}
+
+// encoded returns a release as text, to compare it with another one.
+func encoded(c *qt.C, r *Release) string {
+	if len(r.Routes) == 0 {
+		r.Routes = nil
+	}
+	raw, err := json.Marshal(r)
+	c.Assert(err, qt.IsNil)
+	return string(raw)
+}
+
+// A VM that applies the changes of another one must hold exactly the release of the store, also after the changes were encoded.
+func TestChangesLeadToTheSameRelease(t *testing.T) {
+	c := qt.New(t)
+	r := rand.New(rand.NewPCG(1, 2))
+	expressed := 0
+	for range 2000 {
+		before, after := randomRelease(r, 3), randomRelease(r, 5)
+		change, ok := Diff(before, after)
+		if !ok { // a route has come between others
+			continue
+		}
+		expressed++
+		raw, err := json.Marshal(change)
+		c.Assert(err, qt.IsNil)
+		var received Change
+		c.Assert(json.Unmarshal(raw, &received), qt.IsNil)
+		unchanged := encoded(c, before)
+		got, err := before.Apply(received)
+		c.Assert(err, qt.IsNil)
+		c.Assert(encoded(c, got), qt.Equals, encoded(c, after))
+		c.Assert(encoded(c, before), qt.Equals, unchanged) // requests in progress use it
+		c.Assert(got.hosts, qt.HasLen, len(after.hosts))
+	}
+	c.Assert(expressed > 100, qt.IsTrue, qt.Commentf("%d", expressed))
+}
+
+func TestChangeOfAnotherReleaseIsNotApplied(t *testing.T) {
+	c := qt.New(t)
+	r := &Release{Version: 4}
+	for _, change := range []Change{{Before: 3, Version: 5}, {Before: 4, Version: 4}, {Before: 4, Version: 2}} {
+		_, err := r.Apply(change)
+		c.Assert(err, qt.ErrorIs, ErrOtherBase)
+	}
+	twice := &Release{Version: 5, Routes: []Route{{Name: "a"}, {Name: "a", Host: "h"}}}
+	_, ok := Diff(r, twice)
+	c.Assert(ok, qt.IsFalse)
+	_, ok = Diff(&Release{Routes: []Route{{Name: "a"}, {Name: "b"}}}, &Release{Version: 1, Routes: []Route{{Name: "b"}, {Name: "a"}}})
+	c.Assert(ok, qt.IsFalse)
+}
+
+func TestHistoryIsBoundedAndHasNoGap(t *testing.T) {
+	c := qt.New(t)
+	var h History
+	c.Assert(h.Since(0), qt.HasLen, 0)
+	for v := range int64(2 * maxHistory) {
+		h.Add(Change{Before: v, Version: v + 1})
+	}
+	c.Assert(h.Since(0), qt.HasLen, 0)
+	c.Assert(h.Since(2*maxHistory-3), qt.HasLen, 3)
+	c.Assert(h.Since(2*maxHistory), qt.HasLen, 0)
+	h.Add(Change{Before: 200, Version: 201, RemovedRoutes: []string{"a"}}) // versions between were never seen
+	c.Assert(h.Since(2*maxHistory-3), qt.HasLen, 0)
+	c.Assert(h.Since(200), qt.HasLen, 1)
+	h.Add(Change{Before: 201, Version: 202, RemovedRoutes: make([]string, maxHistoryItems)})
+	c.Assert(h.Since(200), qt.HasLen, 0)
+	c.Assert(h.Since(201), qt.HasLen, 1)
+	h.Add(Change{Before: 202, Version: 203, RemovedRoutes: make([]string, maxHistoryItems+1)})
+	c.Assert(h.Since(202), qt.HasLen, 0)
+	h.Reset()
+	c.Assert(h.Since(201), qt.HasLen, 0)
+}
