Repeat a call to the store at once after one that took all its time

Cause: a watch that is not answered ends after its wait and slack, 1.3 s at a bound of 2 s, and the follower paused for 75 to 225 ms more.

Change: the pause counts from the start of the failed call. TestWatchWithoutAnswerIsRepeatedAtOnce fails before.

--- a/internal/state/gladeview/follow.go
+++ b/internal/state/gladeview/follow.go
@@ -63,8 +63,9 @@
 func Follow[T any](ctx context.Context, c FollowConfig[T]) {
 	f := &follower[T]{FollowConfig: c, backoff: initialBackoff}
 	for ctx.Err() == nil {
+		began := time.Now()
 		items, revision, err := f.List(ctx)
-		if !f.succeeded(ctx, err) {
+		if !f.succeeded(ctx, began, err) {
 			continue
 		}
 		f.OnList(items, revision)
@@ -76,11 +77,12 @@
 // watch reports changes until the history is lost or the context ends.
 func (f *follower[T]) watch(ctx context.Context, revision int64) {
 	for ctx.Err() == nil {
+		began := time.Now()
 		changes, next, err := f.Watch(ctx, revision)
 		if errors.Is(err, ErrHistoryGone) {
 			return
 		}
-		if !f.succeeded(ctx, err) {
+		if !f.succeeded(ctx, began, err) {
 			continue
 		}
 		revision = max(revision, next)
@@ -95,8 +97,8 @@
 }
 
 // succeeded reports whether a call succeeded. It reports the start and the end of an outage, and pauses after a
-// failure.
-func (f *follower[T]) succeeded(ctx context.Context, err error) bool {
+// failure, unless the call itself has taken longer than the pause.
+func (f *follower[T]) succeeded(ctx context.Context, began time.Time, err error) bool {
 	if ctx.Err() != nil {
 		return false
 	}
@@ -112,7 +114,7 @@
 		f.lostSince = time.Now()
 		f.OnLost(err)
 	}
-	sleep(ctx, f.backoff/2+rand.N(f.backoff))
+	sleep(ctx, f.backoff/2+rand.N(f.backoff)-time.Since(began))
 	f.backoff = min(maxBackoff, 2*f.backoff)
 	return false
 }
--- a/internal/state/gladeview/follow_test.go
+++ b/internal/state/gladeview/follow_test.go
@@ -126,3 +126,16 @@
 		c.Assert(h.outage >= time.Minute, qt.IsTrue)
 	})
 }
+
+// Guards against a pause after a watch that has already taken all its time: a change that it missed waits on.
+func TestWatchWithoutAnswerIsRepeatedAtOnce(t *testing.T) {
+	s := &fakeStore{revision: 3}
+	runFollow(t, s, func(c *qt.C, h *recorder) {
+		advance(500 * time.Millisecond)
+		s.set(func() { s.err = errDown }) // the watch ends with an error at 1 s
+		advance(510 * time.Millisecond)
+		s.set(func() { s.err, s.changes, s.revision = nil, []Change[int]{{}}, 4 })
+		advance(time.Second) // the next watch takes a second
+		c.Assert(h.changes, qt.Equals, 1)
+	})
+}
