Replace a reader that lost the store at once, and stop readers in order

When several had taken over, all of them stopped after a second, each for the others, and nobody read for 0.7 s.

Change: a reader that cannot reach the store says so, at once and in its heartbeats; it no longer counts as a reader, and the next ones read in steps of 80 ms. A VM that reads stops only for one that precedes it.

--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -132,10 +132,18 @@
 		f.mu.Unlock()
 		if changed {
 			f.log.Info("Connection to the store checked.", "refused", err != nil, "reason", err)
+			f.announceState()
 		}
 	}
 }
 
+// announceState tells the failure domain at once whether this VM reads the store.
+func (f *Front) announceState() {
+	if u, ok := f.readState(); ok {
+		f.feed.Publish(u)
+	}
+}
+
 func (f *Front) setReading(reading bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -198,6 +206,7 @@
 		OnLost: func(err error) {
 			f.log.Warn("Lost the store.", "kind", kind, "reason", err)
 			f.setUnreachable(kind, true)
+			f.announceState()
 			f.store.Client.CloseIdleConnections() // they may be as silent as the one that the call was on
 		},
 		OnRecovered: func(outage time.Duration) {
--- a/internal/proxy/gladefront/front_test.go
+++ b/internal/proxy/gladefront/front_test.go
@@ -143,6 +143,8 @@
 	bound time.Duration
 	// closeStoreListener makes the store accept no more connections of the VM on a host; those that it has stay open.
 	closeStoreListener map[int]func()
+	// version is the version of the release that was published last.
+	version int64
 	// domain returns the failure domain of a VM.
 	domain func(host int) string
 }
@@ -185,8 +187,15 @@
 // releaseText returns a release with one route as the store holds it.
 func releaseText(version int, prefix string) string { return fmt.Sprintf(config, version, prefix) }
 
+// publishNext writes the next release, which is like the one before.
+func (f *testFleet) publishNext() {
+	f.version++
+	f.store.put(gladeplatform.KindConfig, gladeplatform.ConfigName, releaseText(int(f.version), "/a/"))
+}
+
 // publish writes a release and the backend server to the store.
 func (f *testFleet) publish(version int, prefix string) {
+	f.version = int64(version)
 	f.store.put(gladeplatform.KindConfig, gladeplatform.ConfigName, releaseText(version, prefix))
 	f.store.put(gladeplatform.KindServers, "i-1", fmt.Sprintf(
 		`{"service":"app","addr":%q,"zone":"shubra","slots":6,"state":"ready","cold_left_ms":0,"seq":1,"born":1}`, f.address(201, 8000)))
@@ -344,8 +353,8 @@
 	f.publish(3, "/a/")
 	front, _ := f.startVM(1)
 	reads := func() bool {
-		_, ok := front.readState()
-		return ok
+		u, ok := front.readState()
+		return ok && u.Reading && !u.Lost
 	}
 	f.eventually("the VM reads", reads)
 	time.Sleep(3 * storeCheckInterval)
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -104,7 +104,7 @@
 	}
 	feed, closeFeed, err := gladefeed.New(gladefeed.Config{
 		VM: s.VM, Address: address, Peers: func() []string { return f.domainPeers(feedPortOffset) },
-		StartupWait: delay, Rank: f.rank, Progress: f.readState,
+		StartupWait: delay, Rank: f.rank, Precedes: f.precedes, Progress: f.readState,
 		Behind: func() time.Duration { return f.age.State(bootTime()).Behind }, OnUpdate: f.onUpdate, Log: f.log.Named("feed"),
 	})
 	if err != nil {
@@ -307,20 +307,24 @@
 // rank returns the number of live VMs of this failure domain that precede this one in the order of readers.
 func (f *Front) rank() int {
 	s := f.config.Settings
-	own := gladepeer.RendezvousWeight(readerKey, s.VM)
 	ahead := 0
 	for _, m := range f.node.Members() {
-		if m.FailureDomain == s.FailureDomain && !m.Leaving && (f.stopping.Load() || gladepeer.RendezvousWeight(readerKey, m.Name) > own) {
+		if m.FailureDomain == s.FailureDomain && !m.Leaving && f.precedes(m.Name) {
 			ahead++
 		}
 	}
 	return ahead
 }
 
+// precedes reports whether another VM should read the store rather than this one.
+func (f *Front) precedes(vm string) bool {
+	return f.stopping.Load() || gladepeer.RendezvousWeight(readerKey, vm) > gladepeer.RendezvousWeight(readerKey, f.config.Settings.VM)
+}
+
 // readerKey is the key of the rendezvous hash that orders the VMs as readers of the store.
 const readerKey = "reader"
 
-// readState returns the revision and release that this VM has read, and whether it reads the store now.
+// readState returns the revision and release that this VM has read, and whether it has to read the store now.
 func (f *Front) readState() (gladefeed.Update, bool) {
 	f.serversMu.Lock()
 	digest := f.fleet.Digest()
@@ -332,13 +336,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	age := now.Sub(f.confirmedAt)
-	u := gladefeed.Update{Before: revision, Revision: revision, Digest: digest, Reading: true, AgeMillis: age.Milliseconds()}
+	u := gladefeed.Update{Before: revision, Revision: revision, Digest: digest, AgeMillis: age.Milliseconds()}
 	if r := f.release.Load(); r != nil {
 		u.Release = r.Version
 	}
 	reached := !f.storeRefused && !f.unreachable[gladeplatform.KindServers] && !f.unreachable[gladeplatform.KindConfig]
 	// A VM that was frozen has answers of before; its watches end at once, but heartbeats may come first.
-	return u, f.serversKnown && f.reading && reached && age <= f.watchWait()+watchSlack
+	u.Reading = reached && age <= f.watchWait()+watchSlack
+	u.Lost = !u.Reading
+	return u, f.serversKnown && f.reading
 }
 
 // onUpdate applies the update of another VM. What this VM misses is requested without holding up later updates.
--- a/internal/state/gladefeed/feed.go
+++ b/internal/state/gladefeed/feed.go
@@ -33,7 +33,7 @@
 	repeatTime = 1200 * time.Millisecond
 	// maxRepeatedChanges is the largest number of changes that are repeated.
 	maxRepeatedChanges = 64
-	// minReaderUptime is how long a reader must have been received without a gap before a VM stops reading itself.
+	// minReaderUptime is how long a preceding reader must have been received without a gap before a VM stops reading itself.
 	minReaderUptime = time.Second
 )
 
@@ -51,6 +51,8 @@
 	Changes  []Change `json:"changes,omitempty"`
 	// Release is the version in force at the sender.
 	Release int64 `json:"release"`
+	// Lost reports that the sender should read the store and cannot.
+	Lost bool `json:"lost,omitempty"`
 	// Reading reports that the sender reads the store, and AgeMillis the time in milliseconds since the store last said that
 	// Release is the newest.
 	Reading   bool  `json:"reading,omitempty"`
@@ -70,10 +72,11 @@
 	Peers func() []string
 	// StartupWait is how long this VM waits after its start for a reader before it reads itself.
 	StartupWait time.Duration
-	// Rank returns the number of live VMs that should read rather than this one.
-	Rank func() int
-	// Progress returns an update without changes that holds this VM's revision, and reports whether the VM reaches the
-	// store.
+	// Rank returns the number of live VMs that should read rather than this one, and Precedes reports whether a VM should.
+	Rank     func() int
+	Precedes func(vm string) bool
+	// Progress returns an update without changes that holds this VM's revision, and reports whether the VM reads the store or should
+	// do so.
 	Progress func() (Update, bool)
 	// Behind returns for how long this VM has known of a newer release than its own, zero if it knows of none.
 	Behind func() time.Duration
@@ -89,9 +92,13 @@
 	startupDeadline time.Time
 
 	mu sync.Mutex
-	// lastHeard is when an update of a reader was last received.
-	// heardSince is when the first such update after the last silence was received.
-	lastHeard, heardSince time.Time
+	// heard holds, by reader, when an update was last received; a reader that says that it lost the store is left out.
+	heard map[string]time.Time
+	// lostAt is when the last of them said that it lost the store, zero if one is heard or all fell silent.
+	lostAt time.Time
+	// precedingAt and precedingSince are when the last update, and the first one after the last silence, of readers that precede
+	// this VM were received.
+	precedingAt, precedingSince time.Time
 	// recent holds the changes published since recentSince.
 	recent      Update
 	recentSince time.Time
@@ -99,7 +106,7 @@
 
 // New opens the socket, starts sending and receiving, and returns the clean-up function.
 func New(c Config) (*Feed, func(), error) {
-	f := &Feed{config: c, startupDeadline: time.Now().Add(c.StartupWait)}
+	f := &Feed{config: c, startupDeadline: time.Now().Add(c.StartupWait), heard: map[string]time.Time{}}
 	socket, closeSocket, err := gladedatagram.Open(gladedatagram.Config[Update]{Address: c.Address, OnReceive: f.receive, Log: c.Log})
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "opening the socket for the feed")
@@ -176,8 +183,11 @@
 }
 
 func (f *Feed) receive(u Update) {
-	if u.Reading {
-		f.recordHeard(time.Now())
+	switch {
+	case u.Lost:
+		f.forget(u.VM, time.Now())
+	case u.Reading:
+		f.recordHeard(u.VM, time.Now())
 	}
 	f.config.OnUpdate(u)
 }
@@ -186,16 +196,52 @@
 func (f *Feed) LastHeard() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.lastHeard
+	return f.lastHeard()
+}
+
+// lastHeard returns when an update of a reader was last received. The caller holds f.mu.
+func (f *Feed) lastHeard() time.Time {
+	last := time.Time{}
+	for _, at := range f.heard {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+func (f *Feed) recordHeard(vm string, now time.Time) {
+	precedes := f.config.Precedes(vm)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Sub(f.lastHeard()) > readerTimeout {
+		clear(f.heard)
+	}
+	f.heard[vm], f.lostAt = now, time.Time{}
+	if !precedes {
+		return
+	}
+	if now.Sub(f.precedingAt) > readerTimeout {
+		f.precedingSince = now
+	}
+	f.precedingAt = now
 }
 
-func (f *Feed) recordHeard(now time.Time) {
+// forget records that a reader says that it does not reach the store: another VM need not wait until it is silent.
+func (f *Feed) forget(vm string, now time.Time) {
+	precedes := f.config.Precedes(vm)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if now.Sub(f.lastHeard) > readerTimeout {
-		f.heardSince = now
+	if _, heard := f.heard[vm]; !heard {
+		return
+	}
+	delete(f.heard, vm)
+	if len(f.heard) == 0 {
+		f.lostAt = now
+	}
+	if precedes {
+		f.precedingAt = time.Time{}
 	}
-	f.lastHeard = now
 }
 
 // ShouldRead reports whether this VM should read the store itself; reading reports whether it already does.
@@ -210,8 +256,11 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if now.Sub(f.lastHeard) > readerTimeout+stagger {
-		return true
+	if reading { // a reader that comes later may stop for this one at the same time
+		return now.Sub(f.precedingAt) > readerTimeout || now.Sub(f.precedingSince) < minReaderUptime
+	}
+	if len(f.heard) == 0 && !f.lostAt.IsZero() {
+		return now.Sub(f.lostAt) >= stagger-takeoverStagger
 	}
-	return reading && now.Sub(f.heardSince) < minReaderUptime
+	return now.Sub(f.lastHeard()) > readerTimeout+stagger
 }
--- a/internal/state/gladefeed/feed_test.go
+++ b/internal/state/gladefeed/feed_test.go
@@ -10,15 +10,17 @@
 
 func upToDate() time.Duration { return 0 }
 
+func always(string) bool { return true }
+
 // When the reader dies among many VMs, one VM must take over while the others wait. None reads while a reader is
 // received.
 func TestVMsTakeOverReadingInOrder(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
 	feed := func(rank int) *Feed {
-		f := &Feed{config: Config{Rank: func() int { return rank }, Behind: upToDate}}
-		f.recordHeard(now.Add(-time.Hour))
-		f.recordHeard(now)
+		f := &Feed{config: Config{Rank: func() int { return rank }, Behind: upToDate, Precedes: always}, heard: map[string]time.Time{}}
+		f.recordHeard("reader", now.Add(-time.Hour))
+		f.recordHeard("reader", now)
 		return f
 	}
 	c.Assert(feed(0).ShouldRead(false, now), qt.IsTrue)
@@ -28,14 +30,14 @@
 	c.Assert(second.ShouldRead(false, at), qt.IsTrue)
 	c.Assert(third.ShouldRead(false, at), qt.IsFalse)
 	// Once the new reader is received, a VM that reads continues until the reader has been up for minReaderUptime.
-	third.recordHeard(at)
+	third.recordHeard("reader", at)
 	c.Assert(third.ShouldRead(false, at.Add(heartbeatInterval)), qt.IsFalse)
 	resumed := at.Add(time.Hour)
 	for d := time.Duration(0); d < minReaderUptime; d += heartbeatInterval {
-		third.recordHeard(resumed.Add(d))
+		third.recordHeard("reader", resumed.Add(d))
 		c.Assert(third.ShouldRead(true, resumed.Add(d)), qt.IsTrue)
 	}
-	third.recordHeard(resumed.Add(minReaderUptime))
+	third.recordHeard("reader", resumed.Add(minReaderUptime))
 	c.Assert(third.ShouldRead(true, resumed.Add(minReaderUptime)), qt.IsFalse)
 }
 
@@ -43,7 +45,7 @@
 	c := qt.New(t)
 	f, closeFeed, err := New(Config{
 		VM: "a", Address: "127.0.0.1:0", StartupWait: time.Minute, Rank: func() int { return 0 }, Peers: func() []string { return nil },
-		Progress: func() (Update, bool) { return Update{}, true }, Behind: upToDate, OnUpdate: func(Update) {}, Log: hclog.NewNullLogger(),
+		Progress: func() (Update, bool) { return Update{}, true }, Behind: upToDate, Precedes: always, OnUpdate: func(Update) {}, Log: hclog.NewNullLogger(),
 	})
 	c.Assert(err, qt.IsNil)
 	defer closeFeed()
@@ -76,3 +78,68 @@
 	now = now.Add(repeatTime)
 	c.Assert(beat(12), qt.DeepEquals, Update{Before: 12, Revision: 12})
 }
+
+// Guards against the time for which a reader that cannot reach the store goes on counting as one, on top of the time that its
+// watch takes to end. Another reader still counts.
+func TestReaderThatLostTheStoreIsReplacedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	f := &Feed{
+		config: Config{Rank: func() int { return 1 }, Behind: upToDate, Precedes: always, OnUpdate: func(Update) {}}, heard: map[string]time.Time{},
+	}
+	f.receive(Update{VM: "a", Reading: true})
+	f.receive(Update{VM: "b", Reading: true})
+	c.Assert(f.ShouldRead(false, now), qt.IsFalse)
+	f.receive(Update{VM: "a", Lost: true})
+	c.Assert(f.ShouldRead(false, now), qt.IsFalse)
+	f.receive(Update{VM: "b"}) // not a reader, and says nothing of itself
+	c.Assert(f.ShouldRead(false, now), qt.IsFalse)
+	f.receive(Update{VM: "b", Lost: true})
+	c.Assert(f.ShouldRead(false, time.Now()), qt.IsTrue)
+	c.Assert(f.LastHeard().IsZero(), qt.IsTrue)
+	third := &Feed{config: f.config, heard: map[string]time.Time{}}
+	third.config.Rank = func() int { return 3 }
+	third.recordHeard("a", now)
+	third.forget("a", now)
+	c.Assert(third.ShouldRead(false, now.Add(takeoverStagger)), qt.IsFalse)
+	c.Assert(third.ShouldRead(false, now.Add(2*takeoverStagger)), qt.IsTrue)
+}
+
+// Guards against readers that all stop for each other: the one that comes first among them goes on.
+func TestReadersStopOnlyForOneThatPrecedesThem(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	feed := func(rank int) *Feed {
+		precedes := func(vm string) bool { return vm < string(rune('a'+rank)) }
+		return &Feed{config: Config{Rank: func() int { return rank }, Behind: upToDate, Precedes: precedes}, heard: map[string]time.Time{}}
+	}
+	second, third := feed(1), feed(2) // a, which precedes both, does not read
+	for d := time.Duration(0); d < 2*minReaderUptime; d += heartbeatInterval {
+		second.recordHeard("c", now.Add(d))
+		third.recordHeard("b", now.Add(d))
+	}
+	end := now.Add(2 * minReaderUptime)
+	c.Assert(second.ShouldRead(true, end), qt.IsTrue)
+	c.Assert(third.ShouldRead(true, end), qt.IsFalse)
+	third.forget("b", end) // it lost the store
+	c.Assert(third.ShouldRead(true, end), qt.IsTrue)
+}
+
+// A VM that does not read, or knows of a newer release than its reader brings, does not count a sender as its reader.
+func TestWhoIsHeardIsNotTakenForCurrent(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	behind := time.Duration(0)
+	f := &Feed{
+		config: Config{Rank: func() int { return 2 }, Behind: func() time.Duration { return behind }, Precedes: always, OnUpdate: func(Update) {}},
+		heard:  map[string]time.Time{},
+	}
+	f.receive(Update{VM: "a"})
+	c.Assert(f.ShouldRead(false, now), qt.IsTrue)
+	f.receive(Update{VM: "a", Reading: true})
+	c.Assert(f.ShouldRead(false, now), qt.IsFalse)
+	behind = behindLimit
+	c.Assert(f.ShouldRead(false, now), qt.IsFalse)
+	behind = behindLimit + 3*takeoverStagger
+	c.Assert(f.ShouldRead(false, now), qt.IsTrue)
+}
