--- a/internal/proxy/gladefront/return_test.go
+++ b/internal/proxy/gladefront/return_test.go
@@ -13,7 +13,6 @@
 	"github.com/eelgrassglade/eelgrassglade/gladepeer"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladedatagram"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladefeed"
-	gladeplatform "github.com/eelgrassglade/eelgrassglade/platform"
 )
 
 // silentVM is a member of the failure domain that tells the others what it has read, and whose calls go unanswered, as on a
@@ -71,17 +70,19 @@
 type releaseDelays struct {
 	published []time.Time // by version
 	worst     map[int]time.Duration
+	// seen holds the last version in force at each VM, and first the version before the first one published.
+	seen  map[int]int64
+	first int64
 }
 
-// observe updates the worst delays by the versions in force now.
-func (d *releaseDelays) observe(fronts map[int]*Front) {
+// observe updates the worst delays by the versions in force now, and checks that none is older than before.
+func (d *releaseDelays) observe(c *qt.C, fronts map[int]*Front) {
 	for host, front := range fronts {
-		version := int64(0)
-		if r := front.release.Load(); r != nil {
-			version = r.Version
-		}
-		if version+1 < int64(len(d.published)) {
-			d.worst[host] = max(d.worst[host], time.Since(d.published[version+1]))
+		version := front.release.Load().Version
+		c.Check(version >= d.seen[host], qt.IsTrue, qt.Commentf("vm-%d went back from %d to %d", host, d.seen[host], version))
+		d.seen[host] = version
+		if next := version - d.first; next < int64(len(d.published)) {
+			d.worst[host] = max(d.worst[host], time.Since(d.published[max(0, next)]))
 		}
 	}
 }
@@ -89,16 +90,16 @@
 // storm publishes a release at each interval, calls each in every step, and returns the worst delay of each VM.
 func (f *testFleet) storm(fronts map[int]*Front, interval, lasts time.Duration, each func(version int64, since time.Duration)) map[int]time.Duration {
 	const step = 10 * time.Millisecond
-	d := releaseDelays{published: make([]time.Time, 2), worst: map[int]time.Duration{}} // version 1 is in force
+	d := releaseDelays{worst: map[int]time.Duration{}, seen: map[int]int64{}, first: f.version}
 	began := time.Now()
 	for next := began; time.Since(began) < lasts; time.Sleep(step) {
-		if !time.Now().Before(next) {
+		for !time.Now().Before(next) {
 			d.published = append(d.published, time.Now())
-			f.store.put(gladeplatform.KindConfig, gladeplatform.ConfigName, releaseText(len(d.published)-1, "/a/"))
+			f.publishNext()
 			next = next.Add(interval)
 		}
-		each(int64(len(d.published)-1), time.Since(began))
-		d.observe(fronts)
+		each(f.version, time.Since(began))
+		d.observe(f.C, fronts)
 	}
 	return d.worst
 }
