--- a/internal/proxy/gladefront/release_test.go
+++ b/internal/proxy/gladefront/release_test.go
@@ -315,3 +315,30 @@
 		f.Check(strings.Contains(text, name), qt.IsTrue, qt.Commentf("%s", name))
 	}
 }
+
+// A VM that hears no reader: it is alone in its failure domain, and the store refuses it. It gets releases through the membership of the
+// others only.
+func TestReleasesAtVMAloneWithoutStore(t *testing.T) {
+	f := newReleaseFleet(t, 3)
+	f.domain = func(int) string { return "giza" }
+	f.store.set(func() { f.store.rejects[4] = true })
+	alone, _ := f.startVM(4)
+	f.eventually("ready", func() bool { return alone.Ready() && alone.vmCount() == 4 })
+	for _, interval := range []time.Duration{40, 150, 350, 1000} {
+		f.checkDelays(f.storm(map[int]*Front{4: alone}, interval*time.Millisecond, 5*time.Second, doNothing))
+	}
+	f.store.set(func() { f.Check(f.store.rejections[4] > 0, qt.IsTrue) })
+}
+
+// A reader that has just listed the servers names a revision of the store that has moved on with releases only. The others have
+// the same list and need not request it.
+func TestSameListOfServersIsNotRequested(t *testing.T) {
+	f := newReleaseFleet(t, 2)
+	front := f.fronts[1]
+	s := f.openSender(9)
+	s.send(gladefeed.Update{VM: "vm-9", Before: 1 << 20, Revision: 1 << 20, Release: 1, Digest: front.fleet.Digest()}, 1)
+	f.eventually("the revision is taken over", func() bool { return front.state().Servers == 1<<20 })
+	s.send(gladefeed.Update{VM: "vm-9", Before: 1 << 21, Revision: 1 << 21, Release: 1, Digest: front.fleet.Digest() + 1}, 1)
+	time.Sleep(200 * time.Millisecond)
+	f.Check(front.state().Servers, qt.Equals, int64(1<<20))
+}
--- a/internal/state/gladerelay/fetch.go
+++ b/internal/state/gladerelay/fetch.go
@@ -15,9 +15,12 @@
 const (
 	// hedgeDelay is the wait for a peer's answer before another peer is asked too. Answers take a few milliseconds.
 	hedgeDelay = 150 * time.Millisecond
+	// minAskInterval is the shortest time between two questions.
+	minAskInterval = 20 * time.Millisecond
 	// maxAsked is the largest number of peers that are asked for one kind of data at once.
 	maxAsked = 3
-	// failurePause is how long a peer that did not answer is asked only if there is no other.
+	// failurePause is how long a peer that did not answer is asked only if there is no other, and no more often than each
+	// hedgeDelay.
 	failurePause = 2 * time.Second
 	// busyPause is that time for a peer that serves others.
 	busyPause = 100 * time.Millisecond
@@ -45,7 +48,8 @@
 func (f *fetcher[A]) ask(ctx context.Context, vms []string, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.asked) >= maxAsked || len(f.asked) > 0 && now.Sub(f.lastAsked) < hedgeDelay {
+	since := now.Sub(f.lastAsked)
+	if len(f.asked) >= maxAsked || len(f.asked) > 0 && since < hedgeDelay || since < minAskInterval {
 		return
 	}
 	vm := f.choose(vms, now)
@@ -69,7 +73,7 @@
 			paused = vm
 		}
 	}
-	if len(f.asked) > 0 {
+	if len(f.asked) > 0 || now.Sub(f.lastAsked) < hedgeDelay {
 		return ""
 	}
 	return paused
@@ -94,5 +98,5 @@
 	case ctx.Err() == nil && !eris.Is(err, errBusy):
 		f.log.Warn("Peer does not answer; another one is asked.", "kind", f.kind, "peer", vm, "reason", err)
 	}
-	f.wake()
+	time.AfterFunc(minAskInterval, f.wake)
 }
