Soak: storms of releases, VMs that the store refuses, and a check of releases

Cause: the soak's store rejected VMs by source address, which is the same for all on loopback, so that this fault never happened; and no fault of it changed releases faster than one each second, nor did a check compare answers with them.

Change: each VM has its own address of the store. Storms of 4 to 70 releases, 30 to 350 ms apart, drawn apart from the other faults, add and remove a route. Each VM is asked for it each 50 ms; a status that no release of the last 2 s allows is a violation, unless the VM or its access to the store had a fault within 3 s.

--- a/internal/proxy/gladesoak/fakes_test.go
+++ b/internal/proxy/gladesoak/fakes_test.go
@@ -20,10 +20,16 @@
 	changed  chan struct{}
 	revision int64
 	changes  []string // kind/name, at the index revision-1
-	// rejected holds the hosts whose calls are rejected; "*" stands for all.
-	rejected map[string]bool
+	// rejected holds the VMs whose calls are rejected, by host; allVMs stands for all. rejections counts the calls by VM, and
+	// rejectedAt is when calls of a VM were last to be rejected.
+	rejected   map[int]bool
+	rejections map[int]int
+	rejectedAt map[int]time.Time
 }
 
+// allVMs stands for every VM.
+const allVMs = 0
+
 type object struct {
 	Meta struct {
 		Name     string `json:"name"`
@@ -33,7 +39,10 @@
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{objects: map[string]map[string]object{"config": {}, "servers": {}}, changed: make(chan struct{}), rejected: map[string]bool{}}
+	return &fakeStore{
+		objects: map[string]map[string]object{"config": {}, "servers": {}}, changed: make(chan struct{}),
+		rejected: map[int]bool{}, rejections: map[int]int{}, rejectedAt: map[int]time.Time{},
+	}
 }
 
 func (s *fakeStore) put(kind, name string, spec any) {
@@ -64,19 +73,32 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *fakeStore) setRejected(host string, rejected bool) {
+func (s *fakeStore) setRejected(host int, rejected bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rejected[host] = rejected
+	s.rejectedAt[host] = time.Now()
+}
+
+// rejectsSince reports whether calls of a VM were to be rejected after a time.
+func (s *fakeStore) rejectsSince(host int, since time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range []int{host, allVMs} {
+		if s.rejected[h] || s.rejectedAt[h].After(since) {
+			return true
+		}
+	}
+	return false
 }
 
-// ServeHTTP answers lists and watches.
-func (s *fakeStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+// serve answers lists and watches of the VM on a host.
+func (s *fakeStore) serve(host int, w http.ResponseWriter, r *http.Request) {
 	kind := strings.TrimPrefix(r.URL.Path, "/v1/objects/")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.rejected[host] || s.rejected["*"] {
+	if s.rejected[host] || s.rejected[allVMs] {
+		s.rejections[host]++
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/proxy/gladesoak/recorder_test.go
+++ b/internal/proxy/gladesoak/recorder_test.go
@@ -35,6 +35,8 @@
 	answers      []answer
 	lateRequests []string // requests that reached a leaving server
 	violations   []string
+	// checks counts the answers that were compared with the releases that may be in force.
+	checks int
 	// vms are the VMs that attempts were sent to.
 	vms map[string]*vm
 }
@@ -67,6 +69,18 @@
 	r.completed[id] = true
 }
 
+func (r *recorder) countCheck() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.checks++
+}
+
+func (r *recorder) recordOldRelease(text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.violations = append(r.violations, text)
+}
+
 func (r *recorder) recordAnswer(a answer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/proxy/gladesoak/soak_test.go
+++ b/internal/proxy/gladesoak/soak_test.go
@@ -116,14 +116,19 @@
 	// endlessRandom draws the endless answers, so that they leave the sequence of the other faults as it is.
 	endlessRandom *rand.Rand
 	// limitRandom draws the limits that servers name, for the same reason.
-	limitRandom   *rand.Rand
+	limitRandom *rand.Rand
+	// stormRandom draws the storms of releases, for the same reason.
+	stormRandom   *rand.Rand
 	addressPrefix string
 	recorder      *recorder
 	store         *fakeStore
 	vms           []*vm
 	servers       []*fakeServer
-	version       int
 	attempt       atomic.Int64
+
+	releaseMu sync.Mutex
+	version   int
+	releases  []ackedRelease
 }
 
 func (s *soak) address(host, port int) string {
@@ -148,21 +153,16 @@
 retry_window_s = 10
 retry_burst = 300
 [platform]
-addr = "%[2]s200:8742"
+addr = "%[2]s200:%[4]d"
 `
 
 func newSoak(t *testing.T, program string, seed uint64) *soak {
 	s := &soak{
 		C: qt.New(t), random: rand.New(rand.NewPCG(seed, 1)), endlessRandom: rand.New(rand.NewPCG(seed, 2)),
-		limitRandom: rand.New(rand.NewPCG(seed, 3)), recorder: newRecorder(), store: newFakeStore(),
+		limitRandom: rand.New(rand.NewPCG(seed, 3)), stormRandom: rand.New(rand.NewPCG(seed, 4)), recorder: newRecorder(), store: newFakeStore(),
 		addressPrefix: fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(250)),
 	}
-	l, err := net.Listen("tcp", s.address(200, 8742))
-	s.Assert(err, qt.IsNil)
-	server := &http.Server{Handler: s.store}
-	go func() { _ = server.Serve(l) }()
-	s.Cleanup(func() { _ = server.Close() })
-	s.publishRelease(true)
+	s.publishRelease(1+s.random.IntN(3), true)
 	copies, crashes := &copyTable{held: map[string]bool{}}, &crashLog{sends: map[string][]crashSend{}, crashes: map[string][]crashSend{}}
 	for i, service := range []string{"llm", "llm", "llm", "llm", "app", "app"} {
 		f := &fakeServer{
@@ -176,7 +176,7 @@
 	directory := s.TempDir()
 	for host := 1; host <= 4; host++ {
 		v := &vm{host: host, program: program, settings: filepath.Join(directory, fmt.Sprintf("vm-%d.toml", host))}
-		text := fmt.Sprintf(settingsFormat, host, s.addressPrefix, []string{"a", "b"}[host%2])
+		text := fmt.Sprintf(settingsFormat, host, s.addressPrefix, []string{"a", "b"}[host%2], s.openStore(host))
 		s.Assert(os.WriteFile(v.settings, []byte(text), 0o600), qt.IsNil)
 		s.Assert(v.start(), qt.IsNil)
 		s.vms = append(s.vms, v)
@@ -188,9 +188,23 @@
 	return s
 }
 
-// publishRelease writes the next version of the configuration, with or without one more route.
-func (s *soak) publishRelease(more bool) {
-	s.version += 1 + s.random.IntN(3)
+// openStore opens the store's address for one VM and returns its port. On loopback every caller has the same source address.
+func (s *soak) openStore(host int) int {
+	const firstPort = 8742
+	l, err := net.Listen("tcp", s.address(200, firstPort+host))
+	s.Assert(err, qt.IsNil)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.store.serve(host, w, r) })}
+	go func() { _ = server.Serve(l) }()
+	s.Cleanup(func() { _ = server.Close() })
+	return firstPort + host
+}
+
+// publishRelease writes the configuration of a version that is higher by step, with or without one more route.
+func (s *soak) publishRelease(step int, more bool) {
+	s.releaseMu.Lock()
+	defer s.releaseMu.Unlock()
+	s.version += step
+	defer func() { s.releases = append(s.releases, ackedRelease{time.Now(), more}) }()
 	routes := []map[string]any{
 		{"name": "u", "hostname": "h", "path_prefix": "/unsafe/", "type": "unsafe", "service": "app", "attempts": 1, "timeout_ms": 1500, "slo_ms": 150},
 		{"name": "s", "hostname": "h", "path_prefix": "/safe/", "type": "safe", "service": "app", "attempts": 2, "timeout_ms": 1500, "slo_ms": 150},
@@ -267,10 +281,9 @@
 	case 2:
 		during(func() { v.signal(syscall.SIGSTOP) }, func() { v.signal(syscall.SIGCONT) })
 	case 3:
-		during(func() { s.store.setRejected("*", true) }, func() { s.store.setRejected("*", false) })
+		during(func() { s.store.setRejected(allVMs, true) }, func() { s.store.setRejected(allVMs, false) })
 	case 4:
-		host := s.addressPrefix + strconv.Itoa(v.host)
-		during(func() { s.store.setRejected(host, true) }, func() { s.store.setRejected(host, false) })
+		during(func() { s.store.setRejected(v.host, true) }, func() { s.store.setRejected(v.host, false) })
 	case 5:
 		tasks.Go(func() { f.crash(); time.Sleep(length); f.start() })
 	case 6:
@@ -278,7 +291,8 @@
 	case 7:
 		during(func() { f.setFaults(serverFaults{failureShare: 0.4}) }, func() { f.setFaults(serverFaults{}) })
 	case 8:
-		s.publishRelease(s.random.IntN(2) == 0)
+		more := s.random.IntN(2) == 0
+		s.publishRelease(1+s.random.IntN(3), more)
 	case 9:
 		tasks.Go(func() { f.leave(); f.start() })
 	}
@@ -306,6 +320,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers, faults sync.WaitGroup
 	s.startCallers(ctx, &callers, 2)
+	s.startReleaseCheckers(ctx, &callers)
 	for began := time.Now(); time.Since(began) < *duration; {
 		s.injectFault(&faults)
 		if s.endlessRandom.IntN(endlessEvery) == 0 {
@@ -313,18 +328,22 @@
 		}
 		// Those of the other service have too few servers for its callers, who come again at once.
 		s.injectLimit(&faults, s.servers[:4])
+		s.injectStorm(&faults)
 		time.Sleep(time.Duration(100+s.random.IntN(500)) * time.Millisecond)
 	}
 	faults.Wait()
 	s.checkRecovery()
 	cancel()
 	callers.Wait()
+	s.store.mu.Lock()
+	s.Logf("%d releases, %d answers compared with them, calls rejected by the store: %v", len(s.releases), s.recorder.checks, s.store.rejections)
+	s.store.mu.Unlock()
 	return append(s.recorder.check(), s.checkLimits()...)
 }
 
 // checkRecovery checks that every VM gets the newest release and serves it after the faults.
 func (s *soak) checkRecovery() {
-	s.publishRelease(true)
+	s.publishRelease(1, true)
 	for _, v := range s.vms {
 		s.Check(s.waitReady(v), qt.IsTrue, qt.Commentf("VM %d is not ready", v.host))
 	}
