Tests: requests while a release is behind, a service whose servers all leave

TestServersThatAllLeaveServeWithinTheBound: none of the calls of the first second is refused, none reaches a server later than 2 s after its VM was told.

--- a/internal/proxy/gladeforward/plain_test.go
+++ b/internal/proxy/gladeforward/plain_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
 )
 
 func TestPlainAnswerUnchanged(t *testing.T) {
@@ -169,3 +172,50 @@
 		w.Assert(w.serversRun(), qt.HasLen, 20)
 	})
 }
+
+// A request that the release in force does not allow waits for a newer one that is known to exist, a third of its time at most. It
+// gets no final answer before: not if the newer release does not come, and the newer one's if it does.
+func TestNoFinalAnswerWhileReleaseIsBehind(t *testing.T) {
+	for _, x := range []struct {
+		name, path, key string
+		comes           bool
+		status          int
+	}{
+		{"no route, and the release comes", "/new/x", "key", true, http.StatusOK},
+		{"no route in the newer one either", "/none/x", "key", true, http.StatusNotFound},
+		{"unknown key in both", "/safe/x", "other", true, http.StatusUnauthorized},
+		{"no route, and the release does not come", "/new/x", "key", false, http.StatusServiceUnavailable},
+		{"unknown key, and the release does not come", "/safe/x", "other", false, http.StatusServiceUnavailable},
+		{"allowed, and the release does not come", "/safe/x", "key", false, http.StatusOK},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			runTest(t, func(w *harness) {
+				w.serve("app", "shubra", "a", answerWith(http.StatusOK, ""))
+				old := w.forwarder.config.Release()
+				next := *old
+				next.Version++
+				route := *old.Match("h", "/safe/x")
+				route.Name, route.PathPrefix = "new", "/new/"
+				next.Routes = append(slices.Clone(old.Routes), route)
+				next.Index()
+				var limits []time.Duration
+				w.forwarder.config.AwaitRelease = func(_ context.Context, limit time.Duration) (*gladerelease.Release, bool) {
+					limits = append(limits, limit)
+					time.Sleep(limit)
+					if x.comes {
+						return &next, true
+					}
+					return old, false
+				}
+				answer := w.call(http.MethodGet, x.path, map[string]string{testKey: x.key, testDeadline: "900"})
+				w.Assert(answer.status, qt.Equals, x.status)
+				w.Assert(answer.header.Get("Retry-After") != "", qt.Equals, x.status == http.StatusServiceUnavailable)
+				if x.path == "/safe/x" && x.key == "key" {
+					w.Assert(limits, qt.HasLen, 0)
+				} else {
+					w.Assert(limits, qt.DeepEquals, []time.Duration{300 * time.Millisecond})
+				}
+			})
+		})
+	}
+}
--- a/internal/proxy/gladefront/limits_fleet_test.go
+++ b/internal/proxy/gladefront/limits_fleet_test.go
@@ -120,8 +120,12 @@
 var limitDomains = []string{"shubra", "helwan", "giza"}
 
 // newLimitFleet starts VMs in turn in each failure domain, and one server in each.
-func newLimitFleet(t testing.TB, vms int) *limitFleet {
+func newLimitFleet(t testing.TB, vms int) *limitFleet { return newLimitFleetWithin(t, vms, 0) }
+
+// newLimitFleetWithin does so with a limit on releases and leaving servers.
+func newLimitFleetWithin(t testing.TB, vms int, bound time.Duration) *limitFleet {
 	f := &limitFleet{testFleet: newTestFleet(t), vms: vms, fronts: map[int]*Front{}, stops: map[int]func(){}}
+	f.bound = bound
 	f.domain = func(host int) string { return limitDomains[host%len(limitDomains)] }
 	f.store.put(gladeplatform.KindConfig, gladeplatform.ConfigName, fmt.Sprintf(config, 3, "/a/"))
 	for i, domain := range limitDomains {
--- a/internal/proxy/gladefront/limits_test.go
+++ b/internal/proxy/gladefront/limits_test.go
@@ -310,3 +310,28 @@
 	f.Check(out.refused.Load() > 0, qt.IsTrue)
 	f.Check(out.lateRefusals.Load(), qt.Equals, int64(0))
 }
+
+// Guards against refusals while servers that say that they leave still serve, and against requests to them that were sent later than
+// the bound (DRAIN of a server's own word). All servers of the service leave.
+func TestServersThatAllLeaveServeWithinTheBound(t *testing.T) {
+	const bound = 2 * time.Second
+	f := newLimitFleetWithin(t, 3, bound)
+	f.call(70, time.Second, f.anyVM)
+	for _, s := range f.servers {
+		s.mu.Lock()
+		s.leaving = true
+		s.mu.Unlock()
+	}
+	began := time.Now()
+	out := f.call(70, time.Second, f.anyVM)
+	f.Check(out.refused.Load()+out.failed.Load(), qt.Equals, int64(0))
+	f.call(70, 2*time.Second, f.anyVM)
+	// Each VM was told within the first calls.
+	told := began.Add(500 * time.Millisecond)
+	out = f.call(70, time.Second, f.anyVM)
+	f.Check(out.served.Load(), qt.Equals, int64(0))
+	f.Check(out.slowRefusals.Load()+out.untrue.Load()+out.failed.Load(), qt.Equals, int64(0))
+	for _, s := range f.servers {
+		f.Check(s.arrivedSince(told.Add(bound)), qt.Equals, 0)
+	}
+}
