Bound what a reader sends of a release by the size of its failure domain

Cause, by arithmetic: a change of up to 60 KB sent to each of 100 VMs, or 32 KB answered to each, takes 2.6 to 4.8 s on a link of 10 Mbit/s; a release may take 2 s.

Change: all that a reader sends for one release stays below a fifth of a second of such a link. Above it, VMs read the release from the store.

--- a/internal/state/gladefeed/feed.go
+++ b/internal/state/gladefeed/feed.go
@@ -1,6 +1,7 @@
 package gladefeed
 
 import (
+	"encoding/json"
 	"errors"
 	"slices"
 	"sync"
@@ -70,6 +71,9 @@
 	VM, Address string
 	// Peers returns the addresses of the other VMs in the failure domain.
 	Peers func() []string
+	// ReleaseBytes bounds the bytes of a change of the release, summed over the VMs that it is sent to. Without it they ask for the
+	// release.
+	ReleaseBytes int
 	// StartupWait is how long this VM waits after its start for a reader before it reads itself.
 	StartupWait time.Duration
 	// Rank returns the number of live VMs that should read rather than this one, and Precedes reports whether a VM should.
@@ -172,6 +176,9 @@
 	}
 	u.VM = f.config.VM
 	peers := f.config.Peers()
+	if u.ReleaseChange != nil && !f.fits(u.ReleaseChange, len(peers)) {
+		u.ReleaseChange = nil
+	}
 	err := f.socket.Send(u, peers)
 	if errors.Is(err, gladedatagram.ErrTooLarge) { // receivers ask for what they miss
 		u.Before, u.Changes, u.ReleaseChange = u.Revision, nil, nil
@@ -182,6 +189,16 @@
 	}
 }
 
+// fits reports whether a change of the release may be sent to a number of VMs.
+func (f *Feed) fits(c *gladerelease.Change, vms int) bool {
+	raw, err := json.Marshal(c)
+	if err != nil {
+		f.config.Log.Error("Change of the release cannot be encoded.", "release", c.Version, "reason", err)
+		return false
+	}
+	return len(raw)*vms <= f.config.ReleaseBytes
+}
+
 func (f *Feed) receive(u Update) {
 	switch {
 	case u.Lost:
--- a/internal/state/gladefeed/feed_test.go
+++ b/internal/state/gladefeed/feed_test.go
@@ -6,6 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
+
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
 )
 
 func upToDate() time.Duration { return 0 }
@@ -143,3 +145,15 @@
 	behind = behindLimit + 3*takeoverStagger
 	c.Assert(f.ShouldRead(false, now), qt.IsTrue)
 }
+
+// A change of the release that would keep the reader's link busy is left out, and the VMs ask for it.
+func TestLargeChangeOfReleaseIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	f := &Feed{config: Config{ReleaseBytes: 10_000, Log: hclog.NewNullLogger()}}
+	change := &gladerelease.Change{Before: 1, Version: 2, RemovedRoutes: []string{"r"}}
+	c.Assert(f.fits(change, 100), qt.IsTrue)
+	c.Assert(f.fits(change, 1000), qt.IsFalse)
+	change.RemovedRoutes = make([]string, 1000)
+	c.Assert(f.fits(change, 100), qt.IsFalse)
+	c.Assert(f.fits(change, 3), qt.IsTrue)
+}
--- a/internal/state/gladerelay/answers.go
+++ b/internal/state/gladerelay/answers.go
@@ -46,7 +46,7 @@
 		if err != nil {
 			return releaseAnswer{}, eris.Wrap(err, "encoding changes of the release")
 		}
-		if len(raw) <= maxSmallAnswer {
+		if len(raw) <= r.smallAnswer() {
 			return releaseAnswer{Changes: changes}, nil
 		}
 	}
@@ -54,7 +54,7 @@
 	switch {
 	case err != nil:
 		return releaseAnswer{}, err
-	case len(raw) > maxSmallAnswer && !q.Large:
+	case len(raw) > r.smallAnswer() && !q.Large:
 		return releaseAnswer{Large: true}, nil
 	case !r.mayAnswer(len(raw), time.Now()):
 		return releaseAnswer{Busy: true}, nil
@@ -89,10 +89,22 @@
 	return serversAnswer{List: s}, nil
 }
 
+// smallAnswer returns the size up to which an answer is sent to every VM that asks: all VMs of the failure domain may.
+func (r *Relay) smallAnswer() int {
+	self := r.config.Node.Self()
+	vms := 1
+	for _, m := range r.config.Node.Members() {
+		if m.FailureDomain == self.FailureDomain {
+			vms++
+		}
+	}
+	return max(minSmallAnswer, min(maxSmallAnswer, LinkBudget/vms))
+}
+
 // mayAnswer reports whether an answer of a size may be sent now: a small one always, a large one if those before have passed the
 // link. Answers that share the link would all come too late.
 func (r *Relay) mayAnswer(size int, now time.Time) bool {
-	if size <= maxSmallAnswer {
+	if size <= r.smallAnswer() {
 		return true
 	}
 	r.mu.Lock()
--- a/internal/state/gladerelay/relay.go
+++ b/internal/state/gladerelay/relay.go
@@ -38,13 +38,17 @@
 	// announcementTime is how long an announcement counts.
 	announcementTime = 2 * time.Second
 
-	// maxSmallAnswer is the size in bytes up to which an answer is sent to every VM that asks. With a larger one, a failure domain
-	// of a hundred VMs would keep its reader's link busy for longer than a release may take.
+	// maxSmallAnswer and minSmallAnswer bound the size in bytes up to which an answer is sent to every VM that asks.
 	maxSmallAnswer = 32 << 10
+	minSmallAnswer = 2 << 10
 	// minLinkRate is the rate in bytes a second of the slowest link of a VM. Larger answers follow each other at this rate.
 	minLinkRate = 10_000_000 / 8
 )
 
+// LinkBudget is the number of bytes that a VM may send to all others of its failure domain for one release: a fifth of a second of
+// the slowest link.
+const LinkBudget = minLinkRate / 5
+
 // State is how recent the data of a VM is.
 type State struct {
 	// Release is the version in force, zero for none.
