Check the release that a change leads to, and compare releases faster

Cause: TestReadersOfDifferentAge failed once the changes were taken from updates: a change of a version that was not the store's removed a route, and the changes that followed kept it out, because they hold only what differs.

Change: a change carries the digest of the release that it leads to; if that differs, the whole release is requested. Comparing two releases no longer uses reflection for each key, and is done outside the lock that requests use.

--- a/internal/fleet/gladefleet/leaving_test.go
+++ b/internal/fleet/gladefleet/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -137,3 +138,15 @@
 	_, _, err = chosen(table, Requirements{}, now.Add(10*time.Second))
 	c.Assert(err, qt.IsNil)
 }
+
+func BenchmarkDigest(b *testing.B) {
+	t := New(Config{FailureDomain: "a"})
+	now := time.Unix(1000, 0)
+	for n := range 870 {
+		id := fmt.Sprintf("i-%08x", n)
+		t.Put(Server{ID: id, Service: "s", Address: fmt.Sprintf("10.0.%d.%d:8404", n/256, n%256), FailureDomain: "a", Slots: 6, Started: 1}, now)
+	}
+	for b.Loop() {
+		t.Digest()
+	}
+}
--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -261,7 +261,7 @@
 	f.mu.Lock()
 	f.storeRelease = r.Version
 	f.mu.Unlock()
-	f.applyRelease(r, fromStore)
+	f.applyRelease(r, nil, fromStore)
 }
 
 // confirmRelease records that the store has just said that the release that it gave last is the newest.
@@ -304,23 +304,30 @@
 const fromStore = "store"
 
 // applyRelease puts a release in force unless the one in force is as new, and tells the failure domain of it unless the domain
-// did so.
-func (f *Front) applyRelease(r *gladerelease.Release, from string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// did so.  The change that led to the release may be nil.
+func (f *Front) applyRelease(r *gladerelease.Release, change *gladerelease.Change, from string) {
+	f.releaseMu.Lock()
+	defer f.releaseMu.Unlock()
 	old := f.release.Load()
 	if old != nil && old.Version >= r.Version {
 		return
 	}
-	u := gladefeed.Update{Before: f.revision, Revision: f.revision, Release: r.Version, Reading: f.reading && from == fromStore}
-	if old != nil {
-		if change, ok := gladerelease.Diff(old, r); ok {
-			f.history.Add(change)
-			u.ReleaseChange = &change
-		} else {
-			f.history.Reset()
+	if old != nil && (change == nil || change.Before != old.Version) {
+		change = nil
+		if c, ok := gladerelease.Diff(old, r); ok {
+			change = &c
 		}
 	}
+	if change != nil {
+		f.history.Add(*change)
+	} else {
+		f.history.Reset()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u := gladefeed.Update{
+		Before: f.revision, Revision: f.revision, Release: r.Version, Reading: f.reading && from == fromStore, ReleaseChange: change,
+	}
 	f.release.Store(r)
 	f.releaseSince = time.Now()
 	f.age.Apply(r.Version, bootTime())
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -98,6 +98,8 @@
 	store     *gladeplatform.Store
 	// releases reads the release from the store.
 	releases gladeview.FollowConfig[entry[*gladerelease.Release]]
+	// releaseMu is held while a release is put in force.  It comes before mu.
+	releaseMu sync.Mutex
 	// history holds the latest changes of the release.
 	history gladerelease.History
 
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -326,6 +326,9 @@
 
 // readState returns the revision and release that this VM has read, and whether it has to read the store now.
 func (f *Front) readState() (gladefeed.Update, bool) {
+	if !f.isReading() {
+		return gladefeed.Update{}, false
+	}
 	f.serversMu.Lock()
 	digest := f.fleet.Digest()
 	f.mu.Lock()
@@ -374,7 +377,7 @@
 		f.log.Error("Change of the release cannot be applied; the release is requested.", "peer", u.VM, "reason", err)
 		return
 	}
-	f.applyRelease(next, u.VM)
+	f.applyRelease(next, u.ReleaseChange, u.VM)
 }
 
 // applyServerChanges applies the changes of servers in an update, and returns false if changes before them are missing.
@@ -411,7 +414,7 @@
 // onPeerRelease puts the release of a peer in force; nil means that this VM had it already.
 func (f *Front) onPeerRelease(r *gladerelease.Release, from string) {
 	if r != nil {
-		f.applyRelease(r, from)
+		f.applyRelease(r, nil, from)
 	}
 }
 
--- a/internal/state/gladerelay/answers.go
+++ b/internal/state/gladerelay/answers.go
@@ -131,13 +131,21 @@
 		q.Large = true
 		a, err = r.askRelease(ctx, vm, q, largeTimeout)
 	}
+	if err == nil && len(a.Changes) > 0 {
+		release, applyErr := applyAll(base, a.Changes)
+		if applyErr == nil {
+			return release, nil
+		}
+		r.config.Log.Warn("Changes of the release do not lead on from this VM's; the whole is requested.", "peer", vm, "have", q.Have,
+			"reason", applyErr)
+		q.Have, q.Large = 0, true
+		a, err = r.askRelease(ctx, vm, q, largeTimeout)
+	}
 	switch {
 	case err != nil:
 		return nil, err
 	case a.Busy:
 		return nil, eris.Wrap(errBusy, vm)
-	case len(a.Changes) > 0:
-		return applyAll(base, a.Changes)
 	case a.Release == nil:
 		return nil, nil
 	}
--- a/internal/state/gladerelease/change.go
+++ b/internal/state/gladerelease/change.go
@@ -1,16 +1,24 @@
 package gladerelease
 
 import (
+	"encoding/binary"
+	"fmt"
 	"maps"
 	"reflect"
 	"slices"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 )
 
-// ErrOtherBase means that a change does not lead on from a release.
-var ErrOtherBase = eris.New("the change follows another release")
+// Errors of Apply.
+var (
+	// ErrOtherBase means that a change does not lead on from a release.
+	ErrOtherBase = eris.New("the change follows another release")
+	// ErrDigest means that a change does not lead to the release that it was made from: the release before it differed.
+	ErrDigest = eris.New("the change leads to another release")
+)
 
 // Change holds what differs between two releases. It costs a small part of a release, of which most stays the same.
 type Change struct {
@@ -28,12 +36,14 @@
 	// Limits is nil if they stay the same.
 	Limits     *Limits `json:"limits,omitempty"`
 	Restricted bool    `json:"restricted,omitempty"`
+	// Digest is the hash of the release that the change leads to.
+	Digest uint64 `json:"digest"`
 }
 
 // Diff returns the change from one release to another. It returns false if a change cannot express the difference: names of
 // routes that are not unique, or another order of the routes that remain.
 func Diff(before, after *Release) (Change, bool) {
-	c := Change{Before: before.Version, Version: after.Version, Restricted: after.Restricted}
+	c := Change{Before: before.Version, Version: after.Version, Restricted: after.Restricted, Digest: after.digest}
 	old, ok := routesByName(before.Routes)
 	if !ok {
 		return Change{}, false
@@ -44,7 +54,7 @@
 	}
 	for i := range after.Routes {
 		r := &after.Routes[i]
-		if o := old[r.Name]; o == nil || !reflect.DeepEqual(*o, *r) {
+		if o := old[r.Name]; o == nil || !o.equal(r) {
 			c.Routes = append(c.Routes, *r)
 		}
 	}
@@ -53,12 +63,13 @@
 			c.RemovedRoutes = append(c.RemovedRoutes, name)
 		}
 	}
-	same := func(a, b Route) bool { return a.Name == b.Name }
-	if !slices.EqualFunc(applyRoutes(before.Routes, c), after.Routes, same) {
+	sameName := func(a, b Route) bool { return a.Name == b.Name }
+	if !slices.EqualFunc(applyRoutes(before.Routes, c), after.Routes, sameName) {
 		return Change{}, false
 	}
-	c.Services, c.RemovedServices = diffMaps(before.Services, after.Services)
-	c.Organisations, c.RemovedOrganisations = diffMaps(before.Organisations, after.Organisations)
+	c.Services, c.RemovedServices = diffMaps(before.Services, after.Services, Service.equal)
+	same := func(a, b Organisation) bool { return a == b }
+	c.Organisations, c.RemovedOrganisations = diffMaps(before.Organisations, after.Organisations, same)
 	if before.Limits != after.Limits {
 		c.Limits = &after.Limits
 	}
@@ -73,9 +84,23 @@
 	return byName, len(byName) == len(routes)
 }
 
-func diffMaps[V any](before, after map[string]V) (changed map[string]V, removed []string) {
+// equal reports whether two routes are the same.
+func (r *Route) equal(o *Route) bool {
+	a, b := *r, *o
+	a.Shares, b.Shares = nil, nil
+	return reflect.DeepEqual(a, b) && slices.Equal(r.Shares, o.Shares)
+}
+
+// equal reports whether two services are the same.
+func (s Service) equal(o Service) bool {
+	a, b := s, o
+	a.Engine, b.Engine = nil, nil
+	return a == b && (s.Engine == nil) == (o.Engine == nil) && (s.Engine == nil || *s.Engine == *o.Engine)
+}
+
+func diffMaps[V any](before, after map[string]V, same func(a, b V) bool) (changed map[string]V, removed []string) {
 	for k, v := range after {
-		if o, ok := before[k]; !ok || !reflect.DeepEqual(o, v) {
+		if o, ok := before[k]; !ok || !same(o, v) {
 			if changed == nil {
 				changed = map[string]V{}
 			}
@@ -118,7 +143,36 @@
 	return next
 }
 
-// Apply returns the release after a change, ready for Match, or ErrOtherBase if the change follows another version.
+// computeDigest returns a hash of the release that does not depend on the order of its parts.
+func (r *Release) computeDigest() uint64 {
+	digest := xxhash.Sum64String(fmt.Sprintf("%d %t %+v", r.Version, r.Restricted, r.Limits))
+	for i := range r.Routes {
+		digest ^= xxhash.Sum64String(fmt.Sprintf("%+v", r.Routes[i]))
+	}
+	for name, s := range r.Services {
+		engine := s.Engine
+		s.Engine = nil
+		digest ^= xxhash.Sum64String(fmt.Sprintf("%s %+v %+v", name, s, engine))
+	}
+	var d xxhash.Digest
+	var number [9]byte
+	for key, o := range r.Organisations {
+		d.Reset()
+		_, _ = d.WriteString(key)
+		_, _ = d.Write([]byte{0})
+		_, _ = d.WriteString(o.Name)
+		binary.LittleEndian.PutUint64(number[:], uint64(o.Priority))
+		number[8] = 0
+		if o.Prioritised {
+			number[8] = 1
+		}
+		_, _ = d.Write(number[:])
+		digest ^= d.Sum64()
+	}
+	return digest
+}
+
+// Apply returns the release after a change, ready for Match. Its errors are ErrOtherBase and ErrDigest.
 func (r *Release) Apply(c Change) (*Release, error) {
 	if c.Before != r.Version || c.Version <= c.Before {
 		return nil, eris.Wrapf(ErrOtherBase, "%d to %d, not from %d", c.Before, c.Version, r.Version)
@@ -132,6 +186,9 @@
 		next.Limits = *c.Limits
 	}
 	next.Index()
+	if next.digest != c.Digest {
+		return nil, eris.Wrapf(ErrDigest, "version %d", c.Version)
+	}
 	return next, nil
 }
 
--- a/internal/state/gladerelease/change_test.go
+++ b/internal/state/gladerelease/change_test.go
@@ -78,8 +78,21 @@
 		_, err := r.Apply(change)
 		c.Assert(err, qt.ErrorIs, ErrOtherBase)
 	}
+	r.Organisations = map[string]Organisation{"a": {Name: "x"}}
+	r.Index()
+	after := &Release{Version: 5, Organisations: map[string]Organisation{"a": {Name: "x"}, "b": {Name: "y"}}}
+	after.Index()
+	change, ok := Diff(r, after)
+	c.Assert(ok, qt.IsTrue)
+	_, err := r.Apply(change)
+	c.Assert(err, qt.IsNil)
+	for _, o := range []Organisation{{Name: "z"}, {Name: "x", Priority: 1}, {Name: "x", Prioritised: true}} {
+		differs := &Release{Version: 4, Organisations: map[string]Organisation{"a": o}}
+		_, err = differs.Apply(change)
+		c.Assert(err, qt.ErrorIs, ErrDigest)
+	}
 	twice := &Release{Version: 5, Routes: []Route{{Name: "a"}, {Name: "a", Host: "h"}}}
-	_, ok := Diff(r, twice)
+	_, ok = Diff(r, twice)
 	c.Assert(ok, qt.IsFalse)
 	_, ok = Diff(&Release{Routes: []Route{{Name: "a"}, {Name: "b"}}}, &Release{Version: 1, Routes: []Route{{Name: "b"}, {Name: "a"}}})
 	c.Assert(ok, qt.IsFalse)
@@ -106,3 +119,38 @@
 	h.Reset()
 	c.Assert(h.Since(201), qt.HasLen, 0)
 }
+
+// largeReleases returns two releases with 48,000 keys and 1,000 routes, of which one key and one route differ.
+func largeReleases() (before, after *Release) {
+	build := func(version int64) *Release {
+		r := &Release{Version: version, Organisations: map[string]Organisation{}}
+		for n := range 48_000 {
+			r.Organisations[fmt.Sprintf("key-%032d", n)] = Organisation{Name: fmt.Sprint("organisation-", n)}
+		}
+		for n := range 1000 {
+			r.Routes = append(r.Routes, Route{Name: fmt.Sprint("r-", n), Host: "h", PathPrefix: fmt.Sprintf("/%d/", n), Shares: []Share{{Service: "s", Weight: 1}}})
+		}
+		r.Organisations[fmt.Sprint("key-", version)] = Organisation{Name: "o"}
+		r.Routes[7].Timeout = time.Duration(version)
+		r.Index()
+		return r
+	}
+	return build(1), build(2)
+}
+
+func BenchmarkDiff(b *testing.B) {
+	before, after := largeReleases()
+	for b.Loop() {
+		Diff(before, after)
+	}
+}
+
+func BenchmarkApply(b *testing.B) {
+	before, after := largeReleases()
+	change, _ := Diff(before, after)
+	for b.Loop() {
+		if _, err := before.Apply(change); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/state/gladerelease/release.go
+++ b/internal/state/gladerelease/release.go
@@ -124,11 +124,13 @@
 	// Restricted reports that requests need an API key, except on public routes.
 	Restricted bool `json:"restricted"`
 
-	hosts map[string][]*Route
+	hosts  map[string][]*Route
+	digest uint64
 }
 
 // Index prepares a release for Match. It must be called once, before the release is shared.
 func (r *Release) Index() {
+	r.digest = r.computeDigest()
 	r.hosts = make(map[string][]*Route, len(r.Routes))
 	for i := range r.Routes {
 		route := &r.Routes[i]
