--- a/gladewire/conn.go
+++ b/gladewire/conn.go
@@ -122,7 +122,7 @@
 		c.network.mu.Unlock()
 	})
 	if c.lost.Load() {
-		return c.Conn.SetDeadline(time.Unix(1, 0)) // ends this end's calls only
+		return c.SetDeadline(time.Unix(1, 0)) // ends this end's calls only
 	}
 	return c.Conn.Close()
 }
--- a/internal/proxy/gladesoak/releases_test.go
+++ b/internal/proxy/gladesoak/releases_test.go
@@ -102,7 +102,7 @@
 func TestAllowsStatus(t *testing.T) {
 	c := qt.New(t)
 	start := time.Unix(1000, 0)
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	releases := []ackedRelease{{at(0), true}, {at(10 * time.Second), false}, {at(12 * time.Second), true}}
 	for _, x := range []struct {
 		sent                    time.Duration
