Relay: count the wait for a missed update from the first that is missing

Change: they count from the first update that named a list that the VM lacks. TestMissedServersAreRequestedWhileUpdatesFollow: no request in 2 s before, one within 0.5 s after.

--- /dev/null
+++ b/internal/proxy/gladefront/store_test.go
@@ -0,0 +1,115 @@
+package gladefront
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// fakeStore stands for the platform's store.
+type fakeStore struct {
+	mu       sync.Mutex
+	objects  map[string]map[string]json.RawMessage
+	changed  chan struct{}
+	revision int64
+	changes  []change
+	// rejects holds the VMs whose calls are rejected, and rejections their number; hangs holds the kinds whose watches by a VM are
+	// not answered, and hung their number.  All are keyed by the VM's host.
+	rejects    map[int]bool
+	rejections map[int]int
+	hangs      map[int][]string
+	hung       map[int]int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{
+		objects: map[string]map[string]json.RawMessage{}, changed: make(chan struct{}),
+		rejects: map[int]bool{}, rejections: map[int]int{}, hangs: map[int][]string{}, hung: map[int]int{},
+	}
+}
+
+type change struct {
+	revision   int64
+	kind, name string
+}
+
+func (s *fakeStore) put(kind, name, spec string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]json.RawMessage{}
+	}
+	s.objects[kind][name] = json.RawMessage(spec)
+	s.revision++
+	s.changes = append(s.changes, change{s.revision, kind, name})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) object(kind, name string) map[string]any {
+	return map[string]any{"meta": map[string]any{"name": name, "revision": s.revision}, "spec": s.objects[kind][name]}
+}
+
+// set changes the faults of the store.
+func (s *fakeStore) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+// serve answers lists and watches of the VM on a host.
+func (s *fakeStore) serve(host int, w http.ResponseWriter, r *http.Request) {
+	kind := strings.TrimPrefix(r.URL.Path, "/v1/objects/")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rejects[host] {
+		s.rejections[host]++
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	watch := r.URL.Query().Get("watch")
+	if watch != "" && slices.Contains(s.hangs[host], kind) {
+		s.hung[host]++
+		s.mu.Unlock()
+		<-r.Context().Done()
+		s.mu.Lock()
+		return
+	}
+	if watch == "" {
+		items := []any{}
+		for name := range s.objects[kind] {
+			items = append(items, s.object(kind, name))
+		}
+		_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "at": s.revision})
+		return
+	}
+	after, _ := strconv.ParseInt(watch, 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	events := s.eventsAfter(kind, after)
+	if len(events) == 0 {
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-time.After(time.Duration(wait) * time.Millisecond):
+		case <-r.Context().Done():
+		}
+		s.mu.Lock()
+		events = s.eventsAfter(kind, after)
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "at": s.revision})
+}
+
+func (s *fakeStore) eventsAfter(kind string, revision int64) []any {
+	events := []any{}
+	for _, c := range s.changes {
+		if c.kind == kind && c.revision > revision {
+			events = append(events, map[string]any{"object": s.object(kind, c.name)})
+		}
+	}
+	return events
+}
--- /dev/null
+++ b/internal/proxy/gladefront/updates.go
@@ -0,0 +1,110 @@
+package gladefront
+
+import (
+	"time"
+
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladefeed"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelay"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
+	gladeplatform "github.com/eelgrassglade/eelgrassglade/platform"
+)
+
+// readState returns the revision and release that this VM has read, and whether it has to read the store now.
+func (f *Front) readState() (gladefeed.Update, bool) {
+	if !f.isReading() {
+		return gladefeed.Update{}, false
+	}
+	f.serversMu.Lock()
+	digest := f.fleet.Digest()
+	f.mu.Lock()
+	revision := f.revision
+	f.mu.Unlock()
+	f.serversMu.Unlock()
+	now := bootTime()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	age := now.Sub(f.confirmedAt)
+	u := gladefeed.Update{Before: revision, Revision: revision, Digest: digest, AgeMillis: age.Milliseconds()}
+	if r := f.release.Load(); r != nil {
+		u.Release = r.Version
+	}
+	reached := !f.storeRefused && !f.unreachable[gladeplatform.KindServers] && !f.unreachable[gladeplatform.KindConfig]
+	// A VM that was frozen has answers of before; its watches end at once, but heartbeats may come first.
+	u.Reading = reached && age <= f.watchWait()+watchSlack
+	u.Lost = !u.Reading
+	return u, f.serversKnown && f.reading
+}
+
+// onUpdate applies the update of another VM. What this VM misses is requested without holding up later updates.
+func (f *Front) onUpdate(u gladefeed.Update) {
+	f.observeRelease(u)
+	f.applyReleaseChange(u)
+	var missing gladerelay.State
+	if r := f.release.Load(); r == nil || r.Version < u.Release {
+		missing.Release = u.Release
+	}
+	if !f.applyServerChanges(u) {
+		missing.Servers = u.Revision
+	}
+	if missing != (gladerelay.State{}) {
+		f.relay.Announce(u.VM, missing)
+	}
+}
+
+// applyReleaseChange applies the change of the release in an update if it follows the release in force.
+func (f *Front) applyReleaseChange(u gladefeed.Update) {
+	r := f.release.Load()
+	if r == nil || u.ReleaseChange == nil || u.ReleaseChange.Before != r.Version {
+		return
+	}
+	next, err := r.Apply(*u.ReleaseChange)
+	if err != nil {
+		f.log.Error("Change of the release cannot be applied; the release is requested.", "peer", u.VM, "reason", err)
+		return
+	}
+	f.applyRelease(next, u.ReleaseChange, u.VM)
+}
+
+// applyServerChanges applies the changes of servers in an update, and returns false if changes before them are missing.
+func (f *Front) applyServerChanges(u gladefeed.Update) bool {
+	f.serversMu.Lock()
+	defer f.serversMu.Unlock()
+	f.mu.Lock()
+	known, serversKnown := f.revision, f.serversKnown
+	f.mu.Unlock()
+	switch {
+	case !serversKnown:
+		return false
+	case u.Revision <= known:
+		return true
+	case u.Before > known && (u.Digest == 0 || u.Digest != f.fleet.Digest()):
+		return false
+	}
+	if u.Before <= known {
+		now := time.Now()
+		for _, c := range u.Changes {
+			if c.Server != nil {
+				f.putServer(*c.Server, now)
+			} else {
+				f.removeServer(c.Removed, now, false)
+			}
+		}
+	}
+	f.mu.Lock()
+	f.revision = max(f.revision, u.Revision)
+	f.mu.Unlock()
+	return true
+}
+
+// onPeerRelease puts the release of a peer in force; nil means that this VM had it already.
+func (f *Front) onPeerRelease(r *gladerelease.Release, from string) {
+	if r != nil {
+		f.applyRelease(r, nil, from)
+	}
+}
+
+func (f *Front) isReading() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reading
+}
--- a/internal/state/gladerelay/relay.go
+++ b/internal/state/gladerelay/relay.go
@@ -114,11 +114,12 @@
 	largeUntil time.Time
 }
 
-// announcement is what a reader says that it has, since a time.
+// announcement is what a reader says that it has.
 type announcement struct {
 	State
 
-	since time.Time
+	// at is when it said so last, and since when it first named a list of servers that this VM still lacks.
+	at, since time.Time
 }
 
 // New registers the peer calls, starts polling the states of the peers, and returns the clean-up function.
@@ -169,12 +170,14 @@
 // Announce records what a reader of this failure domain says that it has. What this VM misses is asked for without further wait,
 // and without holding up the caller.
 func (r *Relay) Announce(vm string, s State) {
-	now := time.Now()
+	now, known := time.Now(), r.config.State().Servers
 	r.mu.Lock()
 	a := r.announced[vm]
-	if a.State != s || now.Sub(a.since) > announcementTime {
-		r.announced[vm] = announcement{s, now}
+	if now.Sub(a.at) > announcementTime || a.Servers <= known {
+		a.since = now
 	}
+	a.State, a.at = s, now
+	r.announced[vm] = a
 	r.mu.Unlock()
 	r.wakeUp()
 }
@@ -187,10 +190,10 @@
 	var release, servers, announcedRelease, announcedServers int64
 	for _, s := range sources {
 		release, servers = max(release, s.Release), max(servers, s.Servers)
-		if !s.since.IsZero() {
+		if !s.at.IsZero() {
 			announcedRelease = max(announcedRelease, s.Release)
 		}
-		if !s.since.IsZero() && now.Sub(s.since) >= gapDelay {
+		if !s.at.IsZero() && now.Sub(s.since) >= gapDelay {
 			announcedServers = max(announcedServers, s.Servers)
 		}
 	}
@@ -227,7 +230,7 @@
 	return own.Lost || own.Release == 0 || now.Sub(r.pendingSince) >= watchGrace
 }
 
-// source is a peer and what it has; since is when a reader announced that, zero for a published state.
+// source is a peer and what it has; at is zero for a published state.
 type source struct {
 	announcement
 
@@ -247,14 +250,14 @@
 		if raw, ok := m.Facts[Fact]; ok && json.Unmarshal(raw, &s.State) != nil {
 			continue // written by another build
 		}
-		if a, ok := r.announced[m.Name]; ok && now.Sub(a.since) <= announcementTime {
-			s.since = a.since
+		if a, ok := r.announced[m.Name]; ok && now.Sub(a.at) <= announcementTime {
+			s.at, s.since = a.at, a.since
 			s.Release, s.Servers = max(s.Release, a.Release), max(s.Servers, a.Servers)
 		}
 		sources = append(sources, s)
 	}
 	for vm, a := range r.announced {
-		if now.Sub(a.since) > announcementTime {
+		if now.Sub(a.at) > announcementTime {
 			delete(r.announced, vm)
 		}
 	}
--- a/internal/state/gladerelay/relay_test.go
+++ b/internal/state/gladerelay/relay_test.go
@@ -37,6 +37,8 @@
 	// store is the release in the store, nil if the VM cannot read it, and reads the number of times that it was read.
 	store *gladerelease.Release
 	reads int
+	// lists is the number of requests for its list of servers.
+	lists atomic.Int64
 	close func()
 }
 
@@ -91,7 +93,7 @@
 		Node:  node,
 		State: func() State { return State{Release: v.version(), Servers: 1} }, Release: v.release.Load, History: &v.history,
 		Reading: func() bool { return false }, ReadRelease: v.readStore,
-		Servers: func() Servers { return Servers{} }, OnRelease: v.apply, OnServers: func(Servers, string) {},
+		Servers: func() Servers { v.lists.Add(1); return Servers{} }, OnRelease: v.apply, OnServers: func(Servers, string) {},
 		OnNewest: func(int64) {}, Log: hclog.NewNullLogger(),
 	})
 	v.relay = relay
@@ -319,3 +321,21 @@
 		}
 	})
 }
+
+// Guards against a wait for the update that closes a gap which each further update starts anew.
+func TestMissedServersAreRequestedWhileUpdatesFollow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := &gladewire.Network{}
+		from, to := startRelayVM(c, w, "vm-0", "a"), startRelayVM(c, w, "vm-1", "a")
+		time.Sleep(5 * time.Second)
+		began := time.Now()
+		for revision := int64(10); from.lists.Load() == 0 && time.Since(began) < releaseBound; revision++ {
+			to.relay.Announce("vm-0", State{Servers: revision})
+			time.Sleep(gapDelay / 2)
+		}
+		c.Check(time.Since(began) < 500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+		from.close()
+		to.close()
+	})
+}
