--- a/internal/state/gladerelay/relay_test.go
+++ b/internal/state/gladerelay/relay_test.go
@@ -155,8 +155,8 @@
 // largeRelease returns a release of about a megabyte, in which one key differs from that of another version.
 func largeRelease(version int64, prefix string) *gladerelease.Release {
 	r := &gladerelease.Release{Version: version, Organisations: map[string]gladerelease.Organisation{}}
-	for n := range 12000 {
-		r.Organisations[fmt.Sprintf("%s-%032d", prefix, n)] = gladerelease.Organisation{Name: fmt.Sprint("organisation-", n%500)}
+	for n := range 1000 {
+		r.Organisations[fmt.Sprintf("%s-%01000d", prefix, n)] = gladerelease.Organisation{Name: fmt.Sprint("organisation-", n%500)}
 	}
 	r.Organisations[fmt.Sprint("key-", version)] = gladerelease.Organisation{Name: "organisation-1"}
 	r.Index()
