--- a/gladepeer/link.go
+++ b/gladepeer/link.go
@@ -94,13 +94,16 @@
 // in progress may still be answered.
 func (n *Node) retireIfSilent(c *jsonrpc2.Conn, began time.Time) {
 	n.mu.Lock()
-	q := n.conns[c]
+	q, address := n.conns[c], ""
+	if q != nil {
+		address = q.address
+	}
 	n.mu.Unlock()
 	if q == nil || q.lastHeard().After(began) || time.Since(q.lastHeard()) < silenceLimit || q.retired.Swap(true) {
 		return
 	}
 	n.counters.silent.Inc(1)
-	n.log.Info("Connection without an answer is replaced.", "address", q.address, "openedMs", time.Since(q.openedAt).Milliseconds(),
+	n.log.Info("Connection without an answer is replaced.", "address", address, "openedMs", time.Since(q.openedAt).Milliseconds(),
 		"heardMs", time.Since(q.lastHeard()).Milliseconds())
 	time.AfterFunc(n.config.CallTimeout, func() { _ = c.Close() })
 }
