--- a/internal/state/gladeview/follow_test.go
+++ b/internal/state/gladeview/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,9 +58,10 @@
 
 // recorder counts the callbacks of a Follow and keeps their latest values.
 type recorder struct {
-	lists, changes, lost, current int
-	outage                        time.Duration
-	revision                      int64
+	lists, changes, lost int
+	current              atomic.Int64
+	outage               time.Duration
+	revision             int64
 }
 
 // runFollow calls f while a Follow of the store runs in virtual time.
@@ -74,7 +76,7 @@
 				List: s.list, Watch: s.watch,
 				OnList:      func(_ []Item[int], revision int64) { h.lists++; h.revision = revision },
 				OnChanges:   func(changes []Change[int], revision int64) { h.changes += len(changes); h.revision = revision },
-				OnCurrent:   func() { h.current++ },
+				OnCurrent:   func() { h.current.Add(1) },
 				OnLost:      func(error) { h.lost++ },
 				OnRecovered: func(outage time.Duration) { h.outage = outage },
 			})
@@ -94,9 +96,9 @@
 		advance(time.Second)
 		c.Assert(h.changes, qt.Equals, 2)
 		c.Assert(h.revision, qt.Equals, int64(5))
-		c.Assert(h.current, qt.Equals, 2) // the list and the changes
+		c.Assert(h.current.Load(), qt.Equals, int64(2)) // the list and the changes
 		advance(1500 * time.Millisecond)
-		c.Assert(h.current > 2, qt.IsTrue) // a watch without changes
+		c.Assert(h.current.Load() > 2, qt.IsTrue) // a watch without changes
 		c.Assert(s.lists, qt.Equals, 1)
 	})
 }
