Review: case 1, an encoded stream becomes an empty success

Cause looked for: answers of workers that are not the worker's own bytes. Case: a worker answers a streaming request with Content-Encoding; the caller gets 200 with the seal and no body. Stand-ins of the cases are in review/_standin, outside the packages of the default test run.

--- /dev/null
+++ b/review/_standin/main.go
@@ -0,0 +1,18 @@
+// Command standin runs the cases of the review: it starts the deployed program as separate processes, with a store,
+// workers and clients that follow the pages of the users' platform.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+var cases = map[string]func(*world){"encoded-stream": encodedStream}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
+		os.Exit(2)
+	}
+	cases[os.Args[1]](newWorld(os.Args[2]))
+}
