--- a/review/_standin/harness.go
+++ b/review/_standin/harness.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -166,6 +167,15 @@
 	if err != nil {
 		v.w.cannotRun(err)
 	}
+	if v.cmd != nil { // only the first start of the whole system is one
+		raw, err := os.ReadFile(v.settings)
+		if err == nil {
+			err = os.WriteFile(v.settings, bytes.Replace(raw, []byte("bootstrap = true"), []byte("bootstrap = false"), 1), 0o600)
+		}
+		if err != nil {
+			v.w.cannotRun(err)
+		}
+	}
 	v.cmd = exec.Command(v.w.gladed, "run")
 	v.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "EELGRASSGLADE_SETTINGS=" + v.settings}
 	v.cmd.Stdout, v.cmd.Stderr = log, log
--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -27,6 +27,8 @@
 	work   time.Duration
 	events int
 	gap    time.Duration
+	// prefill is the time that a new stream's prompt takes.
+	prefill time.Duration
 	// encodeEvery makes each so many-th stream come with a Content-Encoding; zero means none.
 	encodeEvery atomic.Int64
 	count       atomic.Int64
@@ -41,7 +43,7 @@
 func (w *world) addWorker(service, zone, id string) *worker {
 	k := &worker{
 		w: w, id: id, service: service, zone: zone, slots: 12, born: time.Now().UnixMilli(), work: 30 * time.Millisecond,
-		events: 40, gap: 15 * time.Millisecond, runs: map[string]int{},
+		events: 40, gap: 15 * time.Millisecond, prefill: 50 * time.Millisecond, runs: map[string]int{},
 	}
 	k.listener = w.listen(w.ip())
 	k.address = k.listener.Addr().String()
@@ -123,7 +125,7 @@
 		return
 	}
 	f := http.NewResponseController(out)
-	time.Sleep(50 * time.Millisecond)
+	time.Sleep(k.prefill)
 	for n := last + 1; n <= k.events; n++ {
 		if r.Context().Err() != nil {
 			return
