--- a/review/_standin/harness.go
+++ b/review/_standin/harness.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -29,6 +30,7 @@
 	record  *os.File
 	vms     []*vm
 	lastIP  int
+	foreign atomic.Int64
 }
 
 // cannotRun ends the program with the status that says so.
@@ -90,6 +92,9 @@
 	return l
 }
 
+// relisten opens a listener at an address again.
+func (w *world) relisten(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
 // serveStore starts the store and returns its address.
 func (w *world) serveStore() string {
 	l := w.listen(w.ip())
@@ -108,6 +113,9 @@
 	ready    string
 	cmd      *exec.Cmd
 	exited   chan struct{}
+
+	mu        sync.Mutex
+	startedAt time.Time
 }
 
 // bounds are those of the small deployment of SYSTEM.md.
--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -37,13 +37,16 @@
 
 	mu   sync.Mutex
 	runs map[string]int
+	// arrived holds the times at which requests arrived, and leftAt is the time of the store's ack of the leaving.
+	arrived map[string]time.Time
+	leftAt  time.Time
 }
 
 // addWorker starts a worker and registers it.
 func (w *world) addWorker(service, zone, id string) *worker {
 	k := &worker{
 		w: w, id: id, service: service, zone: zone, slots: 12, born: time.Now().UnixMilli(), work: 30 * time.Millisecond,
-		events: 40, gap: 15 * time.Millisecond, prefill: 50 * time.Millisecond, runs: map[string]int{},
+		events: 40, gap: 15 * time.Millisecond, prefill: 50 * time.Millisecond, runs: map[string]int{}, arrived: map[string]time.Time{},
 	}
 	k.listener = w.listen(w.ip())
 	k.address = k.listener.Addr().String()
@@ -98,6 +101,7 @@
 	}
 	k.mu.Lock()
 	k.runs[attempt]++
+	k.arrived[attempt] = time.Now()
 	k.mu.Unlock()
 	k.w.note("run", "worker", k.id, "attempt", attempt, "last", r.Header.Get("Last-Event-Id"))
 	h.Set("Server-Seal", "seal."+attempt)
