--- a/review/_standin/drain.go
+++ b/review/_standin/drain.go
@@ -66,6 +66,9 @@
 	w.store.put("config", "main", config(7))
 	stays := w.addWorker("app", "shubra", "i-10000001")
 	leaves := w.addWorker("app", "shubra", "i-10000002")
+	for i := range 6 { // so that one worker is no more than 0.13 of them
+		w.addWorker("llm", zones[i%3], fmt.Sprintf("i-2000000%d", i))
+	}
 	var seeds []string
 	for range 2 {
 		v := w.addVM("shubra", storeAddress, zones, seeds)
@@ -97,7 +100,7 @@
 		time.Sleep(time.Second)
 		leaves.register("draining")
 		leaves.mu.Lock()
-		leaves.leftAt = time.Now()
+		leaves.leftAt, leaves.draining = time.Now(), true
 		leaves.mu.Unlock()
 		w.note("acked", "worker", leaves.id, "state", "draining")
 		<-readerEnded
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -7,7 +7,7 @@
 	"os"
 )
 
-var cases = map[string]func(*world){"encoded-stream": encodedStream, "long-calls-at-stop": longCallsAtStop, "long-bodies": longBodies, "foreign-memory": foreignMemory, "leaving-worker": leavingWorker}
+var cases = map[string]func(*world){"encoded-stream": encodedStream, "long-calls-at-stop": longCallsAtStop, "long-bodies": longBodies, "foreign-memory": foreignMemory, "leaving-worker": leavingWorker, "emptied-service": emptiedService}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
--- a/review/_standin/stop.go
+++ b/review/_standin/stop.go
@@ -78,18 +78,21 @@
 		v := w.addVM("shubra", storeAddress, zones, seeds)
 		seeds = append(seeds, v.ip)
 	}
+	for _, z := range zones[1:] {
+		w.addVM(z, storeAddress, zones, seeds)
+	}
 	for _, v := range w.vms {
 		v.start()
 	}
 	w.awaitReady()
 	time.Sleep(time.Second)
-	b := newBalancer(w, w.vms)
+	b := newBalancer(w, w.vms[:3])
 	const grace = 8 * time.Second
 	var mu sync.Mutex
 	stoppedAt := map[*vm]time.Time{}
 	began := time.Now()
 	if w.trouble {
-		// share 0.45 of the machines of three zones: two of this one, one at a time, 1 s apart
+		// share 0.4 of the machines: two of the five, one at a time, 1 s apart
 		for i, v := range w.vms[:2] {
 			time.AfterFunc(4*time.Second+time.Duration(i)*time.Second, func() {
 				mu.Lock()
--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -40,6 +40,8 @@
 	// arrived holds the times at which requests arrived, and leftAt is the time of the store's ack of the leaving.
 	arrived map[string]time.Time
 	leftAt  time.Time
+	// draining is set once the worker has reported that it leaves; it then says so in its answers too.
+	draining bool
 }
 
 // addWorker starts a worker and registers it.
@@ -84,6 +86,11 @@
 	if attempt != "" {
 		h.Set("Attempt-Id", attempt)
 	}
+	k.mu.Lock()
+	if k.draining {
+		h.Set("Server-Leaving", "1")
+	}
+	k.mu.Unlock()
 	if e := r.Header.Get("Expect-Instance"); e != "" && e != k.id {
 		h.Set("Instance-Id", k.id)
 		h.Set("Not-Executed", "1")
