--- a/review/_standin/kv.go
+++ b/review/_standin/kv.go
@@ -241,6 +241,7 @@
 		}
 	}
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	e.w.note("run", "worker", id, "attempt", attempt, "last", last, "copy", from)
 	e.mu.Lock()
 	e.runs[attempt] = last
 	e.mu.Unlock()
