--- a/review/_standin/client.go
+++ b/review/_standin/client.go
@@ -19,6 +19,8 @@
 	complete bool
 	err      error
 	took     time.Duration
+	sentAt   time.Time
+	vm       *vm
 }
 
 // send sends one attempt on a new channel and reads its answer.
@@ -38,6 +40,7 @@
 		r.Header.Set(k, x)
 	}
 	began := time.Now()
+	a.sentAt, a.vm = began, v
 	w.note("sent", "attempt", a.attempt, "machine", v.name, "path", path)
 	t := &http.Transport{DisableKeepAlives: false, DisableCompression: true}
 	defer t.CloseIdleConnections()
