Review: workers keep to their time limit, and scripts end what they started when they are ended

Workers stopped nothing at Deadline-Ms and answered 503 to kv-list; both follow PROTOCOL now. A script that gets SIGTERM or SIGINT ends its processes and removes its folder.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 var cases = map[string]func(*world){"encoded-stream": encodedStream, "long-calls-at-stop": longCallsAtStop, "long-bodies": longBodies, "foreign-memory": foreignMemory, "leaving-worker": leavingWorker, "emptied-service": emptiedService}
@@ -14,5 +16,11 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
 		os.Exit(2)
 	}
-	cases[os.Args[1]](newWorld(os.Args[2]))
+	w := newWorld(os.Args[2])
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		w.cannotRun(fmt.Errorf("%v", <-signals))
+	}()
+	cases[os.Args[1]](w)
 }
--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -79,8 +79,12 @@
 	case r.URL.Path == "/healthz":
 		h.Set("Instance-Id", k.id)
 		return
+	case r.URL.Path == "/v1/kv-list" && k.service == "llm":
+		h.Set("Content-Type", "application/json")
+		_, _ = out.Write([]byte(`{"epoch":1,"next":1,"held":[]}`))
+		return
 	case strings.HasPrefix(r.URL.Path, "/v1/"):
-		out.WriteHeader(http.StatusServiceUnavailable)
+		out.WriteHeader(http.StatusNotFound)
 		return
 	}
 	if attempt != "" {
@@ -117,6 +121,11 @@
 		k.stream(out, r, attempt)
 		return
 	}
+	if limit, err := strconv.Atoi(r.Header.Get("Deadline-Ms")); err == nil && time.Duration(limit)*time.Millisecond < k.work {
+		time.Sleep(time.Duration(limit) * time.Millisecond) // a worker stops at the time limit
+		out.WriteHeader(http.StatusGatewayTimeout)
+		return
+	}
 	time.Sleep(k.work)
 	_, _ = fmt.Fprintf(out, "answer to %s", attempt)
 	k.w.note("run ended", "worker", k.id, "attempt", attempt)
