Stop: no call is passed on that cannot end before the exit

Cause: the listener closed 1.5 s before the end of the grace on the assumption that a call takes about 1 s, streams were refused with less than 7 s left, plain calls never, and nothing used the time limit of the call. The moment at which a request is sent counts, not that of its connection: bodies that arrive slowly and servers that never answer have the same cause.

Change: gladestop holds the times of a stop and foresees how long a request takes from those of its route; the check comes before each send, so that a wait for room, a release or a retry counts. 0.6 s before the end of the grace all that is in progress is answered: 502 where a server may have run it, 503 where none has. The listener stays open until then, so callers get a true refusal.

Why it works: a request is either refused before it is sent, or has 0.2 s at the end in which an answer is written.

--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -18,6 +18,7 @@
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladesend"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladeserve"
+	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladestop"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
 )
 
@@ -32,10 +33,6 @@
 	// noServerRetryAfter is the Retry-After value when no server can take a request; a crashed server restarts in about
 	// that time.
 	noServerRetryAfter = time.Second
-	// typicalStreamTime is the usual duration of a stream.  A stopping VM with less time left refuses new streams.
-	typicalStreamTime = 7 * time.Second
-	// stoppingRetryAfter is the Retry-After value of a stopping VM; other VMs can take the request at once.
-	stoppingRetryAfter = 20 * time.Millisecond
 	// defaultTimeout is the time limit of a request if neither its route nor its caller sets one; generations run for
 	// minutes.
 	defaultTimeout = 5 * time.Minute
@@ -62,8 +59,8 @@
 	Suspects *gladesuspect.Tracker
 	// OnServerDeath is called when a server dies while it runs a request.
 	OnServerDeath func(ServerDeath)
-	// StopTime returns the time at which this process exits, or the zero time if it is not stopping.
-	StopTime func() time.Time
+	// StopPlan returns the times of the planned stop, or nil if this process is not stopping.
+	StopPlan func() *gladestop.Plan
 	// Decode reads the platform's headers of a request.
 	Decode func(http.Header) gladesend.Call
 	// SetAnswerID sets the identifier of the request on an answer that this VM generates.
@@ -87,6 +84,7 @@
 	config      Config
 	started     time.Time
 	heldPrompts heldCache
+	durations   *gladestop.Durations
 
 	mu sync.Mutex
 	// probing is the set of servers with a probe in progress, by identifier.
@@ -100,7 +98,7 @@
 func New(c Config) (*Forwarder, func()) {
 	f := &Forwarder{
 		config: c, started: time.Now(), heldPrompts: heldCache{answers: map[string]heldAnswer{}}, probing: map[string]bool{},
-		queues: map[string]*gladeline.Queue{},
+		queues: map[string]*gladeline.Queue{}, durations: gladestop.NewDurations(),
 	}
 	done := make(chan struct{})
 	f.tasks.Go(func() {
@@ -165,7 +163,7 @@
 	loggedDeaths int
 }
 
-// Handle answers one request.  The context is cancelled when the caller disconnects.
+// Handle answers one request.  The context ends when the caller disconnects, or with gladeserve.ErrStopping.
 func (f *Forwarder) Handle(ctx context.Context, x *gladeserve.Exchange) {
 	call := f.config.Decode(x.Request.Header)
 	gladesend.StripHopHeaders(call.Header)
@@ -181,11 +179,14 @@
 	f.count("requests." + j.route.Kind.String())
 	f.count("route.requests." + j.route.Name)
 	f.config.Budget.CountRequest(j.service, x.LastByteAt)
+	run := f.durations.Begin(j.durationKey(), time.Now())
 	if j.route.Kind == gladerelease.Stream {
 		j.serveStream()
 	} else {
 		j.servePlain()
 	}
+	j.endAtStop()
+	run.End(time.Now(), j.arrivals > 0)
 	f.observe("latency."+j.route.Kind.String(), time.Since(x.LastByteAt))
 }
 
--- a/internal/proxy/gladeforward/limits.go
+++ b/internal/proxy/gladeforward/limits.go
@@ -124,6 +124,10 @@
 // refuseUnplaced ends a request for which there is no server. A request that is only kept out by limits is told when there is
 // room.
 func (j *job) refuseUnplaced(err error) {
+	if errors.Is(err, errCannotFinish) {
+		j.refuseAtStop()
+		return
+	}
 	if denied, ok := errors.AsType[*gladequota.DeniedError](err); ok && !j.mayHaveRun {
 		j.refuse(http.StatusServiceUnavailable, "all servers are at their limits", denied.RetryAfter.Round(time.Millisecond))
 		return
--- a/internal/proxy/gladeforward/plain.go
+++ b/internal/proxy/gladeforward/plain.go
@@ -57,7 +57,7 @@
 	for {
 		select {
 		case <-j.ctx.Done():
-			j.log("Caller left.", "sends", j.sends)
+			j.logInterrupted("sends", j.sends)
 			return
 		case <-expired:
 			j.failDeadline()
@@ -99,7 +99,7 @@
 		*running++
 		return true
 	case j.ctx.Err() != nil:
-		j.log("Caller left.", "sends", j.sends)
+		j.logInterrupted("sends", j.sends)
 	default:
 		j.refuseUnplaced(err)
 	}
@@ -125,6 +125,9 @@
 
 // launch sends the request to the best server in the background; it returns an error if there is no server.
 func (j *job) launch(ctx context.Context, answers chan<- answer, r gladequota.Request) error {
+	if err := j.checkStop(); err != nil {
+		return err
+	}
 	place, err := j.reserve(gladefleet.Requirements{Service: j.service, Avoid: j.avoid}, r, nil)
 	if err != nil {
 		return err
@@ -231,7 +234,7 @@
 		j.reply(failure)
 		return
 	}
-	if errors.Is(j.unplaced, gladequota.ErrLimited) && !j.mayHaveRun {
+	if (errors.Is(j.unplaced, gladequota.ErrLimited) || errors.Is(j.unplaced, errCannotFinish)) && !j.mayHaveRun {
 		j.refuseUnplaced(j.unplaced)
 		return
 	}
--- /dev/null
+++ b/internal/proxy/gladeforward/stop.go
@@ -0,0 +1,88 @@
+package gladeforward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladeserve"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
+)
+
+const (
+	// typicalStreamTime is the usual duration of a stream.
+	typicalStreamTime = 7 * time.Second
+	// unknownCallTime and unknownTargetFactor, a multiple of the route's target time, bound the time that a call is foreseen to take
+	// on a route without earlier calls.
+	unknownCallTime     = 2 * time.Second
+	unknownTargetFactor = 4
+	// stoppingRetryAfter is the Retry-After value of a stopping VM; other VMs can take the request at once.
+	stoppingRetryAfter = 20 * time.Millisecond
+)
+
+// errCannotFinish means that this VM stops before a request would probably end.
+var errCannotFinish = eris.New("stopping")
+
+// durationKey returns the key under which the request's duration is recorded.
+func (j *job) durationKey() string { return j.route.Name + " " + j.service }
+
+// checkStop returns errCannotFinish if this VM stops before the request would probably end.  A request is foreseen to take as
+// long as those of its route before it.
+func (j *job) checkStop() error {
+	plan := j.config.StopPlan()
+	if plan == nil {
+		return nil
+	}
+	now := time.Now()
+	takes, known := j.durations.Foresee(j.durationKey(), now)
+	left := time.Until(j.deadline)
+	switch {
+	case j.route.Kind == gladerelease.Stream && known:
+		takes = min(takes, typicalStreamTime)
+	case j.route.Kind == gladerelease.Stream:
+		takes = typicalStreamTime
+	case !known:
+		takes = max(unknownCallTime, unknownTargetFactor*j.route.Target)
+	}
+	takes = min(takes, left)
+	if plan.CanFinish(now, takes) {
+		return nil
+	}
+	j.log("Cannot finish before the stop.", "takesMs", takes.Milliseconds(), "foreseen", known, "leftMs", left.Milliseconds(),
+		"answerByMs", plan.AnswerBy().Sub(now).Milliseconds(), "stoppingForMs", now.Sub(plan.Began).Milliseconds())
+	return errCannotFinish
+}
+
+// refuseAtStop refuses a request that no server has run, or fails it.
+func (j *job) refuseAtStop() {
+	if j.mayHaveRun {
+		j.fail(http.StatusBadGateway, errCannotFinish.Error())
+		return
+	}
+	j.refuse(http.StatusServiceUnavailable, errCannotFinish.Error(), stoppingRetryAfter)
+}
+
+// stopped reports whether the request was interrupted because this process stops.
+func (j *job) stopped() bool { return errors.Is(context.Cause(j.ctx), gladeserve.ErrStopping) }
+
+// endAtStop answers a request that was interrupted because this process stops.  A part of an answer must not look complete, so
+// that nothing is added to one.
+func (j *job) endAtStop() {
+	if !j.stopped() || j.incoming.Started() {
+		return
+	}
+	j.mayHaveRun = j.mayHaveRun || j.arrivals > 0
+	j.refuseAtStop()
+}
+
+// logInterrupted logs that the request ends because its caller left or this process stops.
+func (j *job) logInterrupted(args ...any) {
+	message := "Caller left."
+	if j.stopped() {
+		message = "Interrupted by the stop."
+	}
+	j.log(message, args...)
+}
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -62,20 +62,20 @@
 // serveStream answers a request whose answer is a stream of events.
 func (j *job) serveStream() {
 	s := &stream{job: j, lastEvent: j.call.LastEvent}
-	if stopTime := j.config.StopTime(); !stopTime.IsZero() && time.Until(stopTime) < typicalStreamTime {
-		j.refuse(http.StatusServiceUnavailable, "stopping", stoppingRetryAfter)
-		return
-	}
 	defer s.dropCopy()
 	if !s.checkSuspect() {
 		return
 	}
 	for {
+		if !s.mayHaveRun && j.checkStop() != nil {
+			j.refuseAtStop()
+			return
+		}
 		place, from := s.reserveNext()
 		if place == nil {
 			return
 		}
-		if !s.checkSuspect() { // it may have waited for room
+		if !s.mayBegin() { // it may have waited for room
 			place.Release()
 			return
 		}
@@ -97,6 +97,18 @@
 	}
 }
 
+// mayBegin reports whether an attempt may begin; if not, it ends the request.
+func (s *stream) mayBegin() bool {
+	if !s.checkSuspect() {
+		return false
+	}
+	if !s.mayHaveRun && s.checkStop() != nil {
+		s.refuseAtStop()
+		return false
+	}
+	return true
+}
+
 // dropCopy releases the place of the copy.
 func (s *stream) dropCopy() {
 	s.copy.Release()
@@ -155,7 +167,7 @@
 	case err == nil:
 		return place, ""
 	case s.ctx.Err() != nil:
-		s.log("Caller left.", "sends", s.sends, "last", s.lastEvent)
+		s.logInterrupted("sends", s.sends, "last", s.lastEvent)
 	case errors.Is(err, gladefleet.ErrFull) && !s.mayHaveRun:
 		s.refuse(http.StatusServiceUnavailable, "no room", s.fullRetryAfter())
 	default:
@@ -270,7 +282,7 @@
 	for {
 		select {
 		case <-a.ctx.Done():
-			a.log("Caller left.", "sends", a.sends, "last", a.lastEvent)
+			a.logInterrupted("sends", a.sends, "last", a.lastEvent)
 			return attemptAbandoned
 		case <-expired:
 			a.failDeadline()
--- a/internal/proxy/gladeforward/suspects.go
+++ b/internal/proxy/gladeforward/suspects.go
@@ -47,6 +47,8 @@
 	switch err := j.maySend(); {
 	case err == nil:
 		return true
+	case j.ctx.Err() != nil:
+		j.logInterrupted("sends", j.sends)
 	case errors.Is(err, errLastServer):
 		j.refuseOrFail(err.Error())
 	case j.refuseHeld(err):
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -24,6 +24,7 @@
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladeforward"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladesend"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladeserve"
+	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladestop"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladeage"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladefeed"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelay"
@@ -33,12 +34,8 @@
 )
 
 const (
-	// deregisterTime is how long a stopping VM may still get new connections: two failed readiness checks, 1 s apart.
-	deregisterTime = 2500 * time.Millisecond
-	// exitMargin is the part of the grace period left for the process to exit by itself.
-	exitMargin = 400 * time.Millisecond
-	// listenerCloseMargin is how long before the end of the grace period the listener closes: a call takes up to about 1 s.
-	listenerCloseMargin = 1500 * time.Millisecond
+	// headerTimeout bounds the time in which a header arrives at the addresses for readiness and metrics.
+	headerTimeout = 2500 * time.Millisecond
 	// drainPollInterval is how often a stopping VM checks whether a request is still in progress.
 	drainPollInterval = 50 * time.Millisecond
 	// maxIdleStoreConns allows one idle connection for each watched kind and one for lists.
@@ -89,9 +86,9 @@
 	stopping atomic.Bool
 	// peersHeard is closed once this VM has received what the others refuse, or has waited for it long enough.
 	peersHeard chan struct{}
-	// killAt is when the process will be killed; nil unless it is stopping.
-	killAt atomic.Pointer[time.Time]
-	group  run.Group
+	// stopPlan holds the times of the planned stop; nil unless the process is stopping.
+	stopPlan atomic.Pointer[gladestop.Plan]
+	group    run.Group
 
 	// serversMu is held while the list of servers and its revision change, so that they belong together.  It comes before mu.
 	serversMu sync.Mutex
@@ -179,7 +176,7 @@
 		Budget:   f.budget,
 		Limits:   gladeforward.Limits{Acquire: f.limits.Acquire, Sent: f.limits.Sent},
 		Suspects: f.suspects, OnServerDeath: f.reportDeath,
-		StopTime: f.killTime, Instance: f.engine.Instance, OnSuccessor: f.reportSuccessor, BootTime: bootTime,
+		StopPlan: f.stopPlan.Load, Instance: f.engine.Instance, OnSuccessor: f.reportSuccessor, BootTime: bootTime,
 		Decode: gladeplatform.DecodeCall, SetAnswerID: gladeplatform.SetAnswerID, CopyName: gladeplatform.CopyName,
 		OnLoadChange: f.sharer.NotifyChanged, Log: f.log.Named("proxy"), Metrics: f.metrics,
 	})
@@ -222,14 +219,6 @@
 // engineDialTimeout bounds a new connection; a live engine accepts within a few milliseconds.
 const engineDialTimeout = 200 * time.Millisecond
 
-// killTime returns when this process will be killed, or the zero time if it is not stopping.
-func (f *Front) killTime() time.Time {
-	if at := f.killAt.Load(); at != nil {
-		return *at
-	}
-	return time.Time{}
-}
-
 // listen serves paths over HTTP; with an empty address it does nothing.
 func (f *Front) listen(address string, paths map[string]http.HandlerFunc) error {
 	if address == "" {
@@ -243,7 +232,7 @@
 	for path, h := range paths {
 		mux.HandleFunc(path, h)
 	}
-	s := &http.Server{Handler: mux, ReadHeaderTimeout: deregisterTime}
+	s := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	f.group.Add(func() error { return s.Serve(l) }, func(error) { _ = s.Close() })
 	return nil
 }
@@ -371,21 +360,23 @@
 
 // drain deregisters this VM from the platform and waits for the requests in progress.
 func (f *Front) drain() {
-	began := time.Now()
-	grace := f.grace()
-	end := began.Add(grace)
-	f.killAt.Store(&end)
+	plan := &gladestop.Plan{Began: time.Now(), Grace: f.grace()}
+	f.stopPlan.Store(plan)
 	f.stopping.Store(true)
 	f.server.Stop()
-	f.log.Info("Stopping.", "busy", f.server.Busy(), "grace", grace)
-	for time.Since(began) < grace-exitMargin {
-		if time.Since(began) > grace-listenerCloseMargin {
-			f.server.Close()
+	f.log.Info("Stopping.", "busy", f.server.Busy(), "grace", plan.Grace)
+	interrupted := false
+	for now := time.Now(); now.Before(plan.ExitAt()); now = time.Now() {
+		if !interrupted && !now.Before(plan.AnswerBy()) {
+			interrupted = true
+			f.log.Info("Answering the requests in progress.", "busy", f.server.Busy(), "after", now.Sub(plan.Began))
+			f.server.Interrupt()
 		}
-		if time.Since(began) > deregisterTime && f.server.CloseIdle() {
+		if now.After(plan.DeregisteredAt()) && f.server.CloseIdle() {
 			break
 		}
 		time.Sleep(drainPollInterval)
 	}
-	f.log.Info("Drained.", "busy", f.server.Busy(), "after", time.Since(began))
+	f.server.Close()
+	f.log.Info("Drained.", "busy", f.server.Busy(), "after", time.Since(plan.Began))
 }
--- a/internal/proxy/gladeserve/conn.go
+++ b/internal/proxy/gladeserve/conn.go
@@ -38,6 +38,8 @@
 	mu sync.Mutex
 	// idle is set until the first byte of the next request has arrived.
 	idle bool
+	// reading is set while a request is read.
+	reading bool
 	// closed is set once closeIdle has closed the connection.
 	closed bool
 }
@@ -83,10 +85,37 @@
 	if c.closed {
 		return false
 	}
-	c.idle = false
+	c.idle, c.reading = false, true
 	return true
 }
 
+// endRead records that a request is no longer read.
+func (c *conn) endRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+}
+
+// setReadTimeout sets the time limit of a read of a request; it has passed if the server is interrupted.
+func (c *conn) setReadTimeout(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	deadline := time.Now().Add(timeout)
+	if c.server.interrupted() {
+		deadline = time.Unix(1, 0)
+	}
+	_ = c.net.SetReadDeadline(deadline)
+}
+
+// interruptRead ends the reading of a request.
+func (c *conn) interruptRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading {
+		_ = c.net.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 // closeIdle closes the connection if no request has begun on it, and reports whether it is closed.
 func (c *conn) closeIdle() bool {
 	c.mu.Lock()
@@ -110,7 +139,8 @@
 		return nil, errBetweenRequests
 	}
 	began := time.Now()
-	_ = c.net.SetReadDeadline(began.Add(limits.HeaderTimeout))
+	defer c.endRead()
+	c.setReadTimeout(limits.HeaderTimeout)
 	head, err := readHead(c.reader, c.head[:0], limits.HeaderBytes)
 	c.head = head
 	if err != nil {
@@ -140,11 +170,11 @@
 
 // body reads the body of a request; HeaderTimeout bounds the wait for each read.
 func (c *conn) body(f framing, limits gladerelease.Limits) ([]byte, error) {
-	_ = c.net.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	c.setReadTimeout(limits.HeaderTimeout)
 	if !f.chunked && f.length <= int64(c.reader.Buffered()) {
 		return readBody(c.reader, f, limits.BodyBytes)
 	}
-	reader := &deadlineReader{conn: c.net, timeout: limits.HeaderTimeout}
+	reader := &deadlineReader{conn: c, timeout: limits.HeaderTimeout}
 	buffered := make([]byte, c.reader.Buffered())
 	_, _ = io.ReadFull(c.reader, buffered) // cannot fail: the bytes are buffered
 	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(buffered), reader), bufferBytes)
@@ -155,16 +185,16 @@
 
 // deadlineReader extends the read deadline before each read while timeout is set.
 type deadlineReader struct {
-	conn    net.Conn
+	conn    *conn
 	timeout time.Duration
 }
 
 // Read reads from the connection.
 func (p *deadlineReader) Read(b []byte) (int, error) {
 	if p.timeout > 0 {
-		_ = p.conn.SetReadDeadline(time.Now().Add(p.timeout))
+		p.conn.setReadTimeout(p.timeout)
 	}
-	return p.conn.Read(b)
+	return p.conn.net.Read(b)
 }
 
 // refuse answers a request that could not be read.
@@ -174,6 +204,9 @@
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		err = ErrRequestTimeout
+		if c.server.interrupted() {
+			err = ErrStopping
+		}
 	}
 	status := statusOf(err)
 	c.server.config.OnRefused(status, err)
@@ -188,7 +221,7 @@
 
 // handle runs the handler and cancels its context when the caller disconnects; it reports whether the connection is kept.
 func (c *conn) handle(x *Exchange) bool {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(c.server.context)
 	defer cancel()
 	_ = c.net.SetReadDeadline(time.Time{})
 	watched := make(chan struct{})
--- a/internal/proxy/gladeserve/conn_test.go
+++ b/internal/proxy/gladeserve/conn_test.go
@@ -264,3 +264,34 @@
 		c.Assert(s.Busy(), qt.Equals, 0)
 	})
 }
+
+// Guards against a closed connection for a request whose body is still arriving when the process exits: nothing has run it.
+func TestInterruptRefusesRequestsThatAreNotReadWhole(t *testing.T) {
+	for _, body := range []string{"Content-Length: 9\r\n\r\nabc", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", "Content-Le"} {
+		withServer(t, echo, func(c *caller, s *Server) {
+			c.send(post + body)
+			time.Sleep(10 * time.Millisecond)
+			s.Interrupt()
+			r, _, err := c.readResponse()
+			c.Assert(err, qt.IsNil)
+			c.Assert(r.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		})
+	}
+}
+
+// An interrupted handler is told why its context has ended.
+func TestInterruptEndsContextsOfRequests(t *testing.T) {
+	answer := func(ctx context.Context, x *Exchange) {
+		<-ctx.Done()
+		x.Reply(http.StatusBadGateway, http.Header{}, []byte(context.Cause(ctx).Error()))
+	}
+	withServer(t, answer, func(c *caller, s *Server) {
+		c.send(get)
+		time.Sleep(10 * time.Millisecond)
+		s.Interrupt()
+		r, body, err := c.readResponse()
+		c.Assert(err, qt.IsNil)
+		c.Assert(r.StatusCode, qt.Equals, http.StatusBadGateway)
+		c.Assert(body, qt.Equals, ErrStopping.Error())
+	})
+}
--- a/internal/proxy/gladeserve/head.go
+++ b/internal/proxy/gladeserve/head.go
@@ -33,6 +33,8 @@
 		return http.StatusHTTPVersionNotSupported
 	case errors.Is(err, ErrRequestTimeout):
 		return http.StatusRequestTimeout
+	case errors.Is(err, ErrStopping):
+		return http.StatusServiceUnavailable
 	}
 	return http.StatusBadRequest
 }
--- a/internal/proxy/gladeserve/server.go
+++ b/internal/proxy/gladeserve/server.go
@@ -8,16 +8,21 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
 )
 
+// ErrStopping is the cause with which the contexts of requests end when the process stops.
+var ErrStopping = eris.New("the process stops")
+
 // Config configures a Server.
 type Config struct {
 	// Listener accepts the callers' connections.
 	Listener net.Listener
 	// Limits returns the limits in force.
 	Limits func() gladerelease.Limits
-	// Handle serves one request; the context ends when the caller closes its connection.
+	// Handle serves one request; the context ends when the caller closes its connection, or with ErrStopping.
 	Handle func(context.Context, *Exchange)
 	// OnRefused is called for each request that could not be read.
 	OnRefused func(status int, reason error)
@@ -27,6 +32,9 @@
 type Server struct {
 	config Config
 	stop   atomic.Bool
+	// context ends with ErrStopping when requests in progress must be answered.
+	context   context.Context
+	interrupt context.CancelCauseFunc
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -41,6 +49,7 @@
 // New starts serving and returns the clean-up function, which closes all connections.
 func New(c Config) (*Server, func()) {
 	s := &Server{config: c, conns: map[*conn]struct{}{}}
+	s.context, s.interrupt = context.WithCancelCause(context.Background())
 	s.tasks.Go(func() {
 		for {
 			n, err := c.Listener.Accept()
@@ -85,6 +94,20 @@
 	_ = s.config.Listener.Close()
 }
 
+// Interrupt closes the listener, refuses the requests that are not read whole, and ends the contexts of the others with
+// ErrStopping, so that they are answered at once.
+func (s *Server) Interrupt() {
+	s.Close()
+	s.interrupt(ErrStopping)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.interruptRead()
+	}
+}
+
+func (s *Server) interrupted() bool { return s.context.Err() != nil }
+
 // CloseIdle closes the connections on which no request has begun and reports whether none is left.  Once it has
 // returned true, nothing more is served, so that the process can exit without interrupting a request.
 func (s *Server) CloseIdle() bool {
@@ -116,6 +139,7 @@
 
 func (s *Server) close() {
 	s.Close()
+	s.interrupt(ErrStopping)
 	s.mu.Lock()
 	for c := range s.conns {
 		_ = c.net.Close()
--- a/internal/proxy/gladesoak/soak_test.go
+++ b/internal/proxy/gladesoak/soak_test.go
@@ -369,12 +369,18 @@
 	})
 }
 
-// runSeeds builds the program and runs a soak for each of the first seeds and of those of the flag. It keeps the logs of one that
-// fails.
-func runSeeds(t *testing.T, first []uint64, run func(s *soak, seed uint64)) {
+// buildProgram builds the program of the VMs and returns its path.
+func buildProgram(t *testing.T) string {
 	program := filepath.Join(t.TempDir(), "gladed")
 	out, err := exec.Command("go", "build", "-o", program, "../../../cmd/gladed").CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	return program
+}
+
+// runSeeds builds the program and runs a soak for each of the first seeds and of those of the flag. It keeps the logs of one that
+// fails.
+func runSeeds(t *testing.T, first []uint64, run func(s *soak, seed uint64)) {
+	program := buildProgram(t)
 	all := slices.Clone(first)
 	for text := range strings.SplitSeq(*seeds, ",") {
 		seed, err := strconv.ParseUint(text, 10, 64)
