Stop: a new connection has time for its first request

Cause: CloseIdle closes each connection without a request, whether it has waited for seconds or was accepted just now.

Change: a connection has 0.5 s for its first request; connections that were used before are closed as before.

Evidence: TestStopReadsLateFirstRequest (new, real process) failed before and passes, TestNewConnectionHasTimeForItsFirstRequest guards it in virtual time. TestRequestRacingWithCloseIsNotHandled waits until its connection may be closed.

--- a/internal/proxy/gladeserve/conn.go
+++ b/internal/proxy/gladeserve/conn.go
@@ -22,6 +22,8 @@
 	// lingerTimeout is how long a refused caller's remaining bytes are read: closing the connection with unread bytes
 	// would reset it and could discard the refusal.
 	lingerTimeout = 200 * time.Millisecond
+	// firstRequestTime is how long a stopping server waits for the first request of a connection.
+	firstRequestTime = 500 * time.Millisecond
 	// maxLingerBytes bounds the bytes that are read within lingerTimeout.
 	maxLingerBytes = 1 << 20
 )
@@ -40,6 +42,8 @@
 	idle bool
 	// reading is set while a request is read.
 	reading bool
+	// acceptedAt is set until the first request has begun.
+	acceptedAt time.Time
 	// closed is set once closeIdle has closed the connection.
 	closed bool
 }
@@ -48,7 +52,7 @@
 func newConn(s *Server, n net.Conn) *conn {
 	return &conn{
 		server: s, net: n, reader: bufio.NewReaderSize(n, bufferBytes), writer: bufio.NewWriterSize(n, bufferBytes),
-		parser: bufio.NewReaderSize(nil, bufferBytes), idle: true,
+		parser: bufio.NewReaderSize(nil, bufferBytes), idle: true, acceptedAt: time.Now(),
 	}
 }
 
@@ -85,7 +89,7 @@
 	if c.closed {
 		return false
 	}
-	c.idle, c.reading = false, true
+	c.idle, c.reading, c.acceptedAt = false, true, time.Time{}
 	return true
 }
 
@@ -120,7 +124,7 @@
 func (c *conn) closeIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle && !c.closed {
+	if c.idle && !c.closed && time.Since(c.acceptedAt) >= firstRequestTime {
 		c.closed = true
 		_ = c.net.Close()
 	}
--- a/internal/proxy/gladeserve/conn_test.go
+++ b/internal/proxy/gladeserve/conn_test.go
@@ -240,6 +240,7 @@
 		defer closeServer()
 		conn, err := network.Host("caller").Dial(t.Context(), "tcp", "vm:80")
 		c.Assert(err, qt.IsNil)
+		time.Sleep(firstRequestTime) // from then on CloseIdle closes the connection
 		_, err = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
 		c.Assert(err, qt.IsNil)
 		_, err = io.ReadAll(conn)
@@ -265,6 +266,35 @@
 	})
 }
 
+// Guards against a stopping server that closes a connection before its first request has had time to arrive, and against one that
+// keeps idle connections.
+func TestNewConnectionHasTimeForItsFirstRequest(t *testing.T) {
+	withServer(t, echo, func(c *caller, s *Server) {
+		synctest.Wait()
+		s.Stop()
+		c.Assert(s.CloseIdle(), qt.IsFalse)
+		time.Sleep(firstRequestTime - time.Millisecond)
+		c.Assert(s.CloseIdle(), qt.IsFalse)
+		c.send(get)
+		_, body, err := c.readResponse()
+		c.Assert(err, qt.IsNil)
+		c.Assert(body, qt.Equals, "/a ")
+	})
+	withServer(t, echo, func(c *caller, s *Server) {
+		time.Sleep(firstRequestTime)
+		c.Assert(s.CloseIdle(), qt.IsTrue)
+		_, err := c.reader.ReadByte()
+		c.Assert(err, qt.Equals, io.EOF)
+	})
+	withServer(t, echo, func(c *caller, s *Server) { // one that was kept has had its first request
+		c.send(get)
+		_, _, err := c.readResponse()
+		c.Assert(err, qt.IsNil)
+		synctest.Wait()
+		c.Assert(s.CloseIdle(), qt.IsTrue)
+	})
+}
+
 // Guards against a closed connection for a request whose body is still arriving when the process exits: nothing has run it.
 func TestInterruptRefusesRequestsThatAreNotReadWhole(t *testing.T) {
 	for _, body := range []string{"Content-Length: 9\r\n\r\nabc", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", "Content-Le"} {
--- a/internal/proxy/gladeserve/server.go
+++ b/internal/proxy/gladeserve/server.go
@@ -108,8 +108,9 @@
 
 func (s *Server) interrupted() bool { return s.context.Err() != nil }
 
-// CloseIdle closes the connections on which no request has begun and reports whether none is left.  Once it has
-// returned true, nothing more is served, so that the process can exit without interrupting a request.
+// CloseIdle closes the connections on which no request has begun and reports whether none is left.  A new connection has
+// firstRequestTime until its first request begins.  Once CloseIdle has returned true, nothing more is served, so that the
+// process can exit without interrupting a request.
 func (s *Server) CloseIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/proxy/gladesoak/stop_test.go
+++ b/internal/proxy/gladesoak/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -399,3 +400,14 @@
 		f.Check(n.answered+n.refused+n.failed > 0, qt.IsTrue, qt.Commentf("%s: no call had an answer", name))
 	}
 }
+
+// Guards against connections that a stopping VM accepts and closes before their first request arrives, while the balancer uses it.
+func TestStopReadsLateFirstRequest(t *testing.T) {
+	f := newStopFleet(t, buildProgram(t), stopSettings)
+	f.run([]stopCall{stopCalls[0], stopCalls[2]}, stopGrace)
+	f.check()
+	for _, o := range f.outcomes {
+		closed := o.connected && !o.complete && !errors.Is(o.err, syscall.ECONNREFUSED)
+		f.Check(closed && o.sentAt < stopGrace-1500*time.Millisecond, qt.IsFalse, qt.Commentf("%s: closed, sent at %v: %v", o.id, o.sentAt, o.err))
+	}
+}
