Fleet: one limit for a server that leaves, which only comes nearer

Cause: a zero time stood for "never used while it leaves" and for "no end set yet". A VM that first knew a server as leaving gave it a grace of 0.5 s with each later list. A removal had a time of its own, so that a removed server that was then listed as leaving had two graces.

Change: useLimit says whether it is set, and later words can only bring it forward. It ends with another process, or when the store lists the same process as active again without a word of its leaving. A second removal without the grace for lapsed entries ends that grace. A server's own word holds for a process that is not listed yet.

Why it works: no order of words can put the limit off.

--- a/internal/fleet/gladefleet/choose.go
+++ b/internal/fleet/gladefleet/choose.go
@@ -103,7 +103,7 @@
 		return exhausted, true
 	case t.suspectedDown(e, now):
 		return suspected, true
-	case !e.usableUntil.IsZero():
+	case e.unlisted:
 		return unlisted, true
 	}
 	return healthy, true
@@ -236,12 +236,12 @@
 
 // servesLeaving reports whether a leaving server may get new requests now if there is no other.
 func (e *entry) servesLeaving(now time.Time) bool {
-	return e.Leaving && now.Before(e.leavingUntil) && !e.replaced && !e.failed && e.usableUntil.IsZero() && !now.Before(e.backoffUntil)
+	return e.Leaving && !e.lastUse.reached(now) && !e.replaced && !e.failed && !e.unlisted && !now.Before(e.backoffUntil)
 }
 
 // inService reports whether a server may get new requests, now or after its backoff.
 func (e *entry) inService(now time.Time) bool {
-	return !e.Leaving && !e.replaced && (e.usableUntil.IsZero() || now.Before(e.usableUntil))
+	return !e.Leaving && !e.replaced && !e.lastUse.reached(now)
 }
 
 // LocalServers returns a service's usable servers in this VM's failure domain.
--- a/internal/fleet/gladefleet/limit.go
+++ b/internal/fleet/gladefleet/limit.go
@@ -72,7 +72,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, e := range t.servers {
-		if e.Address == address && !e.replaced && e.usableUntil.IsZero() {
+		if e.Address == address && !e.replaced && !e.unlisted {
 			return e.Server, true
 		}
 	}
--- a/internal/fleet/gladefleet/server.go
+++ b/internal/fleet/gladefleet/server.go
@@ -50,10 +50,10 @@
 type entry struct {
 	Server
 	hash uint64
-	// usableUntil is the time until which an unlisted server may be chosen, zero for a listed server.
-	usableUntil time.Time
-	// leavingUntil is the time until which a leaving server may be chosen if there is no other, zero for never.
-	leavingUntil time.Time
+	// unlisted reports that the store no longer lists the server.
+	unlisted bool
+	// lastUse limits the use of a server that leaves or is unlisted, if there is no other.
+	lastUse useLimit
 	// runs is the number of this VM's requests on the server.
 	// prompt is the number of their prompt tokens not yet prefilled.
 	// memory is the number of tokens that these runs occupy.
@@ -92,6 +92,21 @@
 	backoffUntil time.Time
 }
 
+// useLimit is a time from which a server must get no new requests; the zero value is no limit.
+type useLimit struct {
+	set bool
+	at  time.Time
+}
+
+// lower brings the limit forward; a later time does not put it off.
+func (l *useLimit) lower(at time.Time) {
+	if !l.set || at.Before(l.at) {
+		*l = useLimit{set: true, at: at}
+	}
+}
+
+func (l useLimit) reached(now time.Time) bool { return l.set && !now.Before(l.at) }
+
 // digest returns a hash of what the store says of the server, apart from what changes by itself.
 func (s *Server) digest() uint64 {
 	var d xxhash.Digest
--- a/internal/fleet/gladefleet/successor.go
+++ b/internal/fleet/gladefleet/successor.go
@@ -18,7 +18,7 @@
 }
 
 func (t *Table) awaitsSuccessor(e *entry) bool {
-	return e != nil && !e.replaced && !e.Leaving && e.usableUntil.IsZero() && t.config.BootTime().Sub(e.lastAnswer) < t.config.AddressReuse
+	return e != nil && !e.replaced && !e.Leaving && !e.unlisted && t.config.BootTime().Sub(e.lastAnswer) < t.config.AddressReuse
 }
 
 // RecordInstance records that the server with the given identifier answered just now at the address of another one, which
@@ -48,7 +48,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.servers[s.Predecessor]
-	if e == nil || e.replaced || e.Leaving || !e.usableUntil.IsZero() || e.Address != s.Server.Address || t.servers[s.Server.ID] != nil {
+	if e == nil || e.replaced || e.Leaving || e.unlisted || e.Address != s.Server.Address || t.servers[s.Server.ID] != nil {
 		return false
 	}
 	return t.put(s.Server)
--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -111,8 +111,8 @@
 func (t *Table) Put(s Server, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.servers[s.ID]; e != nil && s.Leaving && s.Started == e.Started && t.config.DrainBound > 0 {
-		e.limitUse(now.Add(t.listedGrace()))
+	if e := t.servers[s.ID]; e != nil && s.Leaving && s.Started == e.Started {
+		e.lastUse.lower(now.Add(min(t.listedGrace(), t.config.DrainBound)))
 	}
 	return t.put(s)
 }
@@ -125,31 +125,28 @@
 	return min(unlistedGrace, max(0, t.config.DrainBound-listDelay))
 }
 
-// limitUse records that a leaving server must get nothing from a time on.
-func (e *entry) limitUse(until time.Time) {
-	if e.leavingUntil.IsZero() || until.Before(e.leavingUntil) {
-		e.leavingUntil = until
-	}
-}
-
+// put adds or updates a server.  A process that is first known as leaving gets no requests: it may have left for any time.
 func (t *Table) put(s Server) bool {
 	e := t.servers[s.ID]
 	switch {
 	case e == nil:
 		e = &entry{Server: s, hash: xxhash.Sum64String(s.ID), down: make(chan struct{})}
 		t.servers[s.ID] = e
-	case s.Started < e.Started || e.Server == s && e.usableUntil.IsZero():
+		e.limitNewProcess(s)
+	case s.Started < e.Started || e.Server == s && !e.unlisted:
 		return false
 	case s.Started > e.Started:
 		e.failed, e.ended, e.failures, e.errorRate, e.replaced = false, false, 0, 0, false
 		e.overruns, e.quarantinedUntil = 0, time.Time{}
 		e.limited, e.exhaustedUntil, e.returningSince, e.backoffUntil = false, time.Time{}, time.Time{}, time.Time{}
-		e.leavingUntil = time.Time{}
+		e.limitNewProcess(s)
 	case e.Leaving:
 		s.Leaving = true
+	case !s.Leaving:
+		e.lastUse = useLimit{} // its entry was missing by mistake
 	}
 	e.Server = s
-	e.usableUntil = time.Time{}
+	e.unlisted = false
 	for _, o := range t.servers {
 		if o.Address == s.Address && o.ID != s.ID && o.Started < s.Started {
 			t.markReplaced(o)
@@ -159,13 +156,18 @@
 	return true
 }
 
+// limitNewProcess sets the limit of a process that was not known before.
+func (e *entry) limitNewProcess(s Server) {
+	e.lastUse = useLimit{set: s.Leaving}
+}
+
 // Digest returns a hash of the listed servers, which is equal at VMs that have the same list.
 func (t *Table) Digest() uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	digest := uint64(0)
 	for _, e := range t.servers {
-		if e.usableUntil.IsZero() {
+		if !e.unlisted {
 			digest ^= e.digest()
 		}
 	}
@@ -199,8 +201,8 @@
 	if e == nil || e.Leaving || e.Started > started {
 		return false
 	}
-	e.Leaving = true
-	e.limitUse(now.Add(max(0, t.config.DrainBound-wordMargin)))
+	e.Leaving, e.Started = true, started // it may be a process that the store does not list yet
+	e.lastUse.lower(now.Add(max(0, t.config.DrainBound-wordMargin)))
 	return true
 }
 
@@ -209,8 +211,9 @@
 func (t *Table) Remove(id string, now time.Time, grace time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.servers[id]; e != nil && e.usableUntil.IsZero() {
-		e.usableUntil = now.Add(t.listedGrace() + grace)
+	if e := t.servers[id]; e != nil {
+		e.unlisted = true
+		e.lastUse.lower(now.Add(t.listedGrace() + grace))
 		t.index()
 	}
 }
@@ -379,7 +382,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.servers[id]
-	return e == nil || e.failed || e.replaced || !e.usableUntil.IsZero() && now.After(e.usableUntil)
+	return e == nil || e.failed || e.replaced || e.unlisted && e.lastUse.reached(now)
 }
 
 // suspectedDown reports whether a server is down, or is suspected because others of its failure domain failed and it
@@ -447,7 +450,7 @@
 	all := make([]Status, 0, len(t.servers))
 	for _, e := range t.servers {
 		all = append(all, Status{
-			Server: e.Server, Listed: e.usableUntil.IsZero(), Runs: e.runs, Load: e.load(), Failures: e.failures, RetryAt: e.retryAt,
+			Server: e.Server, Listed: !e.unlisted, Runs: e.runs, Load: e.load(), Failures: e.failures, RetryAt: e.retryAt,
 			ErrorRate: e.errorRate, Limited: e.limited, ExhaustedUntil: e.exhaustedUntil,
 		})
 	}
