Stop: the grace period is that of the settings file at the stop

Callers would see: calls cut as the platform kills a stopping VM before it answers (LOST).

Cause: the grace was read at the start and at a SIGHUP, and copied when the stop began. The file may change without a signal.

Change: the file is read when the stop begins; a SIGHUP during the stop can make it end earlier.

--- a/cmd/gladed/front.go
+++ b/cmd/gladed/front.go
@@ -31,7 +31,7 @@
 	writer, closeWriter := gladelog.NewWriter(os.Stdout)
 	defer closeWriter()
 	front, closeFront, err := gladefront.New(gladefront.Config{
-		Settings: settings, MetricsAddress: net.JoinHostPort(host, metricsPort),
+		Settings: settings, SettingsPath: path, MetricsAddress: net.JoinHostPort(host, metricsPort),
 		Log: gladelog.New("gladed", writer, hclog.Info),
 	})
 	if err != nil {
@@ -44,7 +44,7 @@
 	defer signal.Stop(reload)
 	go func() {
 		for range reload {
-			front.Reload(path)
+			front.Reload()
 		}
 	}()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -59,6 +59,8 @@
 // Config configures a Front.
 type Config struct {
 	Settings gladeplatform.Settings
+	// SettingsPath is the file that Reload reads; empty means that Settings never change.
+	SettingsPath string
 	// MetricsAddress is where counters, histograms and the dump are served over HTTP; empty serves none.
 	MetricsAddress string
 	Log            hclog.Logger
@@ -339,9 +341,10 @@
 	return err
 }
 
-// Reload reads the settings file again; only StopGrace takes effect while the process runs.
-func (f *Front) Reload(path string) {
-	s, err := gladeplatform.LoadSettings(path)
+// Reload reads the settings file again; only StopGrace takes effect while the process runs.  A grace period that ends earlier takes
+// effect during a stop too.
+func (f *Front) Reload() {
+	s, err := gladeplatform.LoadSettings(f.config.SettingsPath)
 	if err != nil {
 		f.log.Error("Cannot reload the settings; the current ones stay in force.", "reason", err)
 		return
@@ -361,12 +364,21 @@
 // drain deregisters this VM from the platform and waits for the requests in progress.
 func (f *Front) drain() {
 	plan := &gladestop.Plan{Began: time.Now(), Grace: f.grace()}
+	if f.config.SettingsPath != "" {
+		f.Reload() // the file may have changed without a signal
+		plan.Grace = f.grace()
+	}
 	f.stopPlan.Store(plan)
 	f.stopping.Store(true)
 	f.server.Stop()
 	f.log.Info("Stopping.", "busy", f.server.Busy(), "grace", plan.Grace)
 	interrupted := false
 	for now := time.Now(); now.Before(plan.ExitAt()); now = time.Now() {
+		if grace := f.grace(); grace < plan.Grace {
+			plan = &gladestop.Plan{Began: plan.Began, Grace: grace}
+			f.stopPlan.Store(plan)
+			f.log.Info("The stop ends earlier.", "grace", grace, "after", now.Sub(plan.Began))
+		}
 		if !interrupted && !now.Before(plan.AnswerBy()) {
 			interrupted = true
 			f.log.Info("Answering the requests in progress.", "busy", f.server.Busy(), "after", now.Sub(plan.Began))
--- a/internal/proxy/gladefront/front_test.go
+++ b/internal/proxy/gladefront/front_test.go
@@ -320,7 +320,8 @@
 func TestReloadOfUnreadableFileKeepsSettings(t *testing.T) {
 	f := newTestFleet(t)
 	front, _ := f.startVM(1)
-	front.Reload("missing.toml")
+	front.config.SettingsPath = "missing.toml"
+	front.Reload()
 	f.Assert(front.grace(), qt.Equals, f.grace)
 }
 
--- a/internal/proxy/gladesoak/stop_test.go
+++ b/internal/proxy/gladesoak/stop_test.go
@@ -94,7 +94,9 @@
 	// runs counts the requests that servers began to run, by attempt.
 	runs      map[string]int
 	stoppedAt time.Time
-	outcomes  []stopOutcome
+	// grace is the time from the stop until the platform kills the process.
+	grace    time.Duration
+	outcomes []stopOutcome
 }
 
 func newStopFleet(t *testing.T, program string, settings string) *stopFleet {
@@ -312,14 +314,14 @@
 }
 
 // stop sends the signal to stop and waits until the process has ended, as the platform does.
-func (f *stopFleet) stop(grace time.Duration) {
+func (f *stopFleet) stop() {
 	f.mu.Lock()
 	f.stoppedAt = time.Now()
 	f.mu.Unlock()
 	f.vm.signal(syscall.SIGTERM)
 	select {
 	case <-f.vm.done:
-	case <-time.After(grace):
+	case <-time.After(f.grace):
 		f.vm.signal(syscall.SIGKILL)
 		<-f.vm.done
 	}
@@ -328,13 +330,14 @@
 // run makes calls around a stop with the given grace period.
 func (f *stopFleet) run(calls []stopCall, grace time.Duration) {
 	f.waitReady()
+	f.grace = grace
 	f.stoppedAt = time.Now().Add(stopWarmup)
 	var kinds, callers sync.WaitGroup
 	for _, c := range calls {
 		kinds.Go(func() { f.callUntilGone(c, &callers) })
 	}
 	time.Sleep(time.Until(f.stoppedAt))
-	f.stop(grace)
+	f.stop()
 	kinds.Wait()
 	callers.Wait()
 }
@@ -361,7 +364,7 @@
 			n.lastAnswered = max(n.lastAnswered, o.sentAt)
 		case o.complete:
 			n.failed++
-			f.Check(o.readAt+min(stopRouteTimeout, o.call.limitOrRoute()) > stopGrace-time.Second || o.status == http.StatusGatewayTimeout, qt.IsTrue,
+			f.Check(o.readAt+min(stopRouteTimeout, o.call.limitOrRoute()) > f.grace-time.Second || o.status == http.StatusGatewayTimeout, qt.IsTrue,
 				qt.Commentf("%s: answered %d, sent at %v", o.id, o.status, o.sentAt))
 		case !o.connected:
 			n.notConnected++
@@ -411,3 +414,54 @@
 		f.Check(closed && o.sentAt < stopGrace-1500*time.Millisecond, qt.IsFalse, qt.Commentf("%s: closed, sent at %v: %v", o.id, o.sentAt, o.err))
 	}
 }
+
+// Guards against a stop that takes the grace period of an earlier settings file: the platform kills the process before it answers. The
+// file may change with or without a signal, before the stop or during it.
+func TestStopFollowsGraceOfSettings(t *testing.T) {
+	program := buildProgram(t)
+	const grace = stopGrace / 2
+	tests := map[string]struct {
+		changeAt time.Duration // from the stop on
+		hangup   bool
+	}{
+		"without a signal":      {changeAt: -time.Second},
+		"with a signal":         {changeAt: -time.Second, hangup: true},
+		"signal after the stop": {changeAt: time.Second, hangup: true},
+	}
+	for name, x := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newStopFleet(t, program, stopSettings)
+			f.waitReady()
+			time.AfterFunc(stopWarmup+x.changeAt, func() {
+				f.writeSettings(stopSettings, grace)
+				if x.hangup {
+					f.vm.signal(syscall.SIGHUP)
+				}
+			})
+			f.run([]stopCall{stopCalls[0], stopCalls[4], stopCalls[8], stopCalls[9]}, grace)
+			f.check()
+			f.Check(f.endedByItself(), qt.IsTrue)
+		})
+	}
+}
+
+// endedByItself reports whether the process has ended without being killed.
+func (f *stopFleet) endedByItself() bool {
+	<-f.vm.done
+	f.vm.mu.Lock()
+	defer f.vm.mu.Unlock()
+	return f.vm.cmd.ProcessState.ExitCode() == 0
+}
+
+// A second signal to stop must not end the process before its requests.
+func TestSecondSignalDoesNotEndTheStop(t *testing.T) {
+	f := newStopFleet(t, buildProgram(t), stopSettings)
+	f.waitReady()
+	for _, at := range []time.Duration{time.Millisecond, time.Second, 4 * time.Second} {
+		time.AfterFunc(stopWarmup+at, func() { f.vm.signal(syscall.SIGTERM) })
+	}
+	f.run([]stopCall{stopCalls[0], stopCalls[4], stopCalls[8]}, stopGrace)
+	f.check()
+	f.Check(f.endedByItself(), qt.IsTrue)
+}
