gladed: register signals before the listeners are open

Callers would see: a connection to a VM that has just started ends without an answer, when a SIGTERM or a SIGHUP comes in that moment.

Cause: the handlers were registered after the listeners were open; in between the default action ends the process without a stop.

Handlers are registered before the settings are read; a SIGHUP that comes early is handled later.

--- a/cmd/gladed/front.go
+++ b/cmd/gladed/front.go
@@ -20,6 +20,13 @@
 
 // runFront runs the entry role with the platform's settings.
 func runFront(ctx context.Context, path string) error {
+	// The default action of a signal must not end a process that already accepts connections.
+	signal.Ignore(syscall.SIGPIPE)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	settings, err := gladeplatform.LoadSettings(path)
 	if err != nil {
 		return err
@@ -38,16 +45,10 @@
 		return err
 	}
 	defer closeFront()
-	signal.Ignore(syscall.SIGPIPE)
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
 	go func() {
 		for range reload {
 			front.Reload()
 		}
 	}()
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	return front.Run(ctx)
 }
--- a/internal/proxy/gladesoak/stop_test.go
+++ b/internal/proxy/gladesoak/stop_test.go
@@ -465,3 +465,27 @@
 	f.check()
 	f.Check(f.endedByItself(), qt.IsTrue)
 }
+
+// Guards against a signal to stop, or to read the settings, that ends a process which already accepts connections.
+func TestSignalAtTheStart(t *testing.T) {
+	program := buildProgram(t)
+	for n := range 16 {
+		t.Run(strconv.Itoa(n), func(t *testing.T) {
+			t.Parallel()
+			f := newStopFleet(t, program, stopSettings)
+			for {
+				conn, err := net.Dial("tcp", f.address(1, 8740))
+				if err == nil {
+					_ = conn.Close()
+					break
+				}
+				time.Sleep(100 * time.Microsecond)
+			}
+			if n%2 == 0 {
+				f.vm.signal(syscall.SIGHUP)
+			}
+			f.vm.signal(syscall.SIGTERM)
+			f.Assert(f.endedByItself(), qt.IsTrue, qt.Commentf("%v", f.vm.cmd.ProcessState))
+		})
+	}
+}
