--- a/gladewire/network.go
+++ b/gladewire/network.go
@@ -187,6 +187,18 @@
 	}
 }
 
+// Sever ends the open connections between two hosts without a word: writes are lost and nothing is received any more. New
+// connections work.
+func (n *Network) Sever(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if pair(c.local, c.remote) == pair(a, b) {
+			c.lost.Store(true)
+		}
+	}
+}
+
 // Pause blocks all traffic to and from a host until Resume is called.
 func (n *Network) Pause(host string) {
 	n.mu.Lock()
