--- a/internal/proxy/gladesoak/stop_test.go
+++ b/internal/proxy/gladesoak/stop_test.go
@@ -279,8 +279,8 @@
 }
 
 // send makes one call on a new connection and returns its outcome.
-func (f *stopFleet) send(c stopCall, id string) stopOutcome {
-	o := stopOutcome{call: c, id: id, sentAt: f.sinceStop()}
+func (f *stopFleet) send(c stopCall, id string) (o stopOutcome) {
+	o = stopOutcome{call: c, id: id, sentAt: f.sinceStop()}
 	began := time.Now()
 	defer func() { o.took = time.Since(began) }()
 	conn, err := net.DialTimeout("tcp", f.address(1, 8740), time.Second)
