--- a/internal/proxy/gladeforward/stop.go
+++ b/internal/proxy/gladeforward/stop.go
@@ -54,6 +54,18 @@
 	return errCannotFinish
 }
 
+// mayBegin reports whether an attempt may begin; if not, it ends the request.
+func (s *stream) mayBegin() bool {
+	if !s.checkSuspect() {
+		return false
+	}
+	if !s.mayHaveRun && s.checkStop() != nil {
+		s.refuseAtStop()
+		return false
+	}
+	return true
+}
+
 // refuseAtStop refuses a request that no server has run, or fails it.
 func (j *job) refuseAtStop() {
 	if j.mayHaveRun {
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -97,18 +97,6 @@
 	}
 }
 
-// mayBegin reports whether an attempt may begin; if not, it ends the request.
-func (s *stream) mayBegin() bool {
-	if !s.checkSuspect() {
-		return false
-	}
-	if !s.mayHaveRun && s.checkStop() != nil {
-		s.refuseAtStop()
-		return false
-	}
-	return true
-}
-
 // dropCopy releases the place of the copy.
 func (s *stream) dropCopy() {
 	s.copy.Release()
