Test: all VMs of a failure domain stop one after another

Guards against calls that are cut while the balancer goes on using each VM until it ends: three processes with one store, stops 1 s apart, calls of four kinds to each until it is gone. The store, servers and counts of the stop tests are shared by several VMs for this.

--- a/internal/proxy/gladesoak/stop_test.go
+++ b/internal/proxy/gladesoak/stop_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"strconv"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -14,7 +15,7 @@
 // Guards against calls that a stopping VM passes on and cannot end: their callers get a closed connection though a server has run them.
 // The balancer goes on using the VM, as it does while most of a failure domain stops.
 func TestStopCutsNoCall(t *testing.T) {
-	f := newStopFleet(t, buildProgram(t), stopSettings)
+	f := newStopFleet(t, buildProgram(t))
 	f.run(stopCalls, stopGrace)
 	counts := f.check()
 	for name, n := range counts {
@@ -24,7 +25,7 @@
 
 // Guards against calls that are cut, or refused though they have run, when servers fail during the stop and callers read slowly.
 func TestStopWithFailingServers(t *testing.T) {
-	f := newStopFleet(t, buildProgram(t), stopSettings)
+	f := newStopFleet(t, buildProgram(t))
 	f.run(hardStopCalls, stopGrace)
 	counts := f.check()
 	f.Check(counts["large answer"].answered > 0, qt.IsTrue)
@@ -33,7 +34,7 @@
 
 // Guards against connections that a stopping VM accepts and closes before their first request arrives, while the balancer uses it.
 func TestStopReadsLateFirstRequest(t *testing.T) {
-	f := newStopFleet(t, buildProgram(t), stopSettings)
+	f := newStopFleet(t, buildProgram(t))
 	f.run([]stopCall{stopCalls[0], stopCalls[2]}, stopGrace)
 	// A short call is served late in the grace, because others of its route were short.
 	f.Check(f.check()["short"].lastAnswered > 3*stopGrace/4, qt.IsTrue)
@@ -59,10 +60,10 @@
 	for name, x := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			f := newStopFleet(t, program, stopSettings)
+			f := newStopFleet(t, program)
 			f.waitReady()
 			time.AfterFunc(stopWarmup+x.changeAt, func() {
-				f.writeSettings(stopSettings, grace)
+				f.writeSettings(grace)
 				if x.hangup {
 					f.vm.signal(syscall.SIGHUP)
 				}
@@ -74,6 +75,32 @@
 	}
 }
 
+// Guards against calls that are cut while all VMs of a failure domain stop one after another, so that the balancer uses each of them until
+// it ends.
+func TestStopOfAllVMsCutsNoCall(t *testing.T) {
+	program := buildProgram(t)
+	first := newStopFleet(t, program)
+	fleets := []*stopFleet{first, first.addVM(t, program, 2), first.addVM(t, program, 3)}
+	for _, f := range fleets {
+		f.waitReady()
+	}
+	began := time.Now()
+	var stops sync.WaitGroup
+	for i, f := range fleets {
+		stops.Go(func() {
+			calls := []stopCall{stopCalls[0], stopCalls[4], stopCalls[6], stopCalls[9]}
+			f.runUntil(calls, stopGrace, began.Add(stopWarmup+time.Duration(i)*time.Second))
+		})
+	}
+	stops.Wait()
+	for _, f := range fleets {
+		for name, n := range f.check() {
+			f.Check(n.answered+n.refused+n.failed > 0, qt.IsTrue, qt.Commentf("VM %d: %s: no call had an answer", f.vm.host, name))
+		}
+		f.Check(f.endedByItself(), qt.IsTrue)
+	}
+}
+
 // endedByItself reports whether the process has ended without being killed.
 func (f *stopFleet) endedByItself() bool {
 	<-f.vm.done
@@ -84,7 +111,7 @@
 
 // A second signal to stop must not end the process before its requests.
 func TestSecondSignalDoesNotEndTheStop(t *testing.T) {
-	f := newStopFleet(t, buildProgram(t), stopSettings)
+	f := newStopFleet(t, buildProgram(t))
 	f.waitReady()
 	for _, at := range []time.Duration{time.Millisecond, time.Second, 4 * time.Second} {
 		time.AfterFunc(stopWarmup+at, func() { f.vm.signal(syscall.SIGTERM) })
@@ -100,9 +127,9 @@
 	for n := range 16 {
 		t.Run(strconv.Itoa(n), func(t *testing.T) {
 			t.Parallel()
-			f := newStopFleet(t, program, stopSettings)
+			f := newStopFleet(t, program)
 			for {
-				conn, err := net.Dial("tcp", f.address(1, 8740))
+				conn, err := net.Dial("tcp", f.address(f.vm.host, 8740))
 				if err == nil {
 					_ = conn.Close()
 					break
--- a/internal/proxy/gladesoak/stopfleet_test.go
+++ b/internal/proxy/gladesoak/stopfleet_test.go
@@ -99,25 +99,43 @@
 	err            error
 }
 
-// stopFleet is one VM as a real process, its store and its backend servers.
+// runCounter counts the requests that servers began to run, by attempt.
+type runCounter struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (r *runCounter) add(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs[id]++
+}
+
+func (r *runCounter) count(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[id]
+}
+
+// stopFleet is one VM as a real process, its store and its backend servers. VMs added to it share these.
 type stopFleet struct {
 	*qt.C
 	prefix string
 	store  *fakeStore
+	runs   *runCounter
 	vm     *vm
 
-	mu sync.Mutex
-	// runs counts the requests that servers began to run, by attempt.
-	runs      map[string]int
+	mu        sync.Mutex
 	stoppedAt time.Time
 	// grace is the time from the stop until the platform kills the process.
 	grace    time.Duration
 	outcomes []stopOutcome
 }
 
-func newStopFleet(t *testing.T, program string, settings string) *stopFleet {
+func newStopFleet(t *testing.T, program string) *stopFleet {
 	f := &stopFleet{
-		C: qt.New(t), prefix: fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(250)), store: newFakeStore(), runs: map[string]int{},
+		C: qt.New(t), prefix: fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(250)), store: newFakeStore(),
+		runs: &runCounter{runs: map[string]int{}},
 	}
 	routes := []map[string]any{}
 	seen := map[string]bool{}
@@ -146,10 +164,21 @@
 			"service": "app", "addr": address, "zone": "a", "slots": 200, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1,
 		})
 	}
-	store := f.address(200, 8742)
-	f.listen(store, func(w http.ResponseWriter, r *http.Request) { f.store.serve(1, w, r) })
-	f.vm = &vm{host: 1, program: program, settings: filepath.Join(t.TempDir(), "vm.toml")}
-	f.writeSettings(settings, stopGrace)
+	f.startVM(t, program, 1)
+	return f
+}
+
+// addVM starts another VM of the failure domain; its calls and its stop are its own.
+func (f *stopFleet) addVM(t *testing.T, program string, host int) *stopFleet {
+	o := &stopFleet{C: f.C, prefix: f.prefix, store: f.store, runs: f.runs}
+	o.startVM(t, program, host)
+	return o
+}
+
+func (f *stopFleet) startVM(t *testing.T, program string, host int) {
+	f.listen(f.address(200, firstStorePort+host), func(w http.ResponseWriter, r *http.Request) { f.store.serve(host, w, r) })
+	f.vm = &vm{host: host, program: program, settings: filepath.Join(t.TempDir(), "vm.toml")}
+	f.writeSettings(stopGrace)
 	f.Assert(f.vm.start(), qt.IsNil)
 	f.Cleanup(func() {
 		f.vm.signal(syscall.SIGKILL)
@@ -158,39 +187,42 @@
 			f.saveLog()
 		}
 	})
-	return f
 }
 
-// stopSettings are the settings of a VM, without its grace period.
-const stopSettings = `node = "vm-1"
-ip = "%[1]s1"
+// firstStorePort is the port below that of the first VM's address of the store.
+const firstStorePort = 8742
+
+// stopSettings are the settings of a VM.
+const stopSettings = `node = "vm-%[2]d"
+ip = "%[1]s%[2]d"
 zone = "a"
 port_range = [7200, 7215]
-seeds = []
+seeds = ["%[1]s1:8748", "%[1]s2:8748"]
 [zones]
 a = "r"
 [listen]
-front = "%[1]s1:8740"
-ready = "%[1]s1:8749"
+front = "%[1]s%[2]d:8740"
+ready = "%[1]s%[2]d:8749"
 [platform]
-addr = "%[1]s200:8742"
+addr = "%[1]s200:%[3]d"
 [bounds]
 drain_ms = 2000
 retry_ratio = 0.8
 retry_window_s = 10
 retry_burst = 300
-grace_s = %[2]v
+grace_s = %[4]v
 `
 
 // writeSettings writes the VM's settings with a grace period.
-func (f *stopFleet) writeSettings(format string, grace time.Duration) {
-	f.Assert(os.WriteFile(f.vm.settings, fmt.Appendf(nil, format, f.prefix, grace.Seconds()), 0o600), qt.IsNil)
+func (f *stopFleet) writeSettings(grace time.Duration) {
+	text := fmt.Appendf(nil, stopSettings, f.prefix, f.vm.host, firstStorePort+f.vm.host, grace.Seconds())
+	f.Assert(os.WriteFile(f.vm.settings, text, 0o600), qt.IsNil)
 }
 
 func (f *stopFleet) saveLog() {
 	text, err := os.ReadFile(f.vm.settings + ".log")
 	if err == nil {
-		err = os.WriteFile(filepath.Join(os.TempDir(), "glade-stop-vm-1.log"), text, 0o600)
+		err = os.WriteFile(filepath.Join(os.TempDir(), fmt.Sprintf("glade-stop-vm-%d.log", f.vm.host)), text, 0o600)
 	}
 	f.Check(err, qt.IsNil)
 }
@@ -211,9 +243,7 @@
 func (f *stopFleet) serveCall(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	attempt := r.Header.Get("Attempt-Id")
-	f.mu.Lock()
-	f.runs[attempt]++
-	f.mu.Unlock()
+	f.runs.add(attempt)
 	length, err := time.ParseDuration(r.Header.Get("Test-Length"))
 	f.Check(err, qt.IsNil)
 	limit, err := strconv.Atoi(r.Header.Get("Deadline-Ms"))
@@ -244,7 +274,7 @@
 // waitReady waits until the VM accepts connections.
 func (f *stopFleet) waitReady() {
 	for range 500 {
-		r, err := http.Get("http://" + f.address(1, 8749) + "/v1/readyz")
+		r, err := http.Get("http://" + f.address(f.vm.host, 8749) + "/v1/readyz")
 		if err == nil {
 			_ = r.Body.Close()
 			if r.StatusCode == http.StatusOK {
@@ -283,7 +313,7 @@
 	o = stopOutcome{call: c, id: id, sentAt: f.sinceStop()}
 	began := time.Now()
 	defer func() { o.took = time.Since(began) }()
-	conn, err := net.DialTimeout("tcp", f.address(1, 8740), time.Second)
+	conn, err := net.DialTimeout("tcp", f.address(f.vm.host, 8740), time.Second)
 	if err != nil {
 		o.err = err
 		return o
@@ -298,7 +328,7 @@
 	if c.lengthAtStop > 0 && o.sentAt > 0 {
 		length = c.lengthAtStop
 	}
-	r, err := http.NewRequest(http.MethodPost, "http://"+f.address(1, 8740)+"/"+c.route+"/x", &lateBody{chunks, c.bodyTime / chunks})
+	r, err := http.NewRequest(http.MethodPost, "http://"+f.address(f.vm.host, 8740)+"/"+c.route+"/x", &lateBody{chunks, c.bodyTime / chunks})
 	f.Check(err, qt.IsNil)
 	r.Host = "h"
 	r.Header.Set("Attempt-Id", id)
@@ -347,7 +377,7 @@
 		case <-ticker.C:
 		}
 		callers.Go(func() {
-			o := f.send(c, fmt.Sprintf("%s-%d", strings.ReplaceAll(c.name, " ", "-"), n))
+			o := f.send(c, fmt.Sprintf("%s-%d-%d", strings.ReplaceAll(c.name, " ", "-"), f.vm.host, n))
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.outcomes = append(f.outcomes, o)
@@ -372,8 +402,12 @@
 // run makes calls around a stop with the given grace period.
 func (f *stopFleet) run(calls []stopCall, grace time.Duration) {
 	f.waitReady()
-	f.grace = grace
-	f.stoppedAt = time.Now().Add(stopWarmup)
+	f.runUntil(calls, grace, time.Now().Add(stopWarmup))
+}
+
+// runUntil makes calls around a stop at the given time.
+func (f *stopFleet) runUntil(calls []stopCall, grace time.Duration, stop time.Time) {
+	f.grace, f.stoppedAt = grace, stop
 	var kinds, callers sync.WaitGroup
 	for _, c := range calls {
 		kinds.Go(func() { f.callUntilGone(c, &callers) })
@@ -395,7 +429,7 @@
 func (f *stopFleet) check() map[string]stopCounts {
 	counts := map[string]stopCounts{}
 	for _, o := range f.outcomes {
-		n, ran := counts[o.call.name], f.runs[o.id]
+		n, ran := counts[o.call.name], f.runs.count(o.id)
 		switch refused := o.status == http.StatusServiceUnavailable || o.status == http.StatusTooManyRequests || o.status == http.StatusRequestTimeout; {
 		case o.complete && refused:
 			n.refused++
