Readers of the store start in order of rank; few read during an outage

A reader of rank 3 or more did not publish even if nobody else read.

Change: the silence counts from the startup wait. A restarted VM reads the store once and then waits until it knows its rank. While the readers say that they lost the store, VMs from rank 6 on join every 0.5 s. The only reader of a failure domain publishes whatever its rank.

Ruled out: fewer reads at a restart by waiting for a peer's list: VMs would answer 503 for up to a second after a power failure.

--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -97,7 +97,7 @@
 	if err != nil {
 		return err
 	}
-	delay := time.Duration(0)
+	delay := restartReadDelay
 	if s.FirstStart {
 		delay = firstReadDelay
 	}
@@ -303,6 +303,9 @@
 // firstReadDelay lets VMs that start together find each other before one of them reads; callers come seconds later.
 const firstReadDelay = 2 * time.Second
 
+// restartReadDelay is the same for a VM that restarts.  It reads the store once at its start, and knows its rank a second later.
+const restartReadDelay = 1200 * time.Millisecond
+
 // rank returns the number of live VMs of this failure domain that precede this one in the order of readers.
 func (f *Front) rank() int {
 	s := f.config.Settings
--- a/internal/state/gladefeed/feed.go
+++ b/internal/state/gladefeed/feed.go
@@ -27,6 +27,9 @@
 	behindLimit = 600 * time.Millisecond
 	// maxRank is the largest number of preceding VMs that counts for this wait.
 	maxRank = 6
+	// outageStagger is the additional wait of each VM from maxRank on while the readers say that they lost the store.  The store is
+	// then probably unavailable to all, and every VM of a large failure domain would repeat the calls that fail.
+	outageStagger = 500 * time.Millisecond
 	// maxPublishers is the number of VMs that send what they read, so that a new reader is received before every VM
 	// knows that it is the reader.
 	maxPublishers = 3
@@ -171,7 +174,7 @@
 }
 
 func (f *Feed) send(u Update) {
-	if f.config.Rank() >= maxPublishers {
+	if f.config.Rank() >= maxPublishers && !f.isOnlyReader(u, time.Now()) {
 		return
 	}
 	u.VM = f.config.VM
@@ -189,6 +192,12 @@
 	}
 }
 
+// isOnlyReader reports whether an update is of a reader that receives no other one: its failure domain has the store's changes
+// from nobody else, whatever its rank.
+func (f *Feed) isOnlyReader(u Update, now time.Time) bool {
+	return u.Reading && now.Sub(f.LastHeard()) > readerTimeout
+}
+
 // fits reports whether a change of the release may be sent to a number of VMs.
 func (f *Feed) fits(c *gladerelease.Change, vms int) bool {
 	raw, err := json.Marshal(c)
@@ -277,7 +286,13 @@
 		return now.Sub(f.precedingAt) > readerTimeout || now.Sub(f.precedingSince) < minReaderUptime
 	}
 	if len(f.heard) == 0 && !f.lostAt.IsZero() {
-		return now.Sub(f.lostAt) >= stagger-takeoverStagger
+		late := time.Duration(max(0, f.config.Rank()-maxRank)) * outageStagger
+		return now.Sub(f.lostAt) >= stagger-takeoverStagger+late
+	}
+	// Before the first update the silence counts from the startup wait: VMs that start together would all read at once.
+	silentSince := f.startupDeadline.Add(-readerTimeout)
+	if last := f.lastHeard(); last.After(silentSince) {
+		silentSince = last
 	}
-	return now.Sub(f.lastHeard()) > readerTimeout+stagger
+	return now.Sub(silentSince) > readerTimeout+stagger
 }
--- a/internal/state/gladefeed/feed_test.go
+++ b/internal/state/gladefeed/feed_test.go
@@ -157,3 +157,53 @@
 	c.Assert(f.fits(change, 100), qt.IsFalse)
 	c.Assert(f.fits(change, 3), qt.IsTrue)
 }
+
+// A hundred VMs that start together, as after a power failure, must not all read the store because none has heard of a reader yet.
+func TestVMsThatStartTogetherReadInOrder(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(1000, 0)
+	feed := func(rank int) *Feed {
+		config := Config{Rank: func() int { return rank }, Behind: upToDate, Precedes: always}
+		return &Feed{config: config, startupDeadline: start, heard: map[string]time.Time{}}
+	}
+	c.Assert(feed(0).ShouldRead(false, start), qt.IsTrue)
+	for rank := 1; rank < 100; rank++ {
+		f := feed(rank)
+		c.Assert(f.ShouldRead(false, start.Add(takeoverStagger)), qt.IsFalse)
+		c.Assert(f.ShouldRead(false, start.Add((maxRank+1)*takeoverStagger)), qt.IsTrue) // nobody reads
+	}
+}
+
+// While the store is unavailable to all, the VMs of a large failure domain must not all repeat the calls that fail.  A VM that
+// receives nobody may itself be cut off from the others and waits no longer than before.
+func TestFewVMsReadDuringAnOutage(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	reading := func(lost bool) int {
+		n := 0
+		for rank := range 50 {
+			f := &Feed{config: Config{Rank: func() int { return rank }, Behind: upToDate, Precedes: always}, heard: map[string]time.Time{}}
+			f.recordHeard("reader", now)
+			if lost {
+				f.forget("reader", now)
+			}
+			if f.ShouldRead(false, now.Add(2*time.Second)) {
+				n++
+			}
+		}
+		return n
+	}
+	c.Assert(reading(true), qt.Equals, maxRank+4)
+	c.Assert(reading(false), qt.Equals, 50)
+}
+
+// The first VMs in rank may all be cut off from the store.  The one that reaches it must be received, whatever its rank.
+func TestOnlyReaderPublishesWhateverItsRank(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	f := &Feed{config: Config{Rank: func() int { return maxPublishers }, Precedes: always}, heard: map[string]time.Time{}}
+	c.Assert(f.isOnlyReader(Update{Reading: true}, now), qt.IsTrue)
+	c.Assert(f.isOnlyReader(Update{Lost: true}, now), qt.IsFalse)
+	f.recordHeard("reader", now)
+	c.Assert(f.isOnlyReader(Update{Reading: true}, now), qt.IsFalse)
+}
