Fewer probes of silent servers and fewer questions for cached prompts

Change: within one silence the wait for the next probe doubles. At most 12 engines are asked, those that the session prefers; smaller failure domains are asked whole as before.

--- a/internal/fleet/gladefleet/choose.go
+++ b/internal/fleet/gladefleet/choose.go
@@ -1,6 +1,7 @@
 package gladefleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -244,17 +245,23 @@
 	return !e.Leaving && !e.replaced && !e.lastUse.reached(now)
 }
 
-// LocalServers returns a service's usable servers in this VM's failure domain.
-func (t *Table) LocalServers(service string, now time.Time) []Server {
+// LocalServers returns at most limit of a service's usable servers in this VM's failure domain, those first that a session
+// prefers.
+func (t *Table) LocalServers(service string, session uint64, limit int, now time.Time) []Server {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var local []Server
+	var local []*entry
 	for _, e := range t.services[service] {
 		if e.FailureDomain == t.config.FailureDomain && e.eligible(now) && !t.suspectedDown(e, now) {
-			local = append(local, e.Server)
+			local = append(local, e)
 		}
 	}
-	return local
+	slices.SortFunc(local, func(a, b *entry) int { return cmp.Compare(mix(session^b.hash), mix(session^a.hash)) })
+	servers := make([]Server, 0, min(limit, len(local)))
+	for _, e := range local[:min(limit, len(local))] {
+		servers = append(servers, e.Server)
+	}
+	return servers
 }
 
 // Reserve claims a place and memory on the server that holds a request's copy. It returns ErrNoServer if that server is
--- a/internal/fleet/gladefleet/room_test.go
+++ b/internal/fleet/gladefleet/room_test.go
@@ -227,3 +227,17 @@
 		}
 	}
 }
+
+// In a failure domain of fifty servers every VM asked every server for a resumed prompt.  The questions are bounded, and VMs agree
+// on the servers that are asked.
+func TestLocalServersOfASessionAreBounded(t *testing.T) {
+	c := qt.New(t)
+	first, second := newTestTable(50), newTestTable(50)
+	asked := first.LocalServers(testService, 7, 12, start)
+	c.Assert(asked, qt.HasLen, 12)
+	c.Assert(second.LocalServers(testService, 7, 12, start), qt.DeepEquals, asked)
+	c.Assert(first.LocalServers(testService, 8, 12, start), qt.Not(qt.DeepEquals), asked)
+	c.Assert(first.LocalServers(testService, 7, 100, start), qt.HasLen, 50)
+	preferred := choose(c, first, Requirements{Session: 7}, start)
+	c.Assert(asked[0].ID, qt.Equals, preferred.ID)
+}
--- a/internal/proxy/gladeforward/copies.go
+++ b/internal/proxy/gladeforward/copies.go
@@ -22,6 +22,9 @@
 	heldTimeout = 80 * time.Millisecond
 	// heldMaxAge is how long the answer of an engine to such a query is used.
 	heldMaxAge = time.Second
+	// maxHeldQueries is the largest number of engines that are asked for the cached prompt of one request, those first on which its
+	// session is probably cached.  Each VM would otherwise ask every engine of a large failure domain once per second.
+	maxHeldQueries = 12
 	// minHeldShare is the share of a prompt that an engine must have cached to be chosen for it.
 	minHeldShare = 0.5
 )
@@ -142,7 +145,7 @@
 		return nil
 	}
 	now := time.Now()
-	servers := s.config.Fleet.LocalServers(s.service, now)
+	servers := s.config.Fleet.LocalServers(s.service, s.sessionHash(), maxHeldQueries, now)
 	var group sync.WaitGroup
 	for _, o := range servers {
 		group.Go(func() { s.refreshHeld(o) })
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -20,6 +20,9 @@
 	probeSilence = 210 * time.Millisecond
 	// prefillProbeSilence is the same while the prompt is processed and no events are expected.
 	prefillProbeSilence = 400 * time.Millisecond
+	// maxProbeDoublings bounds how often the wait for the next probe doubles within one silence.  Each probe opens a connection,
+	// and a prompt of 40,000 tokens is processed for 8 s.
+	maxProbeDoublings = 4
 	// minPrefillWait is the least time that a server has until the first event of a run.
 	minPrefillWait = 2 * time.Second
 	// prefillWaitFactor is how many times as long as usual a server may take for the prompts that wait on it.
@@ -316,7 +319,9 @@
 	lastHeard time.Time
 	// received is the number of events received in this attempt.
 	received int
-	flow     eventFlow
+	// probes is the number of probes of the server since the last event.
+	probes int
+	flow   eventFlow
 
 	// attemptContext is cancelled at the end of the attempt.
 	attemptContext context.Context
@@ -343,7 +348,9 @@
 	if a.received == 0 {
 		limit = prefillProbeSilence
 	}
+	limit <<= min(a.probes, maxProbeDoublings)
 	if silence > limit && a.config.Fleet.SilentFor(a.place.ID, time.Now()) > limit {
+		a.probes++
 		a.probe(a.place.Server)
 	}
 	maxPause := a.route.EventGap
@@ -437,7 +444,7 @@
 	if e.id == gladesend.NoEvent {
 		return a.write(e.bytes)
 	}
-	a.lastHeard = now
+	a.lastHeard, a.probes = now, 0
 	if a.received++; a.received == 1 {
 		a.place.PrefillDone(now)
 		a.config.OnLoadChange()
--- a/internal/proxy/gladeforward/stream_test.go
+++ b/internal/proxy/gladeforward/stream_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladebudget"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
@@ -114,6 +115,21 @@
 	})
 }
 
+// A prompt that takes 5 s to process must not cause a new connection to its server every 400 ms.
+func TestLongPrefillCausesFewProbes(t *testing.T) {
+	runTest(t, func(w *harness) {
+		w.serve("llm", "shubra", "a", func(rw http.ResponseWriter, r *http.Request) {
+			time.Sleep(5 * time.Second)
+			streamEvents(20, eventPause, nil)(rw, r)
+		})
+		w.recordPrefillRate(2000)
+		r := w.call(http.MethodPost, "/stream/x", nil)
+		w.Assert(r.body, qt.Equals, eventText(1, 20))
+		probes := metrics.GetOrRegisterCounter("probes", w.forwarder.config.Metrics).Count()
+		w.Assert(probes > 0 && probes <= 3, qt.IsTrue, qt.Commentf("%d probes", probes)) // after 0.4, 1.2 and 2.8 s
+	})
+}
+
 // Servers crash one after the other.  If the server of the copy crashes before that of the run, a new copy must be
 // made.
 func TestLostCopyReplaced(t *testing.T) {
