Readers of the store: stopped readers do not hide an outage

Cause: the time of the loss was noted only if no other reader was heard; one that had stopped reading shortly before counted as heard, and a whole failure domain (29 to 35 VMs) read the store half a second later.

Change: as long as any reader says that it lost the store, the VMs from rank 6 on wait longer, whichever silence they count from.

--- a/internal/state/gladefeed/feed.go
+++ b/internal/state/gladefeed/feed.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -103,6 +104,8 @@
 	heard map[string]time.Time
 	// lostAt is when the last of them said that it lost the store, zero if one is heard or all fell silent.
 	lostAt time.Time
+	// lossHeardAt is when a reader last said that it lost the store.
+	lossHeardAt time.Time
 	// precedingAt and precedingSince are when the last update, and the first one after the last silence, of readers that precede
 	// this VM were received.
 	precedingAt, precedingSince time.Time
@@ -258,10 +261,13 @@
 	precedes := f.config.Precedes(vm)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.lossHeardAt = now
 	if _, heard := f.heard[vm]; !heard {
 		return
 	}
 	delete(f.heard, vm)
+	// A VM that has stopped reading must not hide that the last reader lost the store.
+	maps.DeleteFunc(f.heard, func(_ string, at time.Time) bool { return now.Sub(at) > readerTimeout })
 	if len(f.heard) == 0 {
 		f.lostAt = now
 	}
@@ -285,9 +291,11 @@
 	if reading { // a reader that comes later may stop for this one at the same time
 		return now.Sub(f.precedingAt) > readerTimeout || now.Sub(f.precedingSince) < minReaderUptime
 	}
+	if now.Sub(f.lossHeardAt) < readerTimeout {
+		stagger += time.Duration(max(0, f.config.Rank()-maxRank)) * outageStagger
+	}
 	if len(f.heard) == 0 && !f.lostAt.IsZero() {
-		late := time.Duration(max(0, f.config.Rank()-maxRank)) * outageStagger
-		return now.Sub(f.lostAt) >= stagger-takeoverStagger+late
+		return now.Sub(f.lostAt) >= stagger-takeoverStagger
 	}
 	// Before the first update the silence counts from the startup wait: VMs that start together would all read at once.
 	silentSince := f.startupDeadline.Add(-readerTimeout)
--- a/internal/state/gladefeed/feed_test.go
+++ b/internal/state/gladefeed/feed_test.go
@@ -183,9 +183,11 @@
 		n := 0
 		for rank := range 50 {
 			f := &Feed{config: Config{Rank: func() int { return rank }, Behind: upToDate, Precedes: always}, heard: map[string]time.Time{}}
-			f.recordHeard("reader", now)
+			f.heard["stopped reader"] = now.Add(-heartbeatInterval)
+			f.heard["reader"] = now
 			if lost {
 				f.forget("reader", now)
+				f.forget("reader", now.Add(2*time.Second-heartbeatInterval)) // it says so in each heartbeat
 			}
 			if f.ShouldRead(false, now.Add(2*time.Second)) {
 				n++
@@ -193,7 +195,7 @@
 		}
 		return n
 	}
-	c.Assert(reading(true), qt.Equals, maxRank+4)
+	c.Assert(reading(true), qt.Equals, maxRank+3)
 	c.Assert(reading(false), qt.Equals, 50)
 }
 
