TestRestartedEngineRecognised: the crash closes the listener with the stream

Cause, by a trace of the failing runs: the engine aborted its stream at 1.8 s and the test killed its host at the same instant of virtual time. In about 1 run of 300 the forwarder saw the aborted stream, probed the engine and connected before the kill, so that the engine rightly counted as running. No later request asked the address who it is. The product did what it should; the test did not bring about the crash that it describes.

Change: the handler kills the host where it aborted the stream, as the tests of crashes do. The checks are the same.

--- a/internal/proxy/gladeforward/flow_test.go
+++ b/internal/proxy/gladeforward/flow_test.go
@@ -43,9 +43,10 @@
 func TestRestartedEngineRecognised(t *testing.T) {
 	runTest(t, func(w *harness) {
 		w.instances = map[string]string{}
-		w.serve("llm", "shubra", "a", streamEvents(60, eventPause, abortConnection))
+		// The crash closes the listener together with the stream.  With an abort first and the kill at the same instant, the
+		// probe sometimes came in between, connected, and rightly took the engine for running.
+		w.serve("llm", "shubra", "a", streamEvents(60, eventPause, func(http.ResponseWriter, *http.Request) { w.network.Kill("a") }))
 		w.serve("llm", "giza", "b", streamEvents(80, eventPause, nil))
-		time.AfterFunc(60*eventPause, func() { w.network.Kill("a") })
 		time.AfterFunc(60*eventPause+1200*time.Millisecond, func() {
 			w.mu.Lock()
 			w.instances["a:1"] = "a2"
