Streams: an answer in an encoding that is not the server's own is unusable

Cause: handleHeader took a signed 200 with a Content-Encoding for an answer that is no stream and passed it on. Its body is read only for other statuses, so the caller got a complete, signed 200 without a body, and the generation was lost. Encoded answers of other statuses were passed on with their foreign body. Plain requests already counted such answers as lost.

Change: an encoded answer counts as one that the server failed, whatever its status. The stream goes on elsewhere if it may be repeated; otherwise the caller gets 502.

TestEncodedStreamIsNoSuccess (200, 404 and 500; with another server, with none, and on a route that may not be repeated) failed before in all three statuses and passes now.

--- a/internal/proxy/gladeforward/forward_test.go
+++ b/internal/proxy/gladeforward/forward_test.go
@@ -73,7 +73,7 @@
 }
 
 func decodeAnswer(h http.Header) gladesend.AnswerInfo {
-	return gladesend.AnswerInfo{ID: h.Get(testID), Signed: h.Get(testSeal) != "", NotRun: h.Get(testNotRun) != ""}
+	return gladesend.AnswerInfo{ID: h.Get(testID), Signed: h.Get(testSeal) != "", NotRun: h.Get(testNotRun) != "", Encoded: h.Get("Content-Encoding") != ""}
 }
 
 // harness runs a VM and backend servers on an in-memory network.
@@ -162,6 +162,7 @@
 			{Name: "credits", Host: "h", PathPrefix: "/unsafe/", Kind: gladerelease.Unsafe, Attempts: 1, Shares: []gladerelease.Share{{Service: "app", Weight: 1}}},
 			{Name: "drums", Host: "h", PathPrefix: "/safe/", Kind: gladerelease.Safe, Attempts: 2, Shares: []gladerelease.Share{{Service: "app", Weight: 1}}},
 			{Name: "notes", Host: "h", PathPrefix: "/stream/", Kind: gladerelease.Stream, Attempts: 5, Resumable: true, Shares: []gladerelease.Share{{Service: "llm", Weight: 1}}},
+			{Name: "once", Host: "h", PathPrefix: "/once/", Kind: gladerelease.Stream, Attempts: 5, Shares: []gladerelease.Share{{Service: "llm", Weight: 1}}},
 		},
 	}
 	unlimited := gladerelease.Route{Name: "unlimited", Host: "h", PathPrefix: "/unlimited/", Shares: []gladerelease.Share{{Service: "app", Weight: 1}}}
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -397,6 +397,9 @@
 }
 
 // handleHeader evaluates the status and headers of an answer; the second result reports whether the attempt has ended.
+//
+// An answer that is not signed, or not in the server's own encoding, is unusable: the server may have run the request, and nothing
+// of the answer reaches the caller.
 func (a *attempt) handleHeader(body []byte) (attemptResult, bool) {
 	x := a.exchange
 	if x.Info.NotRun || x.Status == http.StatusMisdirectedRequest {
@@ -412,11 +415,11 @@
 	switch {
 	case x.Status == http.StatusOK && x.Info.Signed && !x.Info.Encoded:
 		return 0, false
-	case x.Info.Signed && !a.incoming.Started() &&
+	case x.Info.Signed && !x.Info.Encoded && !a.incoming.Started() &&
 		(x.Status < http.StatusInternalServerError || a.sends >= max(1, a.route.Attempts)):
 		return a.replyBody(body)
 	}
-	a.log("Server failed it.", "server", a.place.ID, "status", x.Status)
+	a.log("Server failed it.", "server", a.place.ID, "status", x.Status, "signed", x.Info.Signed, "encoded", x.Info.Encoded)
 	a.config.Fleet.RecordOutcome(a.place.ID, true)
 	a.avoidServer(a.place.ID)
 	return attemptBroken, true
--- a/internal/proxy/gladeforward/stream_test.go
+++ b/internal/proxy/gladeforward/stream_test.go
@@ -307,6 +307,51 @@
 	})
 }
 
+// A server answers a stream in an encoding that is not its own.  Such an answer is not the server's: it reached the caller as a
+// complete 200 without a body, and the generation was lost.
+func TestEncodedStreamIsNoSuccess(t *testing.T) {
+	encoded := func(status int) http.HandlerFunc {
+		return func(rw http.ResponseWriter, r *http.Request) {
+			rw.Header().Set("Content-Encoding", "gzip")
+			rw.WriteHeader(status)
+			streamEvents(20, eventPause, nil)(rw, r)
+		}
+	}
+	for name, status := range map[string]int{"success": http.StatusOK, "refusal": http.StatusNotFound, "failure": http.StatusInternalServerError} {
+		t.Run(name, func(t *testing.T) {
+			runTest(t, func(w *harness) {
+				w.serve("llm", "shubra", "a", encoded(status))
+				w.serve("llm", "giza", "b", streamEvents(20, eventPause, nil))
+				r := w.call(http.MethodPost, "/stream/x", nil)
+				w.Assert(r.err, qt.IsNil)
+				w.Assert(r.status, qt.Equals, http.StatusOK)
+				w.Assert(r.body, qt.Equals, eventText(1, 20))
+				w.Assert(r.header.Get("Content-Encoding"), qt.Equals, "")
+				w.Assert(w.serversRun(), qt.DeepEquals, []string{"a", "b"})
+			})
+			// No server sends anything else.
+			runTest(t, func(w *harness) {
+				w.serve("llm", "shubra", "a", encoded(status))
+				r := w.call(http.MethodPost, "/stream/x", nil)
+				w.Assert(r.err, qt.IsNil)
+				w.Assert(r.status, qt.Equals, http.StatusBadGateway)
+				w.Assert(r.header.Get("Content-Encoding"), qt.Equals, "")
+				w.Assert(len(w.serversRun()) <= maxStreamSends, qt.IsTrue)
+			})
+			// The stream may not be repeated.
+			runTest(t, func(w *harness) {
+				w.serve("llm", "shubra", "a", encoded(status))
+				w.serve("llm", "giza", "b", streamEvents(20, eventPause, nil))
+				r := w.call(http.MethodPost, "/once/x", nil)
+				w.Assert(r.err, qt.IsNil)
+				w.Assert(r.status, qt.Equals, http.StatusBadGateway)
+				w.Assert(r.header.Get("Content-Encoding"), qt.Equals, "")
+				w.Assert(w.serversRun(), qt.DeepEquals, []string{"a"})
+			})
+		})
+	}
+}
+
 func TestStoppingVMRefusesLongStreams(t *testing.T) {
 	runTest(t, func(w *harness) {
 		w.serve("llm", "shubra", "a", streamEvents(20, eventPause, nil))
