Engine calls: an answer belongs to the call that was sent

Cause: the calls to an engine (copy, free, held parts, health) share kept connections and their answers carried no identifier. A late second answer to one copy call was taken for the answer to the next one, so that a run got the handle of another run and went on from its memory.

Change: each call has an Attempt-Id of its own, which servers echo. An answer with another identifier, or with none on a connection that has carried a call before, is dropped, and the call is sent once more on a new connection. Engines that echo nothing get a connection for each call; the entry role remembers them by address. Engine is now made by a constructor.

Not known from the code: whether every engine echoes the identifier on these calls. If one does not, its calls cost a connection each.

--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -158,11 +158,11 @@
 		Progress: poisonProgress, OnRefused: f.reportRefusal, OnCleared: f.reportCleared,
 		OnHeld: f.reportHeld, OnAnswered: f.reportAnswered, Log: f.log.Named("suspects"),
 	})
-	engines := &http.Transport{
+	engine, closeEngine := gladeplatform.NewEngine(gladeplatform.EngineConfig{OnAnswer: f.onEngineAnswer, Transport: &http.Transport{
 		MaxIdleConnsPerHost: 1, IdleConnTimeout: engineIdleTimeout, DialContext: dialEngine, MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
-	f.cleanup(engines.CloseIdleConnections)
-	f.engine = &gladeplatform.Engine{Client: &http.Client{Transport: engines}, OnAnswer: f.onEngineAnswer}
+	}})
+	f.engine = engine
+	f.cleanup(closeEngine)
 	f.openStore()
 	if err := f.startPeers(); err != nil {
 		return err
