Standby: closing the service stops every run

Cause of "goroutines remain" in TestVMDies: the close cancelled the service's context and then abandoned the runs that it found in owned. A run's task that saw the context end in between removed its run from owned first. By the same way a run that a later run of its key had replaced in owned was never stopped.

Change: the context is cancelled under the lock under which the runs are abandoned, and the close goes through all runs that have a task.

--- a/gladestandby/owner.go
+++ b/gladestandby/owner.go
@@ -66,6 +66,7 @@
 	closed := s.ctx.Err() != nil
 	if !closed {
 		s.owned[keyOf(g)] = o
+		s.running[o] = struct{}{}
 	}
 	s.mu.Unlock()
 	if closed {
@@ -105,6 +106,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.running, o)
 	if k := keyOf(o.generation); s.owned[k] == o {
 		delete(s.owned, k)
 	}
--- a/gladestandby/service.go
+++ b/gladestandby/service.go
@@ -78,6 +78,8 @@
 
 	mu    sync.Mutex
 	owned map[runKey]*ownedRun
+	// running holds the runs that have a task, also those that a later run of their key has replaced in owned.
+	running map[*ownedRun]struct{}
 	// pending holds the keys whose runs may begin at this VM.
 	pending map[runKey]pendingRun
 	// takenEpochs holds the epoch of each run that is about to continue at this VM, by request.
@@ -119,6 +121,7 @@
 		ctx:         ctx,
 		counters:    newCounters(c.Metrics),
 		owned:       map[runKey]*ownedRun{},
+		running:     map[*ownedRun]struct{}{},
 		pending:     map[runKey]pendingRun{},
 		takenEpochs: map[string]int{},
 		held:        map[string]*heldJournal{},
@@ -132,17 +135,19 @@
 	gladepeer.Handle(c.Peers, methodFind, s.serveFind)
 	s.tasks.Go(s.expireLoop)
 	return s, func() {
-		cancel()
-		s.abandonAll()
+		s.abandonAll(cancel)
 		s.tasks.Wait()
 	}, nil
 }
 
 // abandonAll ends the runs of this VM and leaves their attempts to successors.
-func (s *Service) abandonAll() {
+//
+// It cancels the service's context while it holds the lock, as a run's task that sees the context end removes the run.
+func (s *Service) abandonAll(cancel context.CancelFunc) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, o := range s.owned {
+	cancel()
+	for o := range s.running {
 		o.run.Journal.Abandon(ErrStopped)
 		o.stop()
 	}
