gladefleet: use the load and work time that servers report

platform decodes Server-Load into AnswerInfo.Load; the front passes it to gladefleet, which uses it only for services whose servers state the fourth figure. Engines: the reported work time scales what waits there, and the rest scales a random part of the cost, so that VMs that hear the same report spread.

--- a/internal/fleet/gladefleet/choose.go
+++ b/internal/fleet/gladefleet/choose.go
@@ -1,6 +1,7 @@
 package gladefleet
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -24,6 +25,9 @@
 	Unlimited bool
 	// Waiting reports that the request can wait rather than use a server whose limit leaves no room.
 	Waiting bool
+
+	// reports is set by selectServer if the servers of the service report how long work takes.
+	reports *serviceReports
 }
 
 // Reservation is the place of one run on a server, held until Release.
@@ -33,6 +37,8 @@
 	Reason string
 	// Load is the server's load at the time of the reservation, including this run.
 	Load Load
+	// Reported is what the server itself had said.
+	Reported Reported
 	// Exhausted reports that the limits of all servers leave no room, as far as this VM has asked.
 	Exhausted bool
 
@@ -53,6 +59,7 @@
 	reasonCopy        = "holds the copy"
 	reasonExhausted   = "every server is at its limit"
 	reasonLeaving     = "every server leaves or is gone"
+	reasonExpected    = "soonest expected answer"
 )
 
 // Choose selects a server and reserves a place on it. It returns ErrFull if healthy servers exist but none has room,
@@ -71,6 +78,7 @@
 		return nil, eris.Wrap(ErrNoServer, n.Service)
 	}
 	k := t.reserve(best, n.Prompt, n.Tokens, reason, now)
+	k.Reported = best.known(now)
 	k.Exhausted = reason == reasonExhausted && now.Before(best.exhaustedUntil)
 	return k, nil
 }
@@ -136,6 +144,7 @@
 // has room.
 func (t *Table) selectServer(n Requirements, now time.Time) (_ *entry, reason string, full bool) {
 	s := selection{rank: unreachable + 1}
+	n.reports = t.measured(n.Service, now)
 	jitter := t.maxJitter(n.Service, n.Prompt, now)
 	for _, e := range t.services[n.Service] {
 		if rank, ok := t.rankFor(e, n, now); ok && rank <= s.rank {
@@ -153,6 +162,8 @@
 		return s.best, reasonNoneHealthy, false
 	case s.preferred != nil && s.preferredLoad <= s.bestLoad+sessionAffinityTokens:
 		return s.preferred, reasonSession, false
+	case n.reports != nil && n.Prompt == 0:
+		return s.best, reasonExpected, false
 	case s.best.FailureDomain == t.config.FailureDomain:
 		return s.best, reasonLocal, false
 	}
@@ -180,7 +191,7 @@
 		s.full = s.full || rank == healthy || rank == exhausted
 		return
 	}
-	load := t.cost(e, jitter, n.Prompt)
+	load := t.placementCost(s, e, jitter, &n, now)
 	if rank == exhausted { // the one that has room first
 		load = e.exhaustedUntil.Sub(now).Seconds()
 	}
@@ -224,6 +235,21 @@
 	return cost
 }
 
+// placementCost returns the cost by which a server is compared with the others, and takes reports into account if there are any.
+func (t *Table) placementCost(s *selection, e *entry, jitter float64, n *Requirements, now time.Time) float64 {
+	switch {
+	case n.reports == nil:
+		return t.cost(e, jitter, n.Prompt)
+	case n.Prompt == 0:
+		return t.plainCost(e, n.reports, now)
+	}
+	bound := math.Inf(1)
+	if s.best != nil {
+		bound = s.bestLoad + sessionAffinityTokens
+	}
+	return t.engineCost(e, jitter, n.Prompt, bound, now)
+}
+
 // staleLoadTokens is added to the cost of a server whose load is known late, so that the servers of this VM's own
 // failure domain are used while they have room.
 const staleLoadTokens = 15000
--- a/internal/fleet/gladefleet/server.go
+++ b/internal/fleet/gladefleet/server.go
@@ -90,6 +90,8 @@
 	returningSince time.Time
 	// backoffUntil is the time until which the server gets no request of this VM, as it asked.
 	backoffUntil time.Time
+	// reported is what the server said of its load, and what was measured of its answers.
+	reported reportedLoad
 }
 
 // useLimit is a time from which a server must get no new requests; the zero value is no limit.
--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -62,6 +62,8 @@
 	lastCrash, lastBurst map[string]time.Time
 	// prefillRates are in tokens per second, by service.
 	prefillRates map[string]float64
+	// reports holds the services whose servers report how long work takes.
+	reports map[string]*serviceReports
 	// largeFleet reports that the load from VMs of other failure domains is known late and only in part.
 	largeFleet bool
 }
@@ -102,6 +104,7 @@
 	return &Table{
 		config: c, servers: map[string]*entry{}, services: map[string][]*entry{}, failures: map[domainKey]*domainFailures{},
 		lastCrash: map[string]time.Time{}, lastBurst: map[string]time.Time{}, prefillRates: map[string]float64{},
+		reports: map[string]*serviceReports{},
 	}
 }
 
@@ -139,6 +142,7 @@
 		e.failed, e.ended, e.failures, e.errorRate, e.replaced = false, false, 0, 0, false
 		e.overruns, e.quarantinedUntil = 0, time.Time{}
 		e.limited, e.exhaustedUntil, e.returningSince, e.backoffUntil = false, time.Time{}, time.Time{}, time.Time{}
+		e.reported = reportedLoad{}
 		e.limitNewProcess(s)
 	case e.Leaving:
 		s.Leaving = true
@@ -441,6 +445,11 @@
 	// Limited reports that the server names a limit, and ExhaustedUntil the time until which that leaves no room.
 	Limited        bool      `json:"limited,omitempty"`
 	ExhaustedUntil time.Time `json:"exhaustedUntil,omitzero"`
+	// WorkPercent and ReportedAt are the average and the time of the server's last reports of how long work takes.
+	WorkPercent float64   `json:"workPercent,omitempty"`
+	ReportedAt  time.Time `json:"reportedAt,omitzero"`
+	// AnswerMS is the average time of plain answers.
+	AnswerMS float64 `json:"answerMs,omitempty"`
 }
 
 // Statuses returns the state of all servers, ordered by identifier.
@@ -452,6 +461,7 @@
 		all = append(all, Status{
 			Server: e.Server, Listed: !e.unlisted, Runs: e.runs, Load: e.load(), Failures: e.failures, RetryAt: e.retryAt,
 			ErrorRate: e.errorRate, Limited: e.limited, ExhaustedUntil: e.exhaustedUntil,
+			WorkPercent: 100 * e.reported.mean, ReportedAt: e.reported.at, AnswerMS: 1000 * e.reported.answerTime,
 		})
 	}
 	slices.SortFunc(all, func(a, b Status) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/proxy/gladeforward/plain.go
+++ b/internal/proxy/gladeforward/plain.go
@@ -71,6 +71,7 @@
 				j.reply(&a)
 				return
 			}
+			j.awaitSlot(&a, running)
 			if j.mayResend(&a) && j.repeat(ctx, answers, &running) || running > 0 {
 				continue
 			}
@@ -134,15 +135,17 @@
 	}
 	s := j.newSend(place.Server)
 	j.avoid = append(j.avoid, place.ID)
-	j.log("Sent.", "server", place.ID, "reason", place.Reason, "send", j.sends, "leftMs", s.TimeLeft.Milliseconds())
+	j.log("Sent.", append([]any{"server", place.ID, "reason", place.Reason, "send", j.sends, "leftMs", s.TimeLeft.Milliseconds()},
+		reportedFields(place)...)...)
 	ctx, cancel := context.WithCancelCause(ctx)
 	tracked := j.trackRun(place, false, func() { cancel(gladesuspect.ErrPoison) })
 	go func() {
 		defer place.Release()
 		defer cancel(nil)
-		sentAt := j.config.BootTime()
+		sentAt, began := j.config.BootTime(), time.Now()
 		a := j.sendAndRead(ctx, s)
 		a.sentAt = sentAt
+		j.recordAnswerTime(ctx, &a, place.ID, time.Since(began))
 		if a.err != nil && errors.Is(context.Cause(ctx), gladesuspect.ErrPoison) {
 			a.err = gladesuspect.ErrPoison
 		}
@@ -194,6 +197,7 @@
 		return false
 	case notRun(a):
 		j.handleNotRun(a.server, a.status, a.mark.Instance)
+		j.markFull(a)
 		j.log("Server did not run it.", "server", a.server.ID, "status", a.status)
 		return false
 	case errors.Is(a.err, gladesuspect.ErrPoison):
--- a/internal/proxy/gladeforward/plain_test.go
+++ b/internal/proxy/gladeforward/plain_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
 )
 
@@ -110,6 +111,27 @@
 	})
 }
 
+// In a burst all servers are full for some ms. A refused request must wait for the first place instead of going from one
+// full server to the next until none is left, and a request that cannot be repeated must still run at most once.
+func TestFullServersAreAwaited(t *testing.T) {
+	runTest(t, func(w *harness) {
+		began := time.Now()
+		full := func(rw http.ResponseWriter, r *http.Request) {
+			if time.Since(began) < 8*time.Millisecond {
+				notRunAnswer(rw, r)
+			}
+		}
+		for _, id := range []string{"a", "b"} {
+			w.serve("app", "shubra", id, full)
+			w.fleet.RecordLoad(id, gladefleet.LoadReport{Running: 12, Slots: 12, WorkPercent: 100}, began)
+		}
+		r := w.call(http.MethodPost, "/unsafe/x", nil)
+		w.Assert(r.status, qt.Equals, http.StatusOK)
+		w.Assert(r.took < testTarget/2, qt.IsTrue)
+		w.Assert(w.serversRun(), qt.HasLen, 3)
+	})
+}
+
 // A server hangs.  A safe request must be sent to another server in time, and the slow run must be cancelled.
 func TestSafeRequestHedged(t *testing.T) {
 	runTest(t, func(w *harness) {
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -182,9 +182,9 @@
 		send.CopyAddress, copyID = s.copy.Address, s.copy.ID
 	}
 	s.config.OnLoadChange()
-	s.log("Sent.", "server", place.ID, "reason", place.Reason, "send", s.sends, "copy", copyID, "from", from,
+	s.log("Sent.", append([]any{"server", place.ID, "reason", place.Reason, "send", s.sends, "copy", copyID, "from", from,
 		"last", s.lastEvent, "leftMs", send.TimeLeft.Milliseconds(), "runs", place.Load.Runs,
-		"unread", place.Load.PendingPrefill, "filled", place.Load.UsedMemory)
+		"unread", place.Load.PendingPrefill, "filled", place.Load.UsedMemory}, reportedFields(place)...)...)
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	items := make(chan streamItem)
--- a/internal/proxy/gladefront/limits.go
+++ b/internal/proxy/gladefront/limits.go
@@ -90,6 +90,7 @@
 	} else {
 		f.limits.Sent(s) // the request reached a server for which it was not meant
 	}
+	f.fleet.RecordLoad(id, gladefleet.LoadReport(h.Info.Load), h.At)
 	f.limits.Observe(s, h.Info.Limits, h.SentAt, h.At)
 	if h.Status == http.StatusServiceUnavailable && len(h.Info.RetryAfter) > 0 {
 		f.onRetryAfter(server, s.Started, h)
--- a/internal/proxy/gladesend/call.go
+++ b/internal/proxy/gladesend/call.go
@@ -109,6 +109,16 @@
 	Leaving bool
 	// RetryAfter holds the backoffs that the server asks for, in seconds, as it wrote them.
 	RetryAfter []string
+	// Load is what the server says of its load; the zero value means that it says nothing that can be used.
+	Load ServerLoad
+}
+
+// ServerLoad is what a server says of its load.
+type ServerLoad struct {
+	// Running and Waiting are numbers of requests on the server, and Slots is how many it runs at once.
+	Running, Waiting, Slots int
+	// WorkPercent is how long work takes there at the moment, in percent of the usual time, zero if it does not say.
+	WorkPercent float64
 }
 
 // AnswerHead is the head of an answer as it was received.
