gladeforward: probe a plain server that takes three times as long as usual

Where servers report work times, plain requests go to all failure domains by load. A domain that is cut off must be found out by the first request there.

--- a/internal/proxy/gladeforward/load.go
+++ b/internal/proxy/gladeforward/load.go
@@ -9,6 +9,24 @@
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 )
 
+const (
+	// silentFactor is how many times as long as usual a plain request may take before its server is probed. Requests go to all
+	// failure domains by load; if one is cut off, that must be found out before many requests have gone there.
+	silentFactor = 3
+	// minSilence is the least time before that. A probe costs a connection, and answers take up to this time in a burst.
+	minSilence = 100 * time.Millisecond
+)
+
+// watchSilence probes the server of a place if the request takes long, where servers report how long work takes. It returns a
+// function that ends the watch.
+func (j *job) watchSilence(k *gladefleet.Reservation) func() {
+	if !j.config.Fleet.ReportsWork(j.service, time.Now()) {
+		return func() {}
+	}
+	timer := time.AfterFunc(max(minSilence, silentFactor*k.Reported.AnswerTime), func() { j.probe(k.Server) })
+	return func() { timer.Stop() }
+}
+
 // fullWaitShare is the share of a route's target time that a refused plain request waits until a server has room, if all the
 // others are known to be full too. The rest is needed for the answer.
 const fullWaitShare = 0.2
--- a/internal/proxy/gladeforward/plain.go
+++ b/internal/proxy/gladeforward/plain.go
@@ -139,12 +139,14 @@
 		reportedFields(place)...)...)
 	ctx, cancel := context.WithCancelCause(ctx)
 	tracked := j.trackRun(place, false, func() { cancel(gladesuspect.ErrPoison) })
+	stopWatch := j.watchSilence(place)
 	go func() {
 		defer place.Release()
 		defer cancel(nil)
 		sentAt, began := j.config.BootTime(), time.Now()
 		a := j.sendAndRead(ctx, s)
 		a.sentAt = sentAt
+		stopWatch()
 		j.recordAnswerTime(ctx, &a, place.ID, time.Since(began))
 		if a.err != nil && errors.Is(context.Cause(ctx), gladesuspect.ErrPoison) {
 			a.err = gladesuspect.ErrPoison
