--- a/internal/fleet/gladefleet/choose.go
+++ b/internal/fleet/gladefleet/choose.go
@@ -19,12 +19,19 @@
 	Limits CapacityLimits
 	// Session is the hash of the prompt prefix that a session shares, zero for none.
 	Session uint64
+	// Prefix is the prompt's prefix if its value is weighed against the wait; nil prefers the session's server within a
+	// fixed difference of load.
+	Prefix *Prefix
 	// Avoid lists the identifiers of servers on which this request has failed.
 	Avoid []string
 	// Unlimited prefers servers that name no limit.
 	Unlimited bool
 	// Waiting reports that the request can wait rather than use a server whose limit leaves no room.
 	Waiting bool
+
+	// reports is set by Choose if the servers of the service report how long work takes, and value if a prefix is weighed.
+	reports *serviceReports
+	value   *prefixValue
 }
 
 // Reservation is the place of one run on a server, held until Release.
@@ -34,6 +41,10 @@
 	Reason string
 	// Load is the server's load at the time of the reservation, including this run.
 	Load Load
+	// Reported is what the server itself had said.
+	Reported Reported
+	// Prefix is what the choice weighed of the prompt's prefix.
+	Prefix PrefixChoice
 	// Exhausted reports that the limits of all servers leave no room, as far as this VM has asked.
 	Exhausted bool
 
@@ -43,6 +54,10 @@
 	tokens     int
 	reservedAt time.Time
 	down       <-chan struct{}
+	// prefix is the prompt's prefix if it was weighed, saved the expected number of tokens that need not be read, and recorded
+	// their number if the server holds all that it may hold.
+	prefix          *Prefix
+	saved, recorded float64
 }
 
 // The reasons for choosing a server, as logged.
@@ -54,6 +69,7 @@
 	reasonCopy        = "holds the copy"
 	reasonExhausted   = "every server is at its limit"
 	reasonLeaving     = "every server leaves or is gone"
+	reasonExpected    = "soonest expected answer"
 )
 
 // Choose selects a server and reserves a place on it. It returns ErrFull if healthy servers exist but none has room,
@@ -61,6 +77,7 @@
 func (t *Table) Choose(n Requirements, now time.Time) (*Reservation, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	n.reports, n.value = t.measured(n.Service, now), t.prefixValueOf(&n)
 	best, reason, full := t.selectServer(n, now)
 	switch {
 	case full:
@@ -71,7 +88,15 @@
 		}
 		return nil, eris.Wrap(ErrNoServer, n.Service)
 	}
-	k := t.reserve(best, n.Prompt, n.Tokens, reason, now)
+	prompt := n.Prompt
+	if n.value != nil {
+		prompt = n.value.unread(best)
+	}
+	k := t.reserve(best, prompt, n.Tokens, reason, now)
+	if n.value != nil {
+		t.reservePrefix(k, &n)
+	}
+	k.Reported = best.known(now)
 	k.Exhausted = reason == reasonExhausted && now.Before(best.exhaustedUntil)
 	return k, nil
 }
@@ -152,8 +177,13 @@
 		return s.best, reasonLeaving, false
 	case s.rank > healthy:
 		return s.best, reasonNoneHealthy, false
+	case n.value != nil:
+		best, reason := t.choosePrefix(&s, &n)
+		return best, reason, false
 	case s.preferred != nil && s.preferredLoad <= s.bestLoad+sessionAffinityTokens:
 		return s.preferred, reasonSession, false
+	case n.reports != nil && n.Prompt == 0:
+		return s.best, reasonExpected, false
 	case s.best.FailureDomain == t.config.FailureDomain:
 		return s.best, reasonLocal, false
 	}
@@ -181,7 +211,7 @@
 		s.full = s.full || rank == healthy || rank == exhausted
 		return
 	}
-	load := t.cost(e, jitter, n.Prompt)
+	load := t.placementCost(s, e, jitter, &n, now)
 	if rank == exhausted { // the one that has room first
 		load = e.exhaustedUntil.Sub(now).Seconds()
 	}
@@ -291,8 +321,13 @@
 func (k *Reservation) PrefillDone(now time.Time) {
 	k.table.mu.Lock()
 	defer k.table.mu.Unlock()
-	if k.prompt > 0 && k.Reason != reasonSession {
-		k.table.recordPrefill(k.Service, k.Load.PendingPrefill, now.Sub(k.reservedAt))
+	k.entry.placed += k.prompt
+	took, readAll := now.Sub(k.reservedAt), k.Reason != reasonSession
+	if k.prefix != nil {
+		readAll = k.table.prefixRead(k, took, now)
+	}
+	if k.prompt > 0 && readAll {
+		k.table.recordPrefill(k.Service, k.Load.PendingPrefill, took)
 	}
 	k.clearPrompt()
 }
--- a/internal/proxy/gladefront/limits.go
+++ b/internal/proxy/gladefront/limits.go
@@ -90,6 +90,7 @@
 	} else {
 		f.limits.Sent(s) // the request reached a server for which it was not meant
 	}
+	f.fleet.RecordLoad(id, gladefleet.LoadReport(h.Info.Load), h.At)
 	f.limits.Observe(s, h.Info.Limits, h.SentAt, h.At)
 	if h.Status == http.StatusServiceUnavailable && len(h.Info.RetryAfter) > 0 {
 		f.onRetryAfter(server, s.Started, h)
@@ -205,3 +206,16 @@
 	}
 	return best
 }
+
+// placementGauges sets the gauges of what the choice of servers knows of their load and of prompts.
+func (f *Front) placementGauges(gauge func(name string, v int64), now time.Time) {
+	gauge("servers.reporting", int64(f.fleet.Reporting(now)))
+	p := f.fleet.PrefixState()
+	gauge("prefix.parts", int64(p.Parts))
+	for service, rate := range p.HeldHits {
+		gauge("prefix.heldHitPercent."+service, int64(100*rate))
+	}
+	for service, rate := range p.HashHits {
+		gauge("prefix.hashHitPercent."+service, int64(100*rate))
+	}
+}
--- a/internal/proxy/gladesend/call.go
+++ b/internal/proxy/gladesend/call.go
@@ -37,6 +37,8 @@
 	Session string
 	// Parts identify the parts of the prompt that requests share, in order: all but the last, MaxParts at most.
 	Parts []uint64
+	// Prefix lists all parts of the prompt with their numbers of tokens, in order, MaxParts at most.
+	Prefix []PrefixPart
 	// Header holds the headers that are forwarded unchanged.
 	Header http.Header
 
@@ -47,6 +49,13 @@
 	Body   []byte
 }
 
+// PrefixPart is a part of a prompt, by its PartID.
+type PrefixPart struct {
+	ID uint64
+	// Tokens is the number of tokens, zero if the client names none that can be used.
+	Tokens int
+}
+
 // NormaliseSession normalises the identifier of a prompt part for comparison: lower case, without surrounding space and
 // leading zeros.
 func NormaliseSession(part string) string {
@@ -109,6 +118,16 @@
 	Leaving bool
 	// RetryAfter holds the backoffs that the server asks for, in seconds, as it wrote them.
 	RetryAfter []string
+	// Load is what the server says of its load; the zero value means that it says nothing that can be used.
+	Load ServerLoad
+}
+
+// ServerLoad is what a server says of its load.
+type ServerLoad struct {
+	// Running and Waiting are numbers of requests on the server, and Slots is how many it runs at once.
+	Running, Waiting, Slots int
+	// WorkPercent is how long work takes there at the moment, in percent of the usual time, zero if it does not say.
+	WorkPercent float64
 }
 
 // AnswerHead is the head of an answer as it was received.
