--- a/internal/fleet/gladerollout/rollout.go
+++ b/internal/fleet/gladerollout/rollout.go
@@ -20,6 +20,7 @@
 	Share float64 `json:"share"`
 	// RouteShares holds the fractions of routes that differ from Share.
 	RouteShares map[string]float64 `json:"routeShares,omitempty"`
+
 	// Decider is the VM that decides, and Term rises with each change of it.
 	Decider string `json:"decider"`
 	Term    int64  `json:"term"`
