Fleet: versions of servers, rules for their choice, holds of new versions

Cause: a roll-out sends a part of a service's requests to servers of another version, and every VM must keep to it when it chooses servers and copies.

Change: Server has a version, which is part of the digest if it is set. Requirements and ChooseCopy take a VersionRule; a request meant for a version may fall back to others, and may be concentrated on a part of the servers. A server of a version new to its service is held until the roll-outs are known up to the revision of its entry, for 2 s at most. The zero rule takes the path of before.

--- a/internal/fleet/gladefleet/choose.go
+++ b/internal/fleet/gladefleet/choose.go
@@ -24,6 +24,8 @@
 	Unlimited bool
 	// Waiting reports that the request can wait rather than use a server whose limit leaves no room.
 	Waiting bool
+	// Versions restricts the versions of the servers.
+	Versions VersionRule
 }
 
 // Reservation is the place of one run on a server, held until Release.
@@ -135,13 +137,7 @@
 // selectServer returns the best server and the reason for choosing it. full reports that healthy servers exist but none
 // has room.
 func (t *Table) selectServer(n Requirements, now time.Time) (_ *entry, reason string, full bool) {
-	s := selection{rank: unreachable + 1}
-	jitter := t.maxJitter(n.Service, n.Prompt, now)
-	for _, e := range t.services[n.Service] {
-		if rank, ok := t.rankFor(e, n, now); ok && rank <= s.rank {
-			t.consider(&s, e, rank, n, jitter, now)
-		}
-	}
+	s := t.selectVersion(n, now)
 	switch {
 	case s.best == nil:
 		return nil, "", s.full
@@ -159,6 +155,21 @@
 	return s.best, reasonRemote, false
 }
 
+// selectAmong selects among the servers that are permitted; nil permits all.
+func (t *Table) selectAmong(n Requirements, permitted func(*entry) bool, now time.Time) selection {
+	s := selection{rank: unreachable + 1}
+	jitter := t.maxJitter(n.Service, n.Prompt, now)
+	for _, e := range t.services[n.Service] {
+		if permitted != nil && !permitted(e) {
+			continue
+		}
+		if rank, ok := t.rankFor(e, n, now); ok && rank <= s.rank {
+			t.consider(&s, e, rank, n, jitter, now)
+		}
+	}
+	return s
+}
+
 // rankFor returns a server's rank for a request, and false if the request must not be sent there.
 func (t *Table) rankFor(e *entry, n Requirements, now time.Time) (healthRank, bool) {
 	rank, ok := t.healthRank(e, now)
@@ -232,7 +243,9 @@
 const noFreeSlotTokens = 20000
 
 // eligible reports whether a server may get new requests now.
-func (e *entry) eligible(now time.Time) bool { return e.inService(now) && !now.Before(e.backoffUntil) }
+func (e *entry) eligible(now time.Time) bool {
+	return e.inService(now) && !now.Before(e.backoffUntil) && !now.Before(e.heldUntil)
+}
 
 // servesLeaving reports whether a leaving server may get new requests now if there is no other.
 func (e *entry) servesLeaving(now time.Time) bool {
@@ -323,8 +336,11 @@
 // nil if no server has room.
 //
 // The copy of a run outside this VM's failure domain is preferably kept inside, so that one of the two stays reachable
-// when the domain is cut off. A server without free memory gets no copy, because the copy would evict a run.
-func (t *Table) ChooseCopy(run Server, tokens int, room CapacityLimits, avoid []string, now time.Time) *CopyReservation {
+// when the domain is cut off. A server without free memory gets no copy, because the copy would evict a run. The copy is on a
+// server that the rule permits, if possible on one that it prefers.
+func (t *Table) ChooseCopy(
+	run Server, tokens int, room CapacityLimits, versions VersionRule, avoid []string, now time.Time,
+) *CopyReservation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var best *entry
@@ -332,7 +348,7 @@
 	weight := int(copyWeight * float64(tokens))
 	jitter := t.maxJitter(run.Service, weight, now)
 	for _, e := range t.services[run.Service] {
-		if !t.canHoldCopy(e, run, avoid, now) || !room.hasMemory(e, t.memoryShare(e)) {
+		if !t.canHoldCopy(e, run, versions, avoid, now) || !room.hasMemory(e, t.memoryShare(e)) {
 			continue
 		}
 		cost := t.jitteredLoad(e, jitter, weight)
@@ -348,6 +364,9 @@
 		if e.limited {
 			cost += limitedCopyTokens
 		}
+		if !versions.Prefers(e.Version) {
+			cost += otherVersionTokens
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
@@ -369,6 +388,8 @@
 	recentFailureTokens = 1e5
 	// limitedCopyTokens keeps a copy off servers that name a limit, which may have no room for the resumed run.
 	limitedCopyTokens = 5e4
+	// otherVersionTokens keeps a copy off servers that stop at the end of a roll-out, while one of the new version has room.
+	otherVersionTokens = 1e7
 )
 
 // Release frees the memory. It does nothing on a nil receiver.
--- a/internal/fleet/gladefleet/limit.go
+++ b/internal/fleet/gladefleet/limit.go
@@ -144,7 +144,7 @@
 func (t *Table) firstBackoffEnd(n Requirements, now time.Time) time.Time {
 	var first time.Time
 	for _, e := range t.services[n.Service] {
-		if e.inService(now) && now.Before(e.backoffUntil) && !e.failed && !slices.Contains(n.Avoid, e.ID) &&
+		if e.inService(now) && now.Before(e.backoffUntil) && !e.failed && !slices.Contains(n.Avoid, e.ID) && n.Versions.Permits(e.Version) &&
 			(first.IsZero() || e.backoffUntil.Before(first)) {
 			first = e.backoffUntil
 		}
--- a/internal/fleet/gladefleet/limit_test.go
+++ b/internal/fleet/gladefleet/limit_test.go
@@ -106,7 +106,7 @@
 	table, now := limitTable(0, "x", "y", "z")
 	table.SetLimited("y", true, now)
 	run, _ := table.Server("x")
-	k := table.ChooseCopy(run, 1000, CapacityLimits{}, nil, now)
+	k := table.ChooseCopy(run, 1000, CapacityLimits{}, VersionRule{}, nil, now)
 	c.Assert(k, qt.IsNotNil)
 	c.Check(k.ID, qt.Equals, "z")
 	table.MarkExhausted("y", now.Add(time.Hour))
--- a/internal/fleet/gladefleet/room.go
+++ b/internal/fleet/gladefleet/room.go
@@ -139,11 +139,11 @@
 }
 
 // HasCopyCandidate reports whether another server could hold a copy of a run, regardless of free memory.
-func (t *Table) HasCopyCandidate(run Server, avoid []string, now time.Time) bool {
+func (t *Table) HasCopyCandidate(run Server, versions VersionRule, avoid []string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, e := range t.services[run.Service] {
-		if t.canHoldCopy(e, run, avoid, now) {
+		if t.canHoldCopy(e, run, versions, avoid, now) {
 			return true
 		}
 	}
@@ -151,8 +151,8 @@
 }
 
 // canHoldCopy reports whether a server could hold a copy of a run, regardless of free memory.
-func (t *Table) canHoldCopy(e *entry, run Server, avoid []string, now time.Time) bool {
-	return e.ID != run.ID && e.eligible(now) && !t.suspectedDown(e, now) && !slices.Contains(avoid, e.ID)
+func (t *Table) canHoldCopy(e *entry, run Server, versions VersionRule, avoid []string, now time.Time) bool {
+	return e.ID != run.ID && versions.Permits(e.Version) && e.eligible(now) && !t.suspectedDown(e, now) && !slices.Contains(avoid, e.ID)
 }
 
 // maxJitter returns the upper limit of the random part of a server's load, in tokens, for a request of the given size.
--- a/internal/fleet/gladefleet/room_test.go
+++ b/internal/fleet/gladefleet/room_test.go
@@ -106,11 +106,11 @@
 	run := testServer("shubra", 0)
 	full := Share{Runs: 8, Memory: 48_000}
 	table.SetPeerShares("vm-2", map[string]Share{"giza-0": full, "helwan-0": full})
-	c.Assert(table.ChooseCopy(run, 6000, room, nil, start), qt.IsNil)
-	c.Assert(table.HasCopyCandidate(run, nil, start), qt.IsTrue)
-	c.Assert(table.ChooseCopy(run, 6000, CapacityLimits{}, nil, start), qt.IsNotNil)
+	c.Assert(table.ChooseCopy(run, 6000, room, VersionRule{}, nil, start), qt.IsNil)
+	c.Assert(table.HasCopyCandidate(run, VersionRule{}, nil, start), qt.IsTrue)
+	c.Assert(table.ChooseCopy(run, 6000, CapacityLimits{}, VersionRule{}, nil, start), qt.IsNotNil)
 	// Without any other engine there is no candidate for a copy.
-	c.Assert(table.HasCopyCandidate(run, []string{"giza-0", "helwan-0"}, start), qt.IsFalse)
+	c.Assert(table.HasCopyCandidate(run, VersionRule{}, []string{"giza-0", "helwan-0"}, start), qt.IsFalse)
 }
 
 // When a failure domain crashes, all VMs choose new places for their copies at the same moment.
@@ -128,7 +128,7 @@
 		table.MarkFailed("helwan-0", start)
 		table.MarkFailed("helwan-1", start)
 		for range runs {
-			copies[table.ChooseCopy(testServer("shubra", 0), 6000, CapacityLimits{Memory: engineMemory}, nil, start).ID]++
+			copies[table.ChooseCopy(testServer("shubra", 0), 6000, CapacityLimits{Memory: engineMemory}, VersionRule{}, nil, start).ID]++
 		}
 	}
 	for id, n := range copies {
@@ -215,7 +215,7 @@
 		for _, table := range tables {
 			table.SetPeerShares("others", test.loaded)
 			for range test.copiesPerVM {
-				k := table.ChooseCopy(testServer("shubra", 0), 6000, CapacityLimits{Memory: engineMemory}, nil, start)
+				k := table.ChooseCopy(testServer("shubra", 0), 6000, CapacityLimits{Memory: engineMemory}, VersionRule{}, nil, start)
 				copies[k.ID]++
 				k.Release()
 			}
--- a/internal/fleet/gladefleet/server.go
+++ b/internal/fleet/gladefleet/server.go
@@ -19,6 +19,8 @@
 	Cold time.Duration
 	// Started distinguishes restarts under one identifier. It is in Unix milliseconds, zero if it was not reported.
 	Started int64
+	// Version is the version of the server's software, empty if it is not known or does not matter.
+	Version string `json:",omitempty"`
 }
 
 const (
@@ -90,6 +92,10 @@
 	returningSince time.Time
 	// backoffUntil is the time until which the server gets no request of this VM, as it asked.
 	backoffUntil time.Time
+	// heldUntil is the time until which a server of a version new to its service gets no request, and heldFor the revision of the
+	// store up to which the roll-outs must be known before that.
+	heldUntil time.Time
+	heldFor   int64
 }
 
 // useLimit is a time from which a server must get no new requests; the zero value is no limit.
@@ -124,6 +130,9 @@
 		numbers = binary.LittleEndian.AppendUint64(numbers, n)
 	}
 	_, _ = d.Write(numbers)
+	if s.Version != "" { // without versions, the digest is the one of builds that know of none
+		_, _ = d.WriteString(s.Version)
+	}
 	return d.Sum64()
 }
 
--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -62,6 +62,8 @@
 	lastCrash, lastBurst map[string]time.Time
 	// prefillRates are in tokens per second, by service.
 	prefillRates map[string]float64
+	// rolloutsRevision is the revision of the store up to which the roll-outs are known.
+	rolloutsRevision int64
 	// largeFleet reports that the load from VMs of other failure domains is known late and only in part.
 	largeFleet bool
 }
@@ -111,6 +113,11 @@
 func (t *Table) Put(s Server, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.putListed(s, now)
+}
+
+// putListed adds or updates a listed server. The caller holds t.mu.
+func (t *Table) putListed(s Server, now time.Time) bool {
 	if e := t.servers[s.ID]; e != nil && s.Leaving && s.Started == e.Started {
 		e.lastUse.lower(now.Add(min(t.listedGrace(), t.config.DrainBound)))
 	}
--- a/internal/fleet/gladefleet/table_test.go
+++ b/internal/fleet/gladefleet/table_test.go
@@ -86,7 +86,7 @@
 	for i := range 20 {
 		k := choose(c, table, Requirements{Prompt: 5000, Session: uint64(i)}, now)
 		c.Assert(k.FailureDomain, qt.Not(qt.Equals), "shubra")
-		copied := table.ChooseCopy(k.Server, 5000, CapacityLimits{}, nil, now)
+		copied := table.ChooseCopy(k.Server, 5000, CapacityLimits{}, VersionRule{}, nil, now)
 		c.Assert(copied.FailureDomain, qt.Not(qt.Equals), "shubra")
 		c.Assert(copied.FailureDomain, qt.Not(qt.Equals), k.FailureDomain)
 	}
@@ -127,7 +127,7 @@
 	table := newTestTable(6)
 	for i := range 40 {
 		k := choose(c, table, Requirements{Prompt: 5000, Session: uint64(i)}, start)
-		copied := table.ChooseCopy(k.Server, 5000, CapacityLimits{}, nil, start)
+		copied := table.ChooseCopy(k.Server, 5000, CapacityLimits{}, VersionRule{}, nil, start)
 		c.Assert(copied.FailureDomain, qt.Not(qt.Equals), k.FailureDomain)
 		c.Assert(slices.Contains([]string{k.FailureDomain, copied.FailureDomain}, "shubra"), qt.IsTrue)
 	}
@@ -138,7 +138,7 @@
 		}
 	}
 	k := choose(c, table, Requirements{Prompt: 5000}, start)
-	copied := table.ChooseCopy(k.Server, 5000, CapacityLimits{}, nil, start)
+	copied := table.ChooseCopy(k.Server, 5000, CapacityLimits{}, VersionRule{}, nil, start)
 	c.Assert(k.FailureDomain, qt.Equals, "shubra")
 	c.Assert(copied.FailureDomain, qt.Equals, "shubra")
 	c.Assert(copied.ID, qt.Not(qt.Equals), k.ID)
@@ -240,7 +240,7 @@
 	c := qt.New(t)
 	table := newTestTable(1)
 	k := choose(c, table, Requirements{Prompt: 5000}, start)
-	copied := table.ChooseCopy(k.Server, 5000, CapacityLimits{}, nil, start)
+	copied := table.ChooseCopy(k.Server, 5000, CapacityLimits{}, VersionRule{}, nil, start)
 	c.Assert(table.Shares(), qt.HasLen, 2)
 	k.PrefillDone(start)
 	c.Assert(table.Shares()[k.ID], qt.Equals, Share{Runs: 1})
