Forward: requests keep to the versions of a roll-out and report what they see

Cause: shares of a version hold only if every send, repeat and copy keeps to them, and the decider judges what the VMs saw.

Change: Versions gives the rule of a send; the first one is asked for once. Repeats, resumed runs and copies use the rule of repeats. A copy on a server whose version was withdrawn is replaced, as is one beside a run whose server stops at the end of a roll-out. A send of a version on trial is not cancelled by another server's answer, which would hide that the version is slow.

--- a/internal/proxy/gladeforward/copies.go
+++ b/internal/proxy/gladeforward/copies.go
@@ -43,21 +43,28 @@
 	err  error
 }
 
-// maintainCopy replaces a copy whose server is gone, and updates a copy made by call.
+// maintainCopy replaces a copy whose server is gone or of a version that stops, and updates a copy made by call.
 func (a *attempt) maintainCopy(now time.Time) {
 	if a.received == 0 || !a.canCopy || a.copying || now.Before(a.nextCopy) {
 		return
 	}
-	lost := a.copy == nil || a.config.Fleet.Unavailable(a.copy.ID, now)
-	if !lost && !a.copiedByCall {
+	rule := a.repeatRule()
+	lost := a.copy == nil || a.config.Fleet.Unavailable(a.copy.ID, now) || !rule.Permits(a.copy.Version)
+	// At the end of a roll-out the servers of both the run and its copy stop at once.
+	stops := !lost && !rule.Prefers(a.copy.Version) && !rule.Prefers(a.place.Version)
+	if !lost && !stops && !a.copiedByCall {
 		return
 	}
 	target := a.copy
 	if lost {
 		a.copy.Release()
 		a.copy, a.copyName = nil, ""
+		a.recordCopyVersion()
+	}
+	if lost || stops {
+		rule.Fallback = rule.Fallback && lost
 		target = a.config.Fleet.ChooseCopy(
-			a.place.Server, a.maxTokens(), a.roomLimits(), slices.Concat(a.avoid, a.copyRefusedBy), now,
+			a.place.Server, a.maxTokens(), a.roomLimits(), rule, slices.Concat(a.avoid, a.copyRefusedBy), now,
 		)
 	}
 	a.nextCopy = now.Add(copyInterval)
@@ -66,6 +73,7 @@
 	}
 	a.copying = true
 	a.count("copies.called")
+	fresh := target != a.copy
 	go func() {
 		ctx, cancel := context.WithTimeout(a.attemptContext, copyTimeout)
 		defer cancel()
@@ -76,7 +84,7 @@
 		select {
 		case a.copyDone <- copyResult{copy: target, from: from, err: err}:
 		case <-a.attemptContext.Done():
-			if lost {
+			if fresh {
 				target.Release()
 			}
 		}
@@ -98,8 +106,20 @@
 	}
 	if c.copy != a.copy {
 		a.log("Copy replaced.", "server", a.place.ID, "target", c.copy.ID, "last", a.lastEvent)
+		a.freeCopy()
+		a.copy.Release()
 	}
 	a.copy, a.copyName, a.copiedByCall = c.copy, c.from, true
+	a.recordCopyVersion()
+}
+
+// recordCopyVersion records the version of the server that holds a copy of the run.
+func (a *attempt) recordCopyVersion() {
+	if a.copy == nil {
+		a.versionRun.setCopy("")
+	} else {
+		a.versionRun.setCopy(a.copy.Version)
+	}
 }
 
 // freeCopy releases the memory of a copy made by call, on both servers, once the run no longer needs it.
@@ -142,7 +162,10 @@
 		return nil
 	}
 	now := time.Now()
-	servers := s.config.Fleet.LocalServers(s.service, now)
+	rule := s.versionRule()
+	servers := slices.DeleteFunc(s.config.Fleet.LocalServers(s.service, now), func(o gladefleet.Server) bool {
+		return !rule.Permits(o.Version) || !rule.Prefers(o.Version)
+	})
 	var group sync.WaitGroup
 	for _, o := range servers {
 		group.Go(func() { s.refreshHeld(o) })
--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladebudget"
 	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladeline"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
+	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladerollout"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladesend"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladeserve"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladestop"
@@ -55,6 +56,11 @@
 	Budget *gladebudget.Budget
 	// Limits keeps the limits that backend servers name; the zero value keeps none.
 	Limits Limits
+	// Versions returns the versions of servers that a request may use; repeat marks repeats, second sends and resumed runs. Nil
+	// restricts none.
+	Versions func(service, route string, repeat bool) gladefleet.VersionRule
+	// Recorder counts what is seen of each version of the servers; nil counts nothing.
+	Recorder *gladerollout.Recorder
 	// Suspects refuses requests that crash the servers that run them.
 	Suspects *gladesuspect.Tracker
 	// OnServerDeath is called when a server dies while it runs a request.
@@ -91,7 +97,9 @@
 	probing map[string]bool
 	// queues hold the requests that wait for room on a server, by service.
 	queues map[string]*gladeline.Queue
-	tasks  sync.WaitGroup
+	// versionRuns are the runs in progress on servers whose version is known, if there is a Recorder.
+	versionRuns map[*versionRun]struct{}
+	tasks       sync.WaitGroup
 }
 
 // New returns a forwarder and a function that stops its probes.
@@ -99,6 +107,7 @@
 	f := &Forwarder{
 		config: c, started: time.Now(), heldPrompts: heldCache{answers: map[string]heldAnswer{}}, probing: map[string]bool{},
 		queues: map[string]*gladeline.Queue{}, durations: gladestop.NewDurations(),
+		versionRuns: map[*versionRun]struct{}{},
 	}
 	done := make(chan struct{})
 	f.tasks.Go(func() {
@@ -161,6 +170,9 @@
 	lastLost *trackedRun
 	// loggedDeaths is the number of deaths under the request that were logged last.
 	loggedDeaths int
+	// rule holds the versions that the first send may use, once ruled is set.
+	rule  gladefleet.VersionRule
+	ruled bool
 }
 
 // Handle answers one request.  The context ends when the caller disconnects, or with gladeserve.ErrStopping.
--- a/internal/proxy/gladeforward/plain.go
+++ b/internal/proxy/gladeforward/plain.go
@@ -128,17 +128,20 @@
 	if err := j.checkStop(); err != nil {
 		return err
 	}
-	place, err := j.reserve(gladefleet.Requirements{Service: j.service, Avoid: j.avoid}, r, nil)
+	place, err := j.reserve(gladefleet.Requirements{Service: j.service, Avoid: j.avoid, Versions: j.versionRule()}, r, nil)
 	if err != nil {
 		return err
 	}
 	s := j.newSend(place.Server)
 	j.avoid = append(j.avoid, place.ID)
 	j.log("Sent.", "server", place.ID, "reason", place.Reason, "send", j.sends, "leftMs", s.TimeLeft.Milliseconds())
+	ctx, release := j.sendContext(ctx, place)
 	ctx, cancel := context.WithCancelCause(ctx)
 	tracked := j.trackRun(place, false, func() { cancel(gladesuspect.ErrPoison) })
+	run := j.beginVersionRun(place, false)
 	go func() {
 		defer place.Release()
+		defer release()
 		defer cancel(nil)
 		sentAt := j.config.BootTime()
 		a := j.sendAndRead(ctx, s)
@@ -155,6 +158,7 @@
 			tracked.end(runLost)
 			a.lost = tracked
 		}
+		run.endPlain(&a, ctx.Err() != nil)
 		a.server = place.Server
 		answers <- a
 	}()
--- a/internal/proxy/gladeforward/room.go
+++ b/internal/proxy/gladeforward/room.go
@@ -144,11 +144,12 @@
 // is released again if too many did.
 func (s *stream) choose(need gladefleet.Requirements, claim bool) (*gladefleet.Reservation, error) {
 	claimed := false
+	need.Versions = s.versionRule()
 	place, err := s.reserve(need, gladequota.Request{Resumed: s.mayHaveRun}, func(place *gladefleet.Reservation) error {
 		s.dropCopy()
 		s.reserveCopy(place, need.Limits)
 		if s.copy == nil && s.copies() && need.Limits.Memory > 0 && s.config.Fleet.CrashedRecently(s.service, time.Now()) &&
-			s.config.Fleet.HasCopyCandidate(place.Server, s.avoid, time.Now()) {
+			s.config.Fleet.HasCopyCandidate(place.Server, s.repeatRule(), s.avoid, time.Now()) {
 			return gladefleet.ErrFull
 		}
 		if !claim {
@@ -176,7 +177,7 @@
 	if !s.copies() {
 		return
 	}
-	if s.copy = s.config.Fleet.ChooseCopy(place.Server, s.maxTokens(), room, s.avoid, time.Now()); s.copy != nil {
+	if s.copy = s.config.Fleet.ChooseCopy(place.Server, s.maxTokens(), room, s.repeatRule(), s.avoid, time.Now()); s.copy != nil {
 		s.copyName = s.config.CopyName(s.copy.Address, s.call.ID)
 	}
 }
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -126,6 +126,9 @@
 // of the copy to resume from.  If there is no place, reserveNext ends the request and returns nil.
 func (s *stream) reserveNext() (*gladefleet.Reservation, string) {
 	room := s.roomLimits()
+	if s.copy != nil && !s.repeatRule().Permits(s.copy.Version) {
+		s.dropCopy() // its server's version was withdrawn since
+	}
 	if s.copy != nil {
 		place, err := s.config.Fleet.Reserve(s.copy.ID, s.maxTokens(), time.Now())
 		from := s.copyName
@@ -194,8 +197,11 @@
 		copyDone: make(chan copyResult),
 	}
 	refused := make(chan struct{})
-	a.tracked, a.refused = s.trackRun(place, s.lastEvent > 0 || from != "", func() { close(refused) }), refused
+	resumed := s.lastEvent > 0 || from != ""
+	a.tracked, a.refused = s.trackRun(place, resumed, func() { close(refused) }), refused
+	a.versionRun = s.beginVersionRun(place, resumed)
 	result := a.follow(items)
+	a.endVersionRun(result)
 	if result == attemptBroken && a.received == 0 {
 		s.dropCopy() // engines begin to copy a run once it has produced an event
 	}
@@ -276,6 +282,7 @@
 			a.failDeadline()
 			return attemptAbandoned
 		case <-a.refused:
+			a.suspected = true
 			return a.moveOn("it crashes the servers that run it")
 		case <-a.place.Down():
 			return a.moveOn("server was found down")
@@ -309,6 +316,11 @@
 	*stream
 	place   *gladefleet.Reservation
 	tracked *trackedRun
+	// versionRun records what the run says about its server's version.
+	versionRun *versionRun
+	// serverFailed reports that the server itself answered with a failure, and suspected that the run was ended because of its
+	// request.
+	serverFailed, suspected bool
 	// refused is closed when the run must be ended, as the request crashes its servers.
 	refused  <-chan struct{}
 	exchange *gladesend.Exchange
@@ -417,6 +429,7 @@
 		return a.replyBody(body)
 	}
 	a.log("Server failed it.", "server", a.place.ID, "status", x.Status)
+	a.serverFailed = x.Info.Signed && x.Status >= http.StatusInternalServerError
 	a.config.Fleet.RecordOutcome(a.place.ID, true)
 	a.avoidServer(a.place.ID)
 	return attemptBroken, true
@@ -441,8 +454,10 @@
 	if a.received++; a.received == 1 {
 		a.place.PrefillDone(now)
 		a.config.OnLoadChange()
+		a.recordCopyVersion()
 	}
 	a.tracked.progress(a.received)
+	a.versionRun.recordEvents(a.received, now)
 	if e.id <= a.lastEvent {
 		return 0, false
 	}
--- /dev/null
+++ b/internal/proxy/gladeforward/versions.go
@@ -0,0 +1,185 @@
+package gladeforward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
+	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladerollout"
+	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladesend"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
+)
+
+// versionRule returns the versions of servers that the next send of the request may use. The first one counts for the share of a
+// version, so it is decided once.
+func (j *job) versionRule() gladefleet.VersionRule {
+	if j.config.Versions == nil {
+		return gladefleet.VersionRule{}
+	}
+	if j.sends > 0 || j.mayHaveRun || j.call.LastEvent != gladesend.NoEvent {
+		return j.repeatRule()
+	}
+	if !j.ruled {
+		j.rule, j.ruled = j.config.Versions(j.service, j.route.Name, false), true
+	}
+	return j.rule
+}
+
+// repeatRule returns the versions of servers that repeats of the request and copies of its run may use.
+func (j *job) repeatRule() gladefleet.VersionRule {
+	if j.config.Versions == nil {
+		return gladefleet.VersionRule{}
+	}
+	return j.config.Versions(j.service, j.route.Name, true)
+}
+
+// versionRun is a run on a server whose version is known. A nil versionRun records nothing.
+type versionRun struct {
+	*gladerollout.Run
+	forwarder *Forwarder
+	service   string
+	server    gladefleet.Server
+	down      <-chan struct{}
+	// copyVersion is the version of the server that holds a copy of the run, empty for none; Forwarder.mu protects it.
+	copyVersion string
+}
+
+// beginVersionRun records that a request is sent to a server. The times of a resumed run say nothing about the server's version.
+func (j *job) beginVersionRun(place *gladefleet.Reservation, resumed bool) *versionRun {
+	if j.config.Recorder == nil || place.Version == "" {
+		return nil
+	}
+	u := &versionRun{forwarder: j.Forwarder, service: j.service, server: place.Server, down: place.Down()}
+	if !resumed {
+		u.Run = j.config.Recorder.Begin(j.service, place.Version, j.route.Name, place.ID, time.Now())
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.versionRuns[u] = struct{}{}
+	return u
+}
+
+// setCopy records the version of the server that holds a copy of the run, empty for none.
+func (u *versionRun) setCopy(version string) {
+	if u == nil {
+		return
+	}
+	u.forwarder.mu.Lock()
+	defer u.forwarder.mu.Unlock()
+	u.copyVersion = version
+}
+
+// recordEvents records the number of events that have arrived.
+func (u *versionRun) recordEvents(events int, now time.Time) {
+	switch {
+	case u == nil:
+	case events == 1:
+		u.FirstEvent(now)
+	default:
+		u.Progress(events)
+	}
+}
+
+// end records the outcome of the run.
+func (u *versionRun) end(o gladerollout.Outcome, events int) {
+	if u == nil {
+		return
+	}
+	u.remove()
+	u.End(o, events, time.Now())
+}
+
+func (u *versionRun) remove() {
+	u.forwarder.mu.Lock()
+	defer u.forwarder.mu.Unlock()
+	delete(u.forwarder.versionRuns, u)
+}
+
+// endLost records the outcome of a run whose answer was lost, once it is known whether its server is alive. A server that crashed,
+// leaves or cannot be reached says nothing about its version.
+func (u *versionRun) endLost(events int) {
+	if u == nil {
+		return
+	}
+	u.remove()
+	lostAt := time.Now()
+	go func() {
+		timer := time.NewTimer(deathCheckDelay)
+		defer timer.Stop()
+		select {
+		case <-u.down:
+		case <-timer.C:
+		}
+		fleet, now := u.forwarder.config.Fleet, time.Now()
+		outcome := gladerollout.Failed
+		if fleet.Ended(u.server.ID) || fleet.Unavailable(u.server.ID, now) || !fleet.Usable(u.server.ID, now) {
+			outcome = gladerollout.Inconclusive
+		}
+		u.End(outcome, events, lostAt)
+	}()
+}
+
+// answerOutcome returns what an answer that a server signed says about its version: a 4xx is the caller's own fault.
+func answerOutcome(status int) gladerollout.Outcome {
+	switch {
+	case status >= http.StatusInternalServerError:
+		return gladerollout.Failed
+	case status >= http.StatusBadRequest:
+		return gladerollout.Inconclusive
+	}
+	return gladerollout.Succeeded
+}
+
+// endPlain records the outcome of one send of a plain request; canceled reports that this VM ended it.
+func (u *versionRun) endPlain(a *answer, canceled bool) {
+	switch {
+	case notRun(a) || errors.Is(a.err, gladesend.ErrNotSent) || a.err != nil && canceled:
+		u.end(gladerollout.Inconclusive, 0)
+	case a.err != nil:
+		u.endLost(0)
+	default:
+		u.end(answerOutcome(a.status), 0)
+	}
+}
+
+// endVersionRun records the outcome of an attempt.
+func (a *attempt) endVersionRun(result attemptResult) {
+	switch {
+	case result == attemptFinished:
+		a.versionRun.end(answerOutcome(a.exchange.Status), a.received)
+	case result == attemptBroken && a.serverFailed:
+		a.versionRun.end(gladerollout.Failed, a.received)
+	case result == attemptBroken && !a.suspected:
+		a.versionRun.endLost(a.received)
+	default:
+		a.versionRun.end(gladerollout.Inconclusive, a.received)
+	}
+}
+
+// sendContext returns the context of a send of a plain request. The answer of a version on trial is awaited even if another
+// server's comes first: cancelled sends would hide that the version is slow.
+func (j *job) sendContext(ctx context.Context, place *gladefleet.Reservation) (context.Context, context.CancelFunc) {
+	if j.config.Recorder == nil || place.Version == "" || j.route.Kind != gladerelease.Safe || j.repeatRule().Permits(place.Version) {
+		return ctx, func() {}
+	}
+	return context.WithDeadline(context.WithoutCancel(ctx), j.deadline)
+}
+
+// RunsOnOthers returns the number of runs of a service on servers of other versions than the target, and how many of them have no
+// copy on a server of the target.
+func (f *Forwarder) RunsOnOthers(service, target string) (runs, withoutCopy int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for u := range f.versionRuns {
+		if u.service != service || u.server.Version == target {
+			continue
+		}
+		runs++
+		if u.copyVersion != target {
+			withoutCopy++
+		}
+	}
+	return runs, withoutCopy
+}
