Front: roll-outs of server versions, from the order to its end

Cause: with the contract rollout, all VMs together must move a service's requests to another version, bound what a bad one gets, and answer in the order's status.

The states travel in each update of the feed and with the list of servers that starting VMs request; a VM is ready once it knows them. The dump and the gauges show the states. Without the contract none of this runs, and versions are not decoded.

--- a/internal/fleet/gladefleet/hold.go
+++ b/internal/fleet/gladefleet/hold.go
@@ -40,14 +40,17 @@
 	return others
 }
 
-// HasNewVersion reports whether one of several servers would be held by PutAt.
+// HasNewVersion reports whether one of the servers listed at a revision would be held by PutAt.
 func (t *Table) HasNewVersion(servers []Server, revision int64, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	first := map[string]string{}
 	for _, s := range servers {
-		if t.isNewVersion(s, revision, now) {
+		version, listed := first[s.Service]
+		if t.isNewVersion(s, revision, now) || listed && version != s.Version && len(t.services[s.Service]) == 0 {
 			return true
 		}
+		first[s.Service] = s.Version
 	}
 	return false
 }
--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -47,7 +47,7 @@
 	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleStoreConns, MaxResponseHeaderBytes: maxResponseHeaderBytes}
 	f.cleanup(transport.CloseIdleConnections)
 	f.store = &gladeplatform.Store{Address: f.config.Settings.StoreAddress, Client: &http.Client{Transport: transport}}
-	f.releases = followConfig(f, gladeplatform.KindConfig, decodeRelease, f.onReleases, f.onReleaseChanges, f.confirmRelease)
+	f.releases = followConfig(f, gladeplatform.KindConfig, f.watchWait(), decodeRelease, f.onReleases, f.onReleaseChanges, f.confirmRelease)
 }
 
 // startFollowing starts the task that keeps the release and the backend servers up to date.
@@ -70,7 +70,7 @@
 
 // readForDomain follows the release and the servers in the store while this VM is the reader of its failure domain.
 func (f *Front) readForDomain(ctx context.Context) {
-	servers := followConfig(f, gladeplatform.KindServers, gladeplatform.DecodeServer, f.onServers, f.onServerChanges, func() {})
+	servers := followConfig(f, gladeplatform.KindServers, f.watchWait(), f.decodeServer, f.onServers, f.onServerChanges, func() {})
 	for ctx.Err() == nil {
 		if !f.feed.ShouldRead(false, time.Now()) {
 			select {
@@ -85,6 +85,9 @@
 		var tasks sync.WaitGroup
 		tasks.Go(func() { gladeview.Follow(reading, servers) })
 		tasks.Go(func() { gladeview.Follow(reading, f.releases) })
+		if f.rollouts != nil {
+			tasks.Go(func() { gladeview.Follow(reading, f.rollouts.follow) })
+		}
 		tasks.Go(func() { f.checkStoreConnection(reading) })
 		for reading.Err() == nil && f.feed.ShouldRead(true, time.Now()) {
 			select {
@@ -163,10 +166,9 @@
 
 // followConfig returns the configuration of a Follow of one kind over the platform's store.
 func followConfig[T any](
-	f *Front, kind string, decode func(gladeplatform.Object) (T, error),
+	f *Front, kind string, wait time.Duration, decode func(gladeplatform.Object) (T, error),
 	onList func([]gladeview.Item[entry[T]], int64), onChanges func([]gladeview.Change[entry[T]], int64), onCurrent func(),
 ) gladeview.FollowConfig[entry[T]] {
-	wait := f.watchWait()
 	item := func(o gladeplatform.Object) gladeview.Item[entry[T]] {
 		v, err := decode(o)
 		return gladeview.Item[entry[T]]{Name: o.Meta.Name, Value: entry[T]{value: v, err: err}}
@@ -396,6 +398,7 @@
 			servers = append(servers, i.Value.value)
 		}
 	}
+	f.readRolloutsFor(servers, revision)
 	f.serversMu.Lock()
 	f.mu.Lock()
 	known, stale := f.serversKnown, f.serversKnown && revision < f.revision
@@ -406,7 +409,7 @@
 		return // a peer has sent a newer revision; the watch brings what follows
 	}
 	update := gladefeed.Update{Before: revision, Revision: revision, Reading: true}
-	changes, complete := f.replaceServers(servers, time.Now())
+	changes, complete := f.replaceServers(servers, revision, time.Now())
 	if known && complete {
 		// The other VMs have followed up to about the same revision.  With the changes since, they need not all request the
 		// whole list from this VM, whose link would be busy for seconds.
@@ -421,6 +424,7 @@
 }
 
 func (f *Front) onServerChanges(changes []gladeview.Change[entry[gladefleet.Server]], revision int64) {
+	f.readRolloutsFor(f.listedServers(changes), revision)
 	now := time.Now()
 	update := gladefeed.Update{Revision: revision, Reading: true}
 	f.serversMu.Lock()
@@ -437,7 +441,7 @@
 			update.Changes = append(update.Changes, gladefeed.Change{Removed: c.Name})
 			continue
 		}
-		f.putServer(c.Value.value, now)
+		f.putServer(c.Value.value, revision, now)
 		update.Changes = append(update.Changes, gladefeed.Change{Server: &c.Value.value})
 	}
 	f.mu.Lock()
@@ -467,13 +471,13 @@
 	return i.Value.err == nil
 }
 
-// putServer adds a listed server to the table or updates it, and reports whether that changed anything.
-func (f *Front) putServer(s gladefleet.Server, now time.Time) bool {
-	if !f.fleet.Put(s, now) {
+// putServer adds a server that is listed at a revision to the table or updates it, and reports whether that changed anything.
+func (f *Front) putServer(s gladefleet.Server, revision int64, now time.Time) bool {
+	if f.rollouts == nil && !f.fleet.Put(s, now) || f.rollouts != nil && !f.fleet.PutAt(s, revision, now) {
 		return false
 	}
 	f.log.Info("Backend server listed.", "server", s.ID, "service", s.Service, "address", s.Address, "domain", s.FailureDomain,
-		"leaving", s.Leaving, "started", s.Started)
+		"leaving", s.Leaving, "started", s.Started, "version", s.Version)
 	return true
 }
 
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -39,7 +39,7 @@
 	// drainPollInterval is how often a stopping VM checks whether a request is still in progress.
 	drainPollInterval = 50 * time.Millisecond
 	// maxIdleStoreConns allows one idle connection for each watched kind and one for lists.
-	maxIdleStoreConns = 3
+	maxIdleStoreConns = 4
 	// maxPoisonDeaths is the number of servers that may die while they run a request before it is refused.
 	maxPoisonDeaths = 3
 	// poisonRetention is how long deaths and refusals are remembered.
@@ -85,6 +85,8 @@
 	relay    *gladerelay.Relay
 	feed     *gladefeed.Feed
 	age      *gladeage.Tracker
+	// rollouts is nil unless the platform's settings ask for roll-outs.
+	rollouts *rollouts
 	stopping atomic.Bool
 	// peersHeard is closed once this VM has received what the others refuse, or has waited for it long enough.
 	peersHeard chan struct{}
@@ -133,6 +135,9 @@
 		}),
 		age: gladeage.New(gladeage.Config{Bound: c.Settings.ReleaseBound, Log: c.Log.Named("age")}),
 	}
+	if c.Settings.Rollouts {
+		f.rollouts = newRollouts(f)
+	}
 	if err := f.open(); err != nil {
 		f.close()
 		return nil, nil, err
@@ -171,7 +176,7 @@
 	pool, closePool := gladesend.NewPool(gladesend.PoolConfig{})
 	f.pool = pool
 	f.cleanup(closePool)
-	forwarder, closeForwarder := gladeforward.New(gladeforward.Config{
+	forwarding := gladeforward.Config{
 		Release: f.release.Load, AwaitRelease: f.awaitRelease, Fleet: f.fleet,
 		Client:   &gladesend.Client{Pool: pool, Encode: gladeplatform.EncodeSend, Decode: gladeplatform.DecodeAnswer, OnAnswer: f.onAnswer},
 		Engine:   gladeforward.Engine{Copy: f.engine.Copy, Free: f.engine.Free, CachedTokens: f.engine.Held},
@@ -181,8 +186,17 @@
 		StopPlan: f.stopPlan.Load, Instance: f.engine.Instance, OnSuccessor: f.reportSuccessor, BootTime: bootTime,
 		Decode: gladeplatform.DecodeCall, SetAnswerID: gladeplatform.SetAnswerID, CopyName: gladeplatform.CopyName,
 		OnLoadChange: f.sharer.NotifyChanged, Log: f.log.Named("proxy"), Metrics: f.metrics,
-	})
+	}
+	if f.rollouts != nil {
+		forwarding.Versions, forwarding.Recorder, forwarding.Release = f.rollouts.selector.Choose, f.rollouts.recorder, f.usableRelease
+	}
+	forwarder, closeForwarder := gladeforward.New(forwarding)
 	f.cleanup(closeForwarder)
+	if f.rollouts != nil {
+		if err := f.startRollouts(forwarder); err != nil {
+			return err
+		}
+	}
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", s.EntryAddress)
 	if err != nil {
 		return eris.Wrapf(err, "listening for callers on %s", s.EntryAddress)
@@ -250,7 +264,7 @@
 func (f *Front) Ready() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.serversKnown && f.release.Load() != nil && !f.stopping.Load()
+	return f.serversKnown && f.release.Load() != nil && f.rolloutsKnown() && !f.stopping.Load()
 }
 
 func (f *Front) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -269,6 +283,7 @@
 	gauge("suspects.refused", int64(len(f.suspects.Refused())))
 	gauge("suspects.refusedParts", int64(len(f.suspects.Held())))
 	f.limitGauges(gauge)
+	f.rolloutGauges(gauge)
 	if r := f.release.Load(); r != nil {
 		gauge("release.version", r.Version)
 		age := f.age.State(bootTime())
@@ -302,6 +317,8 @@
 	RefusedParts []gladesuspect.HeldParts `json:"refusedParts"`
 	// Limits are those that backend servers name.
 	Limits []gladequota.State `json:"limits"`
+	// Rollouts are the orders to roll out a version.
+	Rollouts []RolloutState `json:"rollouts,omitempty"`
 }
 
 // Dump returns the state of this process.
@@ -313,6 +330,7 @@
 		VM: f.config.Settings.VM, Ready: f.Ready(), State: f.state(), Reading: reading, Busy: f.server.Busy(),
 		Peers: f.node.Members(), Servers: f.fleet.Statuses(), Counts: f.budget.Counts(time.Now()), Refused: f.suspects.Refused(),
 		RefusedParts: f.suspects.Held(), Limits: f.limits.States(),
+		Rollouts: f.rolloutDump(),
 	}
 }
 
--- a/internal/proxy/gladefront/front_test.go
+++ b/internal/proxy/gladefront/front_test.go
@@ -274,13 +274,13 @@
 	server := func(id string, leaving bool) gladefleet.Server {
 		return gladefleet.Server{ID: id, Service: "llm", Address: id + ":1", FailureDomain: "giza", Started: 1, Leaving: leaving}
 	}
-	front.replaceServers([]gladefleet.Server{server("a", false), server("b", false), server("c", false)}, now)
-	changes, complete := front.replaceServers([]gladefleet.Server{server("a", true), server("b", false), server("d", false)}, now)
+	front.replaceServers([]gladefleet.Server{server("a", false), server("b", false), server("c", false)}, 0, now)
+	changes, complete := front.replaceServers([]gladefleet.Server{server("a", true), server("b", false), server("d", false)}, 0, now)
 	f.Assert(complete, qt.IsTrue)
 	leaving, added := server("a", true), server("d", false)
 	f.Assert(changes, qt.DeepEquals, []gladefeed.Change{{Server: &leaving}, {Server: &added}, {Removed: "c"}})
 	// Entries that may only have expired get a grace that the changes do not tell.
-	_, complete = front.replaceServers([]gladefleet.Server{server("d", false)}, now)
+	_, complete = front.replaceServers([]gladefleet.Server{server("d", false)}, 0, now)
 	f.Assert(complete, qt.IsFalse)
 }
 
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -104,7 +104,8 @@
 	feed, closeFeed, err := gladefeed.New(gladefeed.Config{
 		VM: s.VM, Address: address, Peers: func() []string { return f.domainPeers(feedPortOffset) },
 		ReleaseBytes: gladerelay.LinkBudget, StartupWait: delay, Rank: f.rank, Precedes: f.precedes, Progress: f.readState,
-		Behind: func() time.Duration { return f.age.State(bootTime()).Behind }, OnUpdate: f.onUpdate, Log: f.log.Named("feed"),
+		Behind: func() time.Duration { return f.age.State(bootTime()).Behind }, OnUpdate: f.onUpdate, Rollouts: f.rolloutStates,
+		Log: f.log.Named("feed"),
 	})
 	if err != nil {
 		return err
@@ -243,6 +244,7 @@
 	case <-f.peersHeard:
 	case <-ctx.Done():
 	}
+	f.awaitRollouts(ctx)
 	forward(ctx, x)
 }
 
@@ -328,6 +330,8 @@
 	sharePortOffset = 1
 	// feedPortOffset is the offset of the port for the feed from the port for peer calls.
 	feedPortOffset = 2
+	// rolloutPortOffset is the offset of the port for evidence on roll-outs from the port for peer calls.
+	rolloutPortOffset = 3
 )
 
 // offsetPort returns a peer's address with its port increased by an offset.
@@ -372,6 +376,9 @@
 	if r := f.release.Load(); r != nil {
 		s.Release = r.Version
 	}
+	if f.rollouts != nil {
+		s.Rollouts = f.rollouts.book.Newest()
+	}
 	return s
 }
 
@@ -381,7 +388,7 @@
 	f.mu.Lock()
 	revision := f.revision
 	f.mu.Unlock()
-	s := gladerelay.Servers{Revision: revision}
+	s := gladerelay.Servers{Revision: revision, Rollouts: f.rolloutStates()}
 	for _, x := range f.fleet.Statuses() {
 		if x.Listed {
 			s.Servers = append(s.Servers, x.Server)
@@ -392,6 +399,7 @@
 
 // onPeerServers replaces the servers by a peer's list unless this VM's own is as new.
 func (f *Front) onPeerServers(s gladerelay.Servers, from string) {
+	f.mergeRollouts(s.Rollouts)
 	f.serversMu.Lock()
 	defer f.serversMu.Unlock()
 	f.mu.Lock()
@@ -401,7 +409,7 @@
 		return
 	}
 	f.log.Info("Received backend servers from a peer.", "peer", from, "revision", s.Revision, "servers", len(s.Servers))
-	f.replaceServers(s.Servers, time.Now())
+	f.replaceServers(s.Servers, s.Revision, time.Now())
 	f.mu.Lock()
 	f.revision, f.serversKnown = s.Revision, true
 	f.mu.Unlock()
@@ -409,7 +417,7 @@
 
 // replaceServers updates the table to hold exactly the listed servers.  It returns the changes, and whether they tell
 // another VM all that has changed; they do not where entries may only have expired.
-func (f *Front) replaceServers(servers []gladefleet.Server, now time.Time) (changes []gladefeed.Change, complete bool) {
+func (f *Front) replaceServers(servers []gladefleet.Server, revision int64, now time.Time) (changes []gladefeed.Change, complete bool) {
 	listed := map[string]bool{}
 	for _, s := range servers {
 		listed[s.ID] = true
@@ -417,7 +425,7 @@
 	before := f.fleet.Statuses()
 	lapsed := gladefleet.PossiblyExpired(before, servers)
 	for i, s := range servers {
-		if f.putServer(s, now) {
+		if f.putServer(s, revision, now) {
 			changes = append(changes, gladefeed.Change{Server: &servers[i]})
 		}
 	}
--- a/internal/proxy/gladefront/updates.go
+++ b/internal/proxy/gladefront/updates.go
@@ -38,6 +38,7 @@
 // onUpdate applies the update of another VM. What this VM misses is requested without holding up later updates.
 func (f *Front) onUpdate(u gladefeed.Update) {
 	f.observeRelease(u)
+	f.mergeRollouts(u.Rollouts)
 	f.applyReleaseChange(u)
 	var missing gladerelay.State
 	if r := f.release.Load(); r == nil || r.Version < u.Release {
@@ -84,7 +85,7 @@
 		now := time.Now()
 		for _, c := range u.Changes {
 			if c.Server != nil {
-				f.putServer(*c.Server, now)
+				f.putServer(*c.Server, u.Revision, now)
 			} else {
 				f.removeServer(c.Removed, now, false)
 			}
--- /dev/null
+++ b/internal/state/gladedecider/book.go
@@ -0,0 +1,224 @@
+package gladedecider
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladerollout"
+)
+
+// Known is a roll-out as one VM tells it to another.
+type Known struct {
+	Rollout gladerollout.Rollout `json:"rollout"`
+	// ElapsedMillis is the time since the order was first seen, in milliseconds.
+	ElapsedMillis int64 `json:"elapsedMillis,omitempty"`
+}
+
+// States holds the roll-outs that a VM knows.
+type States struct {
+	// Revision is the store's revision up to which all of them are known.
+	Revision int64 `json:"revision"`
+	// Current reports that the sender reaches the store, which would have told it of later ones.
+	Current bool    `json:"current,omitempty"`
+	Known   []Known `json:"known,omitempty"`
+}
+
+// Book holds the roll-outs that this VM knows. Its methods may be called concurrently.
+type Book struct {
+	// currentFor is how long a confirmation holds.
+	currentFor time.Duration
+
+	mu          sync.Mutex
+	known       bool
+	revision    int64
+	records     map[string]*record
+	confirmedAt time.Time
+}
+
+// record is a roll-out and when its order was first seen.
+type record struct {
+	rollout   gladerollout.Rollout
+	firstSeen time.Time
+}
+
+// NewBook returns an empty book, in which a confirmation of the roll-outs holds for some time.
+func NewBook(currentFor time.Duration) *Book {
+	return &Book{currentFor: currentFor, records: map[string]*record{}}
+}
+
+// List records all roll-outs that the store lists at a revision, and reports whether that changed anything.
+func (b *Book) List(rollouts []gladerollout.Rollout, revision int64, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	changed := !b.known || revision > b.revision
+	for _, r := range rollouts {
+		changed = b.put(r, 0, now) || changed
+	}
+	if revision >= b.revision {
+		listed := map[string]bool{}
+		for _, r := range rollouts {
+			listed[r.Service] = true
+		}
+		for service, x := range b.records {
+			if !listed[service] && x.rollout.Revision <= revision {
+				changed = x.withdraw() || changed
+			}
+		}
+	}
+	b.known, b.revision = true, max(b.revision, revision)
+	return changed
+}
+
+// Put records a roll-out as the store has it, and reports whether that is new.
+func (b *Book) Put(r gladerollout.Rollout, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.put(r, 0, now)
+}
+
+// Withdraw records that the store no longer lists the order of a service. Its target gets no requests if it was on trial.
+func (b *Book) Withdraw(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	x := b.records[service]
+	return x != nil && x.withdraw()
+}
+
+// Advance records that all roll-outs are known up to a revision.
+func (b *Book) Advance(revision int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.revision = max(b.revision, revision)
+}
+
+// Merge records what another VM knows, and reports whether that changed anything.
+func (b *Book) Merge(s States, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	changed := !b.known || s.Revision > b.revision
+	for _, k := range s.Known {
+		changed = b.put(k.Rollout, time.Duration(k.ElapsedMillis)*time.Millisecond, now) || changed
+	}
+	b.known, b.revision = true, max(b.revision, s.Revision)
+	if s.Current && s.Revision >= b.revision {
+		b.confirmedAt = now
+	}
+	return changed
+}
+
+// put records a roll-out unless a later state of it is known. The caller holds b.mu.
+func (b *Book) put(r gladerollout.Rollout, elapsed time.Duration, now time.Time) bool {
+	seen := now.Add(-elapsed)
+	x := b.records[r.Service]
+	switch {
+	case x == nil:
+		b.records[r.Service] = &record{rollout: r, firstSeen: seen}
+		return true
+	case r.Revision < x.rollout.Revision:
+		return false
+	case r.Revision == x.rollout.Revision:
+		if seen.Before(x.firstSeen) {
+			x.firstSeen = seen
+		}
+		if x.rollout.Pending() && !r.Pending() { // withdrawn, as the other VM has read
+			x.rollout = r
+			return true
+		}
+		return false
+	}
+	if r.Target != x.rollout.Target || r.Duration != x.rollout.Duration || !x.rollout.Pending() && r.Pending() {
+		x.firstSeen = seen
+	} else if seen.Before(x.firstSeen) {
+		x.firstSeen = seen
+	}
+	x.rollout = r
+	return true
+}
+
+// withdraw ends an order that is no longer listed, and reports whether that changes anything.
+func (x *record) withdraw() bool {
+	if !x.rollout.Pending() {
+		return false
+	}
+	x.rollout.Status = gladerollout.Status{
+		State: gladerollout.Reverted, Target: x.rollout.Target, DurationS: x.rollout.Duration.Seconds(), Term: x.rollout.Status.Term,
+	}
+	return true
+}
+
+// Confirm records that the store would have told this VM of later roll-outs.
+func (b *Book) Confirm(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.known {
+		b.confirmedAt = now
+	}
+}
+
+// Current reports whether the roll-outs were confirmed recently.
+func (b *Book) Current(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.current(now)
+}
+
+func (b *Book) current(now time.Time) bool {
+	return !b.confirmedAt.IsZero() && now.Sub(b.confirmedAt) <= b.currentFor
+}
+
+// Revision returns the store's revision up to which the roll-outs are known, and false if none are known yet.
+func (b *Book) Revision() (int64, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.revision, b.known
+}
+
+// Newest returns the revision of the roll-out that changed last, zero for none.
+func (b *Book) Newest() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	newest := int64(0)
+	for _, x := range b.records {
+		newest = max(newest, x.rollout.Revision)
+	}
+	return newest
+}
+
+// Get returns the roll-out of a service and the time since its order was first seen.
+func (b *Book) Get(service string, now time.Time) (r gladerollout.Rollout, elapsed time.Duration, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	x := b.records[service]
+	if x == nil {
+		return gladerollout.Rollout{}, 0, false
+	}
+	return x.rollout, now.Sub(x.firstSeen), true
+}
+
+// States returns the roll-outs for other VMs, ordered by service. Current is left to the caller.
+func (b *Book) States(now time.Time) States {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := States{Revision: b.revision}
+	for _, x := range b.records {
+		k := Known{Rollout: x.rollout}
+		if x.rollout.Pending() {
+			k.ElapsedMillis = now.Sub(x.firstSeen).Milliseconds()
+		}
+		s.Known = append(s.Known, k)
+	}
+	slices.SortFunc(s.Known, func(a, b Known) int { return cmp.Compare(a.Rollout.Service, b.Rollout.Service) })
+	return s
+}
+
+// Rollouts returns the roll-outs, ordered by service, and whether they were confirmed recently.
+func (b *Book) Rollouts(now time.Time) ([]gladerollout.Rollout, bool) {
+	s := b.States(now)
+	rollouts := make([]gladerollout.Rollout, len(s.Known))
+	for i, k := range s.Known {
+		rollouts[i] = k.Rollout
+	}
+	return rollouts, b.Current(now)
+}
--- a/internal/state/gladefeed/feed.go
+++ b/internal/state/gladefeed/feed.go
@@ -12,6 +12,7 @@
 
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladedatagram"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladedecider"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
 )
 
@@ -62,6 +63,8 @@
 	ReleaseChange *gladerelease.Change `json:"releaseChange,omitempty"`
 	// Digest is that of the sender's list of servers, zero if it is not known. A VM that has the same list need not request it.
 	Digest uint64 `json:"digest,omitempty"`
+	// Rollouts are those that the sender knows, nil if it knows of none or there are none on this platform.
+	Rollouts *gladedecider.States `json:"rollouts,omitempty"`
 }
 
 // Config configures a Feed.
@@ -84,6 +87,8 @@
 	Progress func() (Update, bool)
 	// Behind returns for how long this VM has known of a newer release than its own, zero if it knows of none.
 	Behind func() time.Duration
+	// Rollouts returns the roll-outs that each update holds; nil means none.
+	Rollouts func() *gladedecider.States
 	// OnUpdate receives the updates of other VMs. It must not block: further updates wait behind it.
 	OnUpdate func(Update)
 	Log      hclog.Logger
@@ -175,6 +180,9 @@
 		return
 	}
 	u.VM = f.config.VM
+	if f.config.Rollouts != nil {
+		u.Rollouts = f.config.Rollouts()
+	}
 	peers := f.config.Peers()
 	if u.ReleaseChange != nil && !f.fits(u.ReleaseChange, len(peers)) {
 		u.ReleaseChange = nil
--- a/internal/state/gladerelay/relay.go
+++ b/internal/state/gladerelay/relay.go
@@ -12,6 +12,7 @@
 
 	"github.com/eelgrassglade/eelgrassglade/gladepeer"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladedecider"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
 )
 
@@ -57,12 +58,16 @@
 	Servers int64 `json:"servers"`
 	// Lost reports that the VM cannot reach the store.
 	Lost bool `json:"lost,omitempty"`
+	// Rollouts is the revision of the roll-out that changed last, zero for none.
+	Rollouts int64 `json:"rollouts,omitempty"`
 }
 
 // Servers is the list of backend servers at a revision.
 type Servers struct {
 	Revision int64               `json:"revision"`
 	Servers  []gladefleet.Server `json:"servers"`
+	// Rollouts are those that the VM knows, nil for none.
+	Rollouts *gladedecider.States `json:"rollouts,omitempty"`
 }
 
 // Config configures a Relay.
@@ -187,9 +192,9 @@
 	own := r.config.State()
 	r.publish(own, now)
 	sources := r.sources(now)
-	var release, servers, announcedRelease, announcedServers int64
+	var release, servers, rollouts, announcedRelease, announcedServers int64
 	for _, s := range sources {
-		release, servers = max(release, s.Release), max(servers, s.Servers)
+		release, servers, rollouts = max(release, s.Release), max(servers, s.Servers), max(rollouts, s.Rollouts)
 		if !s.at.IsZero() {
 			announcedRelease = max(announcedRelease, s.Release)
 		}
@@ -203,6 +208,10 @@
 		r.releases.ask(ctx, r.candidates(sources, func(s State) int64 { return s.Release }, own.Release), now)
 	}
 	poll := (own.Lost || own.Servers == 0) && servers > own.Servers && now.Sub(r.serversAskedAt) > serversInterval
+	if !poll && own.Lost && rollouts > own.Rollouts && now.Sub(r.serversAskedAt) > serversInterval {
+		r.serversAskedAt = now
+		r.servers.ask(ctx, r.candidates(sources, func(s State) int64 { return s.Rollouts }, own.Rollouts), now)
+	}
 	if poll || announcedServers > own.Servers {
 		r.serversAskedAt = now
 		r.servers.ask(ctx, r.candidates(sources, func(s State) int64 { return s.Servers }, own.Servers), now)
