Soak: roll-outs with real processes; beats reach the readers' successors

Cause: no test runs an order from its start to its end. The first runs showed take-overs from a decider that was alive: the second VM of a failure domain reads while the first one is dead and still a member, and beats went to the first one only.

Beats go to the first three VMs of each failure domain; a VM that reads is its domain's only candidate.

--- a/internal/proxy/gladefront/rollouts.go
+++ b/internal/proxy/gladefront/rollouts.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -356,24 +357,36 @@
 
 // rolloutCandidates returns the VMs that read the store for their failure domains, which may decide on roll-outs.
 func (f *Front) rolloutCandidates() []string {
-	own := f.config.Settings.FailureDomain
-	first := map[string]string{}
+	self, own := f.config.Settings.VM, f.config.Settings.FailureDomain
+	readers := f.readers()
 	if f.isReading() {
-		first[own] = f.config.Settings.VM
+		readers[own] = []string{self}
 	}
+	var vms []string
+	for _, names := range readers {
+		vms = append(vms, names[0])
+	}
+	return vms
+}
+
+// beatReceivers is the number of VMs of each failure domain that hear from a decider. The first one may have lost the store, so that
+// another one reads it.
+const beatReceivers = 3
+
+// readers returns the names of the other live VMs in the order of readers, by failure domain.
+func (f *Front) readers() map[string][]string {
+	domains := map[string][]string{}
 	for _, m := range f.node.Members() {
-		if m.Leaving || m.FailureDomain == own && first[own] == f.config.Settings.VM {
-			continue
-		}
-		if vm := first[m.FailureDomain]; vm == "" || gladepeer.RendezvousWeight(readerKey, m.Name) > gladepeer.RendezvousWeight(readerKey, vm) {
-			first[m.FailureDomain] = m.Name
+		if !m.Leaving {
+			domains[m.FailureDomain] = append(domains[m.FailureDomain], m.Name)
 		}
 	}
-	vms := make([]string, 0, len(first))
-	for _, vm := range first {
-		vms = append(vms, vm)
+	for _, names := range domains {
+		slices.SortFunc(names, func(a, b string) int {
+			return cmp.Compare(gladepeer.RendezvousWeight(readerKey, b), gladepeer.RendezvousWeight(readerKey, a))
+		})
 	}
-	return vms
+	return domains
 }
 
 func (f *Front) sendRolloutStop(n gladedecider.Stop) {
@@ -404,9 +417,13 @@
 	f.sendRolloutMessage(rolloutMessage{Report: &r}, vm)
 }
 
-// sendBeat tells the other candidates that this VM decides.
+// sendBeat tells the VMs that may decide that this VM does.
 func (f *Front) sendBeat(b gladedecider.Beat) {
-	f.sendRolloutMessage(rolloutMessage{Beat: &b}, f.rolloutCandidates()...)
+	var vms []string
+	for _, names := range f.readers() {
+		vms = append(vms, names[:min(beatReceivers, len(names))]...)
+	}
+	f.sendRolloutMessage(rolloutMessage{Beat: &b}, vms...)
 }
 
 func (f *Front) sendRolloutMessage(m rolloutMessage, vms ...string) {
--- a/internal/proxy/gladesoak/fakes_test.go
+++ b/internal/proxy/gladesoak/fakes_test.go
@@ -13,139 +13,6 @@
 	"time"
 )
 
-// fakeStore stands for the platform's store.
-type fakeStore struct {
-	mu       sync.Mutex
-	objects  map[string]map[string]object
-	changed  chan struct{}
-	revision int64
-	changes  []string // kind/name, at the index revision-1
-	// rejected holds the VMs whose calls are rejected, by host; allVMs stands for all. rejections counts the calls by VM, and
-	// rejectedAt is when calls of a VM were last to be rejected.
-	rejected   map[int]bool
-	rejections map[int]int
-	rejectedAt map[int]time.Time
-}
-
-// allVMs stands for every VM.
-const allVMs = 0
-
-type object struct {
-	Meta struct {
-		Name     string `json:"name"`
-		Revision int64  `json:"revision"`
-	} `json:"meta"`
-	Spec json.RawMessage `json:"spec"`
-}
-
-func newFakeStore() *fakeStore {
-	return &fakeStore{
-		objects: map[string]map[string]object{"config": {}, "servers": {}}, changed: make(chan struct{}),
-		rejected: map[int]bool{}, rejections: map[int]int{}, rejectedAt: map[int]time.Time{},
-	}
-}
-
-func (s *fakeStore) put(kind, name string, spec any) {
-	raw, err := json.Marshal(spec)
-	if err != nil {
-		panic(err)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var o object
-	s.revision++
-	o.Meta.Name, o.Meta.Revision, o.Spec = name, s.revision, raw
-	s.objects[kind][name] = o
-	s.addChange(kind, name)
-}
-
-func (s *fakeStore) remove(kind, name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.objects[kind], name)
-	s.revision++
-	s.addChange(kind, name)
-}
-
-func (s *fakeStore) addChange(kind, name string) {
-	s.changes = append(s.changes, kind+"/"+name)
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-func (s *fakeStore) setRejected(host int, rejected bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.rejected[host] = rejected
-	s.rejectedAt[host] = time.Now()
-}
-
-// rejectsSince reports whether calls of a VM were to be rejected after a time.
-func (s *fakeStore) rejectsSince(host int, since time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, h := range []int{host, allVMs} {
-		if s.rejected[h] || s.rejectedAt[h].After(since) {
-			return true
-		}
-	}
-	return false
-}
-
-// serve answers lists and watches of the VM on a host.
-func (s *fakeStore) serve(host int, w http.ResponseWriter, r *http.Request) {
-	kind := strings.TrimPrefix(r.URL.Path, "/v1/objects/")
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.rejected[host] || s.rejected[allVMs] {
-		s.rejections[host]++
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	after, err := strconv.Atoi(r.URL.Query().Get("watch"))
-	if err != nil {
-		items := []object{}
-		for _, o := range s.objects[kind] {
-			items = append(items, o)
-		}
-		_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "at": s.revision})
-		return
-	}
-	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
-	until := time.After(time.Duration(wait) * time.Millisecond)
-	events := s.eventsAfter(kind, after)
-	for waiting := true; waiting && len(events) == 0; {
-		changed := s.changed
-		s.mu.Unlock()
-		select {
-		case <-changed:
-		case <-until:
-			waiting = false
-		case <-r.Context().Done():
-			waiting = false
-		}
-		s.mu.Lock()
-		events = s.eventsAfter(kind, after)
-	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "at": s.revision})
-}
-
-func (s *fakeStore) eventsAfter(kind string, revision int) []map[string]any {
-	events := []map[string]any{}
-	for _, change := range s.changes[min(revision, len(s.changes)):] {
-		changed, name, _ := strings.Cut(change, "/")
-		if changed != kind {
-			continue
-		}
-		o, ok := s.objects[kind][name]
-		if !ok {
-			o.Meta.Name = name
-		}
-		events = append(events, map[string]any{"object": o, "deleted": !ok})
-	}
-	return events
-}
-
 // copyTable holds the copies of runs that the engines of a soak keep, by holder and attempt.
 type copyTable struct {
 	mu   sync.Mutex
@@ -163,10 +30,12 @@
 // fakeServer stands for a backend server at one address; each incarnation has its own identifier.
 type fakeServer struct {
 	address, service, domain string
-	recorder                 *recorder
-	store                    *fakeStore
-	copies                   *copyTable
-	crashes                  *crashLog
+	// version is that of its software, empty for none.
+	version  string
+	recorder *recorder
+	store    *fakeStore
+	copies   *copyTable
+	crashes  *crashLog
 
 	mu          sync.Mutex
 	incarnation int
@@ -182,6 +51,14 @@
 	rejections []rejection
 	// arrivals are the requests of callers.
 	arrivals []delivery
+	// errors are the times of answers by errorShare.
+	errors []time.Time
+}
+
+func (f *fakeServer) recordError() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.errors = append(f.errors, time.Now())
 }
 
 // rejection is one after which the server wants no requests of one VM until a time.
@@ -246,6 +123,10 @@
 	failureShare float64
 	// retryAfter makes it reject all requests, with this time after which it wants some again.
 	retryAfter time.Duration
+	// errorShare is the share of requests that run and are answered 500.
+	errorShare float64
+	// slowness is by what its times are multiplied, zero for one.
+	slowness int
 }
 
 // endlessAnswers holds the beginnings of answers and what follows them without end.
@@ -283,10 +164,14 @@
 }
 
 func (f *fakeServer) register(state string) {
-	f.store.put("servers", f.id, map[string]any{
+	entry := map[string]any{
 		"service": f.service, "addr": f.address, "zone": f.domain, "slots": 12, "state": state, "cold_left_ms": 0,
 		"seq": 1, "born": time.Now().UnixMilli(),
-	})
+	}
+	if f.version != "" {
+		entry["version"] = f.version
+	}
+	f.store.put("servers", f.id, entry)
 }
 
 // crash ends the current incarnation at once; its entry stays in the store for 1 s.
@@ -332,7 +217,7 @@
 
 // ServeHTTP answers one request as a backend server of the platform does.
 func (f *fakeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
+	body, _ := io.ReadAll(r.Body)
 	f.mu.Lock()
 	id, faults, leaving := f.id, f.faults, f.leaving
 	f.mu.Unlock()
@@ -357,6 +242,9 @@
 	case r.Header.Get("Expect-Instance") != id:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
+	case f.version != "" && strings.HasPrefix(r.URL.Path, "/v1/kv-"):
+		f.serveCopies(w, r, body)
+		return
 	case strings.HasPrefix(r.URL.Path, "/v1/"):
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -382,15 +270,36 @@
 	}
 	w.Header().Set("Attempt-Id", attempt)
 	w.Header().Set("Server-Seal", "seal")
+	if rand.Float64() < faults.errorShare {
+		f.recordError()
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	slowness := max(1, faults.slowness)
 	if strings.HasPrefix(r.URL.Path, "/stream/") {
-		f.stream(w, r, attempt)
+		f.stream(w, r, attempt, slowness)
 		return
 	}
-	time.Sleep(20 * time.Millisecond)
+	time.Sleep(time.Duration(slowness) * 20 * time.Millisecond)
 	f.recorder.recordEnd(attempt)
 	_, _ = io.WriteString(w, "answer to "+attempt)
 }
 
+// serveCopies copies a run to another server, or frees such a copy.
+func (f *fakeServer) serveCopies(w http.ResponseWriter, r *http.Request, body []byte) {
+	if r.Method == http.MethodDelete {
+		f.copies.set(f.address+strings.TrimPrefix(r.URL.Path, "/v1/kv-handle"), false)
+		return
+	}
+	var call struct {
+		ID string `json:"id"`
+	}
+	_ = json.Unmarshal(body, &call)
+	handle := call.ID + "-copy"
+	f.copies.set(f.address+"/"+handle, true)
+	_ = json.NewEncoder(w).Encode(map[string]string{"handle": handle})
+}
+
 func (f *fakeServer) recordArrival(attempt string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -423,13 +332,13 @@
 	}
 }
 
-func (f *fakeServer) stream(w http.ResponseWriter, r *http.Request, attempt string) {
+func (f *fakeServer) stream(w http.ResponseWriter, r *http.Request, attempt string, slowness int) {
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // zero without the header
 	if r.Header.Get("Kv-From") == "" {
-		time.Sleep(100 * time.Millisecond) // the time to read the prompt
+		time.Sleep(time.Duration(slowness) * 100 * time.Millisecond) // the time to read the prompt
 	}
 	for n := last + 1; n <= streamEvents; n++ {
-		time.Sleep(15 * time.Millisecond)
+		time.Sleep(time.Duration(slowness) * 15 * time.Millisecond)
 		if r.Context().Err() != nil {
 			return
 		}
--- a/internal/proxy/gladesoak/soak_test.go
+++ b/internal/proxy/gladesoak/soak_test.go
@@ -157,6 +157,11 @@
 `
 
 func newSoak(t *testing.T, program string, seed uint64) *soak {
+	return newSoakWith(t, program, seed, "", "")
+}
+
+// newSoakWith starts a soak whose VMs have more settings and whose servers have a version.
+func newSoakWith(t *testing.T, program string, seed uint64, more, version string) *soak {
 	s := &soak{
 		C: qt.New(t), random: rand.New(rand.NewPCG(seed, 1)), endlessRandom: rand.New(rand.NewPCG(seed, 2)),
 		limitRandom: rand.New(rand.NewPCG(seed, 3)), stormRandom: rand.New(rand.NewPCG(seed, 4)), recorder: newRecorder(), store: newFakeStore(),
@@ -167,7 +172,7 @@
 	for i, service := range []string{"llm", "llm", "llm", "llm", "app", "app"} {
 		f := &fakeServer{
 			address: s.address(100+i, 8080), service: service, domain: []string{"a", "b"}[i%2], recorder: s.recorder, store: s.store, copies: copies,
-			crashes: crashes,
+			crashes: crashes, version: version,
 		}
 		f.start()
 		s.servers = append(s.servers, f)
@@ -176,7 +181,7 @@
 	directory := s.TempDir()
 	for host := 1; host <= 4; host++ {
 		v := &vm{host: host, program: program, settings: filepath.Join(directory, fmt.Sprintf("vm-%d.toml", host))}
-		text := fmt.Sprintf(settingsFormat, host, s.addressPrefix, []string{"a", "b"}[host%2], s.openStore(host))
+		text := more + fmt.Sprintf(settingsFormat, host, s.addressPrefix, []string{"a", "b"}[host%2], s.openStore(host))
 		s.Assert(os.WriteFile(v.settings, []byte(text), 0o600), qt.IsNil)
 		s.Assert(v.start(), qt.IsNil)
 		s.vms = append(s.vms, v)
