--- /dev/null
+++ b/internal/state/gladedecider/book_test.go
@@ -0,0 +1,105 @@
+package gladedecider
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladerollout"
+)
+
+var start = time.Unix(1000, 0)
+
+// at returns a time after the start.
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+func rollout(target string, revision int64, state gladerollout.State) gladerollout.Rollout {
+	r := gladerollout.Rollout{Service: service, Target: target, Duration: limit, Revision: revision}
+	if state != "" {
+		r.Status = gladerollout.Status{State: state, Target: target, DurationS: limit.Seconds(), Decider: "vm-a", Term: 1}
+	}
+	return r
+}
+
+// Guards against an older state of a roll-out that replaces a newer one: datagrams and lists come in any order.
+func TestBookKeepsNewestState(t *testing.T) {
+	c := qt.New(t)
+	b := NewBook(2500 * time.Millisecond)
+	_, known := b.Revision()
+	c.Assert(known, qt.IsFalse)
+	c.Assert(b.List(nil, 3, at(0)), qt.IsTrue)
+	c.Assert(b.Put(rollout("v2", 5, gladerollout.InProgress), at(1)), qt.IsTrue)
+	c.Assert(b.Put(rollout("v2", 4, ""), at(1)), qt.IsFalse)
+	c.Assert(b.Merge(States{Revision: 4, Known: []Known{{Rollout: rollout("v2", 4, "")}}}, at(1)), qt.IsTrue) // the revision is new
+	r, _, ok := b.Get(service, at(1))
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(r.Revision, qt.Equals, int64(5))
+	// A list that is older than the order does not withdraw it.
+	b.List(nil, 4, at(1))
+	r, _, _ = b.Get(service, at(1))
+	c.Assert(r.Pending(), qt.IsTrue)
+	c.Assert(b.Newest(), qt.Equals, int64(5))
+}
+
+// Guards against VMs that do not agree on the time limit of an order because they heard of it at different times.
+func TestBookAgreesOnElapsedTime(t *testing.T) {
+	c := qt.New(t)
+	early, late := NewBook(time.Second), NewBook(time.Second)
+	early.Put(rollout("v2", 5, ""), at(0))
+	late.Put(rollout("v2", 5, ""), at(3))
+	late.Merge(early.States(at(4)), at(4))
+	_, elapsed, _ := late.Get(service, at(5))
+	c.Assert(elapsed, qt.Equals, 5*time.Second)
+	// A new status is the same order; another target is a new one, as is the same target after the end.
+	late.Put(rollout("v2", 6, gladerollout.InProgress), at(6))
+	_, elapsed, _ = late.Get(service, at(6))
+	c.Assert(elapsed, qt.Equals, 6*time.Second)
+	late.Put(rollout("v3", 7, ""), at(7))
+	_, elapsed, _ = late.Get(service, at(8))
+	c.Assert(elapsed, qt.Equals, time.Second)
+	late.Put(rollout("v3", 8, gladerollout.Reverted), at(9))
+	late.Put(rollout("v3", 9, ""), at(10))
+	_, elapsed, _ = late.Get(service, at(11))
+	c.Assert(elapsed, qt.Equals, time.Second)
+}
+
+// Guards against a withdrawn order whose target goes on to get requests, at this VM and at those that hear of it.
+func TestWithdrawnOrderCountsAsReverted(t *testing.T) {
+	c := qt.New(t)
+	reader, other := NewBook(time.Second), NewBook(time.Second)
+	reader.Put(rollout("v2", 5, gladerollout.InProgress), at(0))
+	other.Merge(reader.States(at(0)), at(0))
+	c.Assert(reader.Withdraw(service), qt.IsTrue)
+	c.Assert(reader.Withdraw(service), qt.IsFalse)
+	c.Assert(other.Merge(reader.States(at(1)), at(1)), qt.IsTrue)
+	for _, b := range []*Book{reader, other} {
+		r, _, _ := b.Get(service, at(1))
+		c.Assert(r.Status.State, qt.Equals, gladerollout.Reverted)
+		c.Assert(r.Pending(), qt.IsFalse)
+	}
+	// The end of an order that was complete stays, also if a list after a lost history does not have it.
+	reader.Put(rollout("v3", 6, gladerollout.Complete), at(2))
+	reader.List(nil, 9, at(2))
+	r, _, _ := reader.Get(service, at(2))
+	c.Assert(r.Status.State, qt.Equals, gladerollout.Complete)
+}
+
+// Guards against a state that counts as current although nobody who reaches the store has confirmed it.
+func TestBookIsCurrentForLimitedTime(t *testing.T) {
+	c := qt.New(t)
+	b := NewBook(2500 * time.Millisecond)
+	b.Confirm(at(0)) // before anything is known
+	c.Assert(b.Current(at(0)), qt.IsFalse)
+	b.List([]gladerollout.Rollout{rollout("v2", 5, "")}, 6, at(0))
+	b.Confirm(at(1))
+	c.Assert(b.Current(at(3.5)), qt.IsTrue)
+	c.Assert(b.Current(at(3.6)), qt.IsFalse)
+	b.Merge(States{Revision: 6}, at(4)) // a reader that lost the store
+	b.Merge(States{Revision: 5, Current: true}, at(4))
+	c.Assert(b.Current(at(4)), qt.IsFalse)
+	b.Merge(States{Revision: 6, Current: true}, at(4))
+	c.Assert(b.Current(at(4)), qt.IsTrue)
+	_, current := b.Rollouts(at(4))
+	c.Assert(current, qt.IsTrue)
+}
--- a/internal/state/gladedecider/decider.go
+++ b/internal/state/gladedecider/decider.go
@@ -34,8 +34,9 @@
 	// settleTime is how long a candidate that took over waits for the reports of all VMs before it decides: every VM knows of it
 	// after 0.3 s and reports every 0.5 s.
 	settleTime = time.Second
-	// pauseLimit is the time between two steps from which on this VM was paused: others may have decided since.
-	pauseLimit = time.Second
+	// pauseLimit is the time between two steps from which on this VM was paused: others may have decided since. It is shorter than
+	// silenceLimit less the time since the last beat.
+	pauseLimit = 800 * time.Millisecond
 	// callTimeout bounds a call to the store.
 	callTimeout = 700 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed call to the store.
@@ -108,6 +109,8 @@
 	orders map[string]*order
 	// candidateSince is since when this VM is a candidate, zero if it is none.
 	candidateSince time.Time
+	// reachedSince is since when this VM reaches the store, zero if it does not.
+	reachedSince time.Time
 	// lastStep is when the last step began.
 	lastStep time.Time
 }
@@ -187,7 +190,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.detectPause(now)
-	d.updateCandidate(slices.Contains(candidates, d.config.VM), now)
+	updateSince(&d.candidateSince, slices.Contains(candidates, d.config.VM), now)
+	updateSince(&d.reachedSince, len(pending) > 0 && d.config.Reached(), now)
 	listed := map[string]bool{}
 	for _, k := range pending {
 		listed[k.Rollout.Service] = true
@@ -216,12 +220,13 @@
 	d.lastStep = now
 }
 
-func (d *Decider) updateCandidate(candidate bool, now time.Time) {
+// updateSince sets the time since which something holds, zero if it does not.
+func updateSince(since *time.Time, holds bool, now time.Time) {
 	switch {
-	case !candidate:
-		d.candidateSince = time.Time{}
-	case d.candidateSince.IsZero():
-		d.candidateSince = now
+	case !holds:
+		*since = time.Time{}
+	case since.IsZero():
+		*since = now
 	}
 }
 
@@ -259,17 +264,16 @@
 			d.fenced(o, r)
 		}
 	}
-	switch {
-	case o.unsure:
+	if o.unsure {
 		d.read(o, now)
+	}
+	switch {
+	case d.owns(o, r) && d.candidateSince.IsZero():
+		d.resign(o, r)
 	case d.owns(o, r):
-		if d.candidateSince.IsZero() {
-			d.resign(o, r)
-			return
-		}
 		d.beat(o, now)
 		d.decide(o, k, now)
-	case !d.candidateSince.IsZero() && d.mayClaim(o, r, candidates, now):
+	case !o.unsure && !d.candidateSince.IsZero() && d.mayClaim(o, r, candidates, now):
 		d.claim(o, k, now)
 	}
 }
@@ -305,6 +309,9 @@
 	wait, since := time.Duration(rank)*candidateStagger, d.candidateSince
 	if !vacant(r) {
 		wait += silenceLimit << o.losses
+		if d.reachedSince.IsZero() || now.Sub(d.reachedSince) < settleTime { // the decider may have lost the store too
+			return false
+		}
 	}
 	if o.heardAt.After(since) {
 		since = o.heardAt
@@ -335,7 +342,7 @@
 	}
 	o.beatAt = now
 	d.config.Beat(Beat{
-		VM: d.config.VM, Service: o.service, Term: o.term, Acting: d.config.Reached() && o.backoff < maxBackoff, Reason: o.reason,
+		VM: d.config.VM, Service: o.service, Term: o.term, Acting: d.config.Reached() && !o.unsure, Reason: o.reason,
 	})
 }
 
--- a/internal/state/gladedecider/write.go
+++ b/internal/state/gladedecider/write.go
@@ -46,7 +46,7 @@
 	final := decision.Status.State == gladerollout.Complete || decision.Status.State == gladerollout.Reverted
 	switch {
 	case decision.Reason == "" && !final: // the status stays
-	case o.calling || now.Before(o.retryAt):
+	case o.calling || o.unsure || now.Before(o.retryAt):
 	case !final && !d.config.Reached():
 	default:
 		s := decision.Status
