--- a/internal/fleet/gladefleet/permit.go
+++ b/internal/fleet/gladefleet/permit.go
@@ -26,16 +26,13 @@
 	rule := n.Versions
 	strict := rule
 	strict.Fallback = false
-	permitted := strict.Permits
+	permitted := func(e *entry) bool { return strict.Permits(e.Version) }
 	if rule.Concentrate > 0 && rule.Concentrate < 1 {
-		servers := t.concentrated(n, strict, now)
-		first := t.selectAmong(n, func(e *entry) bool { return slices.Contains(servers, e) }, now)
-		if first.best != nil && first.rank == healthy || !rule.Fallback {
-			return first
+		if servers := t.concentrated(n, strict, now); len(servers) > 0 {
+			permitted = func(e *entry) bool { return slices.Contains(servers, e) }
 		}
-		return t.preferSooner(first, n, now)
 	}
-	first := t.selectAmong(n, func(e *entry) bool { return permitted(e.Version) }, now)
+	first := t.selectAmong(n, permitted, now)
 	if rule.Only == "" || !rule.Fallback || first.best != nil && first.rank == healthy {
 		return first
 	}
