--- a/internal/proxy/gladefront/front_test.go
+++ b/internal/proxy/gladefront/front_test.go
@@ -40,6 +40,8 @@
 	bound time.Duration
 	// closeStoreListener makes the store accept no more connections of the VM on a host; those that it has stay open.
 	closeStoreListener map[int]func()
+	// rollouts reports that the settings of the VMs ask for roll-outs.
+	rollouts bool
 	// runs counts the requests that reached the backend server.
 	runs atomic.Int64
 	// version is the version of the release that was published last.
@@ -112,7 +114,7 @@
 		Settings: gladeplatform.Settings{
 			VM: vmName(host), FailureDomain: f.domain(host), EntryAddress: f.address(host, 8000), ReadyAddress: f.address(host, 8001),
 			PeerAddress: f.address(host, 7200), Seeds: f.seeds, StoreAddress: store, StopGrace: f.grace, DrainBound: f.bound, ReleaseBound: f.bound,
-			RetryShare: 1, RetryReserve: 100, RetryWindow: 10 * time.Second,
+			RetryShare: 1, RetryReserve: 100, RetryWindow: 10 * time.Second, Rollouts: f.rollouts,
 		},
 		MetricsAddress: f.address(host, 9464), Log: hclog.NewNullLogger(),
 	})
--- a/internal/proxy/gladefront/store_test.go
+++ b/internal/proxy/gladefront/store_test.go
@@ -13,7 +13,7 @@
 // fakeStore stands for the platform's store.
 type fakeStore struct {
 	mu       sync.Mutex
-	objects  map[string]map[string]json.RawMessage
+	objects  map[string]map[string]*storedObject
 	changed  chan struct{}
 	revision int64
 	changes  []change
@@ -23,11 +23,21 @@
 	rejections map[int]int
 	hangs      map[int][]string
 	hung       map[int]int
+	// rejectedKinds are the kinds of which all calls are rejected.
+	rejectedKinds []string
+	// calls counts the calls of all VMs by method and kind.
+	calls map[string]int
+}
+
+// storedObject is an object at the revision of its last change.
+type storedObject struct {
+	revision     int64
+	spec, status json.RawMessage
 }
 
 func newFakeStore() *fakeStore {
 	return &fakeStore{
-		objects: map[string]map[string]json.RawMessage{}, changed: make(chan struct{}),
+		objects: map[string]map[string]*storedObject{}, changed: make(chan struct{}), calls: map[string]int{},
 		rejects: map[int]bool{}, rejections: map[int]int{}, hangs: map[int][]string{}, hung: map[int]int{},
 	}
 }
@@ -41,17 +51,55 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.objects[kind] == nil {
-		s.objects[kind] = map[string]json.RawMessage{}
+		s.objects[kind] = map[string]*storedObject{}
+	}
+	o := s.objects[kind][name]
+	if o == nil {
+		o = &storedObject{}
+		s.objects[kind][name] = o
 	}
-	s.objects[kind][name] = json.RawMessage(spec)
+	o.spec = json.RawMessage(spec)
+	s.addChange(kind, name)
+}
+
+// addChange gives an object the next revision. The caller holds mu.
+func (s *fakeStore) addChange(kind, name string) {
 	s.revision++
+	s.objects[kind][name].revision = s.revision
 	s.changes = append(s.changes, change{s.revision, kind, name})
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
 func (s *fakeStore) object(kind, name string) map[string]any {
-	return map[string]any{"meta": map[string]any{"name": name, "revision": s.revision}, "spec": s.objects[kind][name]}
+	o := s.objects[kind][name]
+	object := map[string]any{"meta": map[string]any{"name": name, "revision": o.revision}, "spec": o.spec}
+	if o.status != nil {
+		object["status"] = o.status
+	}
+	return object
+}
+
+// writeStatus writes the status of an object if the request has its revision. The caller holds mu.
+func (s *fakeStore) writeStatus(path string, w http.ResponseWriter, r *http.Request) {
+	kind, name, _ := strings.Cut(strings.TrimSuffix(path, "/status"), "/")
+	var in struct {
+		Meta struct {
+			Revision int64 `json:"revision"`
+		} `json:"meta"`
+		Status json.RawMessage `json:"status"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil || s.objects[kind][name] == nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if o := s.objects[kind][name]; o.revision == in.Meta.Revision {
+		o.status = in.Status
+		s.addChange(kind, name)
+	} else {
+		w.WriteHeader(http.StatusConflict)
+	}
+	_ = json.NewEncoder(w).Encode(s.object(kind, name))
 }
 
 // set changes the faults of the store.
@@ -71,6 +119,15 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if slices.Contains(s.rejectedKinds, kind) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.calls[r.Method+" "+kind]++
+	if r.Method == http.MethodPut {
+		s.writeStatus(kind, w, r)
+		return
+	}
 	watch := r.URL.Query().Get("watch")
 	if watch != "" && slices.Contains(s.hangs[host], kind) {
 		s.hung[host]++
