Roll-outs: updates hold what matters now; cold servers judge no version

Cause: an update holds about 300 bytes for each order of the past, four times a second to each VM of the failure domain. Servers of the target have just started, and their first answers are slow for the time in their entries.

Change: updates hold the pending orders and those that ended in the last 1.2 s, and all of them every 2 s; a VM that starts does not take a part for all. A stop is logged once at each VM.

--- a/internal/fleet/gladefleet/hold.go
+++ b/internal/fleet/gladefleet/hold.go
@@ -6,16 +6,25 @@
 // the version belongs to a roll-out.
 const maxHold = 2 * time.Second
 
+// maxCold is the longest time for which a new server gets no requests that judge its version.
+const maxCold = 2 * time.Second
+
 // PutAt is Put for a server that is listed at a revision of the store. If its service has no server of its version, and the
 // roll-outs are not known up to that revision, the server gets no request until they are, for at most maxHold.
 func (t *Table) PutAt(s Server, revision int64, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	hold := t.isNewVersion(s, revision, now)
+	old := t.servers[s.ID]
+	fresh := old == nil || s.Started > old.Started
 	changed := t.putListed(s, now)
-	if e := t.servers[s.ID]; hold && e.heldUntil.IsZero() {
+	e := t.servers[s.ID]
+	if hold && e.heldUntil.IsZero() {
 		e.heldUntil, e.heldFor = now.Add(maxHold), revision
 	}
+	if fresh {
+		e.coldUntil = now.Add(min(maxCold, s.Cold))
+	}
 	return changed
 }
 
--- a/internal/fleet/gladefleet/server.go
+++ b/internal/fleet/gladefleet/server.go
@@ -96,6 +96,8 @@
 	// store up to which the roll-outs must be known before that.
 	heldUntil time.Time
 	heldFor   int64
+	// coldUntil is when a new process is no longer slow, zero if that is not known.
+	coldUntil time.Time
 }
 
 // useLimit is a time from which a server must get no new requests; the zero value is no limit.
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -104,7 +104,7 @@
 	feed, closeFeed, err := gladefeed.New(gladefeed.Config{
 		VM: s.VM, Address: address, Peers: func() []string { return f.domainPeers(feedPortOffset) },
 		ReleaseBytes: gladerelay.LinkBudget, StartupWait: delay, Rank: f.rank, Precedes: f.precedes, Progress: f.readState,
-		Behind: func() time.Duration { return f.age.State(bootTime()).Behind }, OnUpdate: f.onUpdate, Rollouts: f.rolloutStates,
+		Behind: func() time.Duration { return f.age.State(bootTime()).Behind }, OnUpdate: f.onUpdate, Rollouts: f.feedRollouts,
 		Log: f.log.Named("feed"),
 	})
 	if err != nil {
--- a/internal/proxy/gladefront/rollouts.go
+++ b/internal/proxy/gladefront/rollouts.go
@@ -30,6 +30,8 @@
 	rolloutCheckInterval = 250 * time.Millisecond
 	// rolloutReadTimeout bounds the read of the roll-outs that precedes the publication of a new version's servers.
 	rolloutReadTimeout = 500 * time.Millisecond
+	// fullStatesInterval is how often the feed has the states of all roll-outs, for VMs that start.
+	fullStatesInterval = 2 * time.Second
 	// maxRolloutWait is how long a VM that starts holds a request until it knows the roll-outs.
 	maxRolloutWait = 500 * time.Millisecond
 
@@ -61,6 +63,9 @@
 	// logged holds the revisions of the states that were logged last, and current whether they were current then.
 	logged  map[string]int64
 	current bool
+	// stopped holds the last notice to stop a version that was logged, by service, and fullAt is when the feed last had all states.
+	stopped map[string]gladedecider.Stop
+	fullAt  time.Time
 }
 
 // rolloutMessage is a datagram on roll-outs.
@@ -75,7 +80,7 @@
 		book:     gladedecider.NewBook(cmp.Or(f.config.Settings.RollbackBound, defaultRollbackBound) / 2),
 		selector: gladerollout.NewSelector(rand.Float64),
 		recorder: gladerollout.NewRecorder(f.config.Settings.VM, start),
-		start:    start, heard: make(chan struct{}), logged: map[string]int64{},
+		start:    start, heard: make(chan struct{}), logged: map[string]int64{}, stopped: map[string]gladedecider.Stop{},
 		follow: followConfig(f, gladeplatform.KindRollouts, rolloutWatchWait, gladeplatform.DecodeRollout,
 			f.onRollouts, f.onRolloutChanges, f.confirmRollouts),
 	}
@@ -256,7 +261,7 @@
 	now := bootTime()
 	for _, c := range changes {
 		if c.Deleted || !f.rolloutDecoded(c.Item) {
-			f.rollouts.book.Withdraw(c.Name)
+			f.rollouts.book.Withdraw(c.Name, now)
 			continue
 		}
 		f.rollouts.book.Put(c.Value.value, now)
@@ -301,6 +306,26 @@
 	return &s
 }
 
+// feedRollouts returns the roll-outs for an update of the feed: those that matter now, and all of them every fullStatesInterval.
+func (f *Front) feedRollouts() *gladedecider.States {
+	if f.rollouts == nil || !f.rolloutsKnown() {
+		return nil
+	}
+	x, now := f.rollouts, bootTime()
+	x.mu.Lock()
+	full := now.Sub(x.fullAt) >= fullStatesInterval
+	if full {
+		x.fullAt = now
+	}
+	x.mu.Unlock()
+	if full {
+		return f.rolloutStates()
+	}
+	s := x.book.Recent(now)
+	s.Current = f.reachesStore()
+	return &s
+}
+
 // applyRollouts puts the known roll-outs in force and logs those that have changed.
 func (f *Front) applyRollouts(from string) {
 	x := f.rollouts
@@ -402,9 +427,15 @@
 	if !ok || !r.Pending() || r.Target != n.Target || r.Duration.Seconds() != n.DurationS {
 		return
 	}
-	f.countCall("rollout.stopped")
-	f.log.Warn("Version stopped.", "service", n.Service, "target", n.Target, "reason", n.Reason)
 	f.rollouts.selector.Stop(n.Service, n.Target)
+	x := f.rollouts
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if last := x.stopped[n.Service]; last.Target != n.Target || last.DurationS != n.DurationS {
+		x.stopped[n.Service] = n
+		f.countCall("rollout.stopped")
+		f.log.Warn("Version stopped.", "service", n.Service, "target", n.Target, "reason", n.Reason)
+	}
 }
 
 // sendReport sends this VM's evidence to the decider of an order.
--- a/internal/state/gladedecider/book.go
+++ b/internal/state/gladedecider/book.go
@@ -21,10 +21,15 @@
 	// Revision is the store's revision up to which all of them are known.
 	Revision int64 `json:"revision"`
 	// Current reports that the sender reaches the store, which would have told it of later ones.
-	Current bool    `json:"current,omitempty"`
+	Current bool `json:"current,omitempty"`
+	// Partial reports that orders are left out that ended some time ago.
+	Partial bool    `json:"partial,omitempty"`
 	Known   []Known `json:"known,omitempty"`
 }
 
+// recentTime is how long an order that has ended is told with the pending ones, for VMs that lost a datagram.
+const recentTime = 1200 * time.Millisecond
+
 // Book holds the roll-outs that this VM knows. Its methods may be called concurrently.
 type Book struct {
 	// currentFor is how long a confirmation holds.
@@ -37,10 +42,10 @@
 	confirmedAt time.Time
 }
 
-// record is a roll-out and when its order was first seen.
+// record is a roll-out, when its order was first seen and when it last changed here.
 type record struct {
-	rollout   gladerollout.Rollout
-	firstSeen time.Time
+	rollout              gladerollout.Rollout
+	firstSeen, changedAt time.Time
 }
 
 // NewBook returns an empty book, in which a confirmation of the roll-outs holds for some time.
@@ -63,7 +68,7 @@
 		}
 		for service, x := range b.records {
 			if !listed[service] && x.rollout.Revision <= revision {
-				changed = x.withdraw() || changed
+				changed = x.withdraw(now) || changed
 			}
 		}
 	}
@@ -79,11 +84,11 @@
 }
 
 // Withdraw records that the store no longer lists the order of a service. Its target gets no requests if it was on trial.
-func (b *Book) Withdraw(service string) bool {
+func (b *Book) Withdraw(service string, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	x := b.records[service]
-	return x != nil && x.withdraw()
+	return x != nil && x.withdraw(now)
 }
 
 // Advance records that all roll-outs are known up to a revision.
@@ -101,6 +106,9 @@
 	for _, k := range s.Known {
 		changed = b.put(k.Rollout, time.Duration(k.ElapsedMillis)*time.Millisecond, now) || changed
 	}
+	if s.Partial && !b.known {
+		return changed
+	}
 	b.known, b.revision = true, max(b.revision, s.Revision)
 	if s.Current && s.Revision >= b.revision {
 		b.confirmedAt = now
@@ -114,7 +122,7 @@
 	x := b.records[r.Service]
 	switch {
 	case x == nil:
-		b.records[r.Service] = &record{rollout: r, firstSeen: seen}
+		b.records[r.Service] = &record{rollout: r, firstSeen: seen, changedAt: now}
 		return true
 	case r.Revision < x.rollout.Revision:
 		return false
@@ -123,7 +131,7 @@
 			x.firstSeen = seen
 		}
 		if x.rollout.Pending() && !r.Pending() { // withdrawn, as the other VM has read
-			x.rollout = r
+			x.rollout, x.changedAt = r, now
 			return true
 		}
 		return false
@@ -133,15 +141,16 @@
 	} else if seen.Before(x.firstSeen) {
 		x.firstSeen = seen
 	}
-	x.rollout = r
+	x.rollout, x.changedAt = r, now
 	return true
 }
 
 // withdraw ends an order that is no longer listed, and reports whether that changes anything.
-func (x *record) withdraw() bool {
+func (x *record) withdraw(now time.Time) bool {
 	if !x.rollout.Pending() {
 		return false
 	}
+	x.changedAt = now
 	x.rollout.Status = gladerollout.Status{
 		State: gladerollout.Reverted, Target: x.rollout.Target, DurationS: x.rollout.Duration.Seconds(), Term: x.rollout.Status.Term,
 	}
@@ -213,6 +222,19 @@
 	return s
 }
 
+// Recent returns the roll-outs that are pending or have changed lately. They are few, also where many have ended.
+func (b *Book) Recent(now time.Time) States {
+	s := b.States(now)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := len(s.Known)
+	s.Known = slices.DeleteFunc(s.Known, func(k Known) bool {
+		return !k.Rollout.Pending() && now.Sub(b.records[k.Rollout.Service].changedAt) > recentTime
+	})
+	s.Partial = len(s.Known) < all
+	return s
+}
+
 // Rollouts returns the roll-outs, ordered by service, and whether they were confirmed recently.
 func (b *Book) Rollouts(now time.Time) ([]gladerollout.Rollout, bool) {
 	s := b.States(now)
