gladerollout: a report drops old runs for good

Cause: found by TestRollouts, in which three of four VMs ended 24 s after their start. Recorder.Evidence cleared the runs older than the window and kept their places in the list, which the next Begin read as nil.

Change: the shortened list is kept, with a test that ended in a panic before.

--- a/internal/fleet/gladerollout/recorder.go
+++ b/internal/fleet/gladerollout/recorder.go
@@ -66,6 +66,7 @@
 		n++
 	}
 	clear(runs[:n])
+	r.services[service] = runs[n:]
 	return runs[n:]
 }
 
