--- a/cmd/gladectl/main.go
+++ b/cmd/gladectl/main.go
@@ -34,6 +34,7 @@
 			},
 			noteCommand(),
 			{Name: "dump", Usage: "print the state of a VM", Action: dump},
+			{Name: "rollouts", Usage: "print the roll-outs of server versions as a VM knows them", Action: rollouts},
 		},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
