--- a/internal/fleet/gladefleet/server.go
+++ b/internal/fleet/gladefleet/server.go
@@ -19,6 +19,8 @@
 	Cold time.Duration
 	// Started distinguishes restarts under one identifier. It is in Unix milliseconds, zero if it was not reported.
 	Started int64
+	// Version is the version of the server's software, empty if it is not known or does not matter.
+	Version string `json:",omitempty"`
 }
 
 const (
@@ -98,6 +100,12 @@
 	held []heldPart
 	// placed counts the prompt tokens read there and the copies placed there for all VMs, as far as this VM was told.
 	placed int
+	// heldUntil is the time until which a server of a version new to its service gets no request, and heldFor the revision of the
+	// store up to which the roll-outs must be known before that.
+	heldUntil time.Time
+	heldFor   int64
+	// coldUntil is when a new process is no longer slow, zero if that is not known.
+	coldUntil time.Time
 }
 
 // useLimit is a time from which a server must get no new requests; the zero value is no limit.
@@ -132,6 +140,9 @@
 		numbers = binary.LittleEndian.AppendUint64(numbers, n)
 	}
 	_, _ = d.Write(numbers)
+	if s.Version != "" { // without versions, the digest is the one of builds that know of none
+		_, _ = d.WriteString(s.Version)
+	}
 	return d.Sum64()
 }
 
--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -66,6 +66,8 @@
 	reports map[string]*serviceReports
 	// prefixes is what this VM remembers of the prefixes of prompts.
 	prefixes prefixMemory
+	// rolloutsRevision is the revision of the store up to which the roll-outs are known.
+	rolloutsRevision int64
 	// largeFleet reports that the load from VMs of other failure domains is known late and only in part.
 	largeFleet bool
 }
@@ -116,6 +118,11 @@
 func (t *Table) Put(s Server, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.putListed(s, now)
+}
+
+// putListed adds or updates a listed server. The caller holds t.mu.
+func (t *Table) putListed(s Server, now time.Time) bool {
 	if e := t.servers[s.ID]; e != nil && s.Leaving && s.Started == e.Started {
 		e.lastUse.lower(now.Add(min(t.listedGrace(), t.config.DrainBound)))
 	}
