--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
 	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladequota"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladesend"
@@ -129,6 +128,9 @@
 // of the copy to resume from.  If there is no place, reserveNext ends the request and returns nil.
 func (s *stream) reserveNext() (*gladefleet.Reservation, string) {
 	room := s.roomLimits()
+	if s.copy != nil && !s.repeatRule().Permits(s.copy.Version) {
+		s.dropCopy() // its server's version was withdrawn since
+	}
 	if s.copy != nil {
 		place, err := s.config.Fleet.Reserve(s.copy.ID, s.maxTokens(), time.Now())
 		from := s.copyName
@@ -197,8 +199,11 @@
 		copyDone: make(chan copyResult),
 	}
 	refused := make(chan struct{})
-	a.tracked, a.refused = s.trackRun(place, s.lastEvent > 0 || from != "", func() { close(refused) }), refused
+	resumed := s.lastEvent > 0 || from != ""
+	a.tracked, a.refused = s.trackRun(place, resumed, func() { close(refused) }), refused
+	a.versionRun = s.beginVersionRun(place, resumed)
 	result := a.follow(items)
+	a.endVersionRun(result)
 	if result == attemptBroken && a.received == 0 {
 		s.dropCopy() // engines begin to copy a run once it has produced an event
 	}
@@ -279,6 +284,7 @@
 			a.failDeadline()
 			return attemptAbandoned
 		case <-a.refused:
+			a.suspected = true
 			return a.moveOn("it crashes the servers that run it")
 		case <-a.place.Down():
 			return a.moveOn("server was found down")
@@ -312,6 +318,11 @@
 	*stream
 	place   *gladefleet.Reservation
 	tracked *trackedRun
+	// versionRun records what the run says about its server's version.
+	versionRun *versionRun
+	// serverFailed reports that the server itself answered with a failure, and suspected that the run was ended because of its
+	// request.
+	serverFailed, suspected bool
 	// refused is closed when the run must be ended, as the request crashes its servers.
 	refused  <-chan struct{}
 	exchange *gladesend.Exchange
@@ -427,78 +438,8 @@
 		return a.replyBody(body)
 	}
 	a.log("Server failed it.", "server", a.place.ID, "status", x.Status, "signed", x.Info.Signed, "encoded", x.Info.Encoded)
+	a.serverFailed = x.Info.Signed && x.Status >= http.StatusInternalServerError
 	a.config.Fleet.RecordOutcome(a.place.ID, true)
 	a.avoidServer(a.place.ID)
 	return attemptBroken, true
 }
-
-// replyBody returns an answer that is not a stream to the caller.
-func (a *attempt) replyBody(body []byte) (attemptResult, bool) {
-	a.mayHaveRun = true
-	a.log("Answered.", "server", a.place.ID, "status", a.exchange.Status, "sends", a.sends)
-	a.incoming.Reply(a.exchange.Status, a.exchange.Header, body)
-	return attemptFinished, true
-}
-
-// forwardEvent sends an event to the caller unless the caller has already received it.
-func (a *attempt) forwardEvent(e event) (attemptResult, bool) {
-	now := time.Now()
-	a.config.Fleet.MarkAnswered(a.place.ID, a.flow.runningAt(a.config.BootTime()), now)
-	if e.id == gladesend.NoEvent {
-		return a.write(e.bytes)
-	}
-	a.lastHeard, a.probes = now, 0
-	if a.received++; a.received == 1 {
-		a.place.PrefillDone(now)
-		a.config.OnLoadChange()
-	}
-	a.tracked.progress(a.received)
-	if e.id <= a.lastEvent {
-		return 0, false
-	}
-	if a.eventCount == 0 {
-		a.observe("firstEvent", now.Sub(a.incoming.LastByteAt))
-		a.log("First event.", "server", a.place.ID, "event", e.id, "parts", gladesuspect.FormatParts(a.call.Parts))
-	}
-	if result, ended := a.write(e.bytes); ended {
-		return result, true
-	}
-	if a.eventCount++; a.eventCount > 1 {
-		a.longestPause = max(a.longestPause, now.Sub(a.lastWrite))
-	}
-	a.lastWrite = now
-	a.lastEvent = e.id
-	return 0, false
-}
-
-// write sends a part of the answer to the caller, after the header if nothing was sent before; the second result reports
-// whether the caller has disconnected.
-func (a *attempt) write(b []byte) (attemptResult, bool) {
-	if !a.incoming.Started() {
-		if a.incoming.Begin(a.exchange.Status, a.exchange.Header, -1) != nil {
-			return attemptAbandoned, true
-		}
-	}
-	if a.incoming.Write(b) != nil {
-		return attemptAbandoned, true
-	}
-	return 0, false
-}
-
-// finishStream ends the answer to the caller after the complete stream.
-func (a *attempt) finishStream() (attemptResult, bool) {
-	if !a.incoming.Started() {
-		if a.incoming.Begin(a.exchange.Status, a.exchange.Header, -1) != nil {
-			return attemptAbandoned, true
-		}
-	}
-	if a.incoming.End() != nil {
-		return attemptAbandoned, true
-	}
-	a.config.Fleet.RecordOutcome(a.place.ID, false)
-	a.count("answered." + a.route.Kind.String())
-	a.observe("pause", a.longestPause)
-	a.log("Answered.", "server", a.place.ID, "sends", a.sends, "events", a.eventCount,
-		"worstPauseMs", a.longestPause.Milliseconds())
-	return attemptFinished, true
-}
