--- a/internal/state/gladedecider/world_test.go
+++ b/internal/state/gladedecider/world_test.go
@@ -163,7 +163,7 @@
 	v.close()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.vms = slices.DeleteFunc(v.world.vms, func(o *testVM) bool { return o == v })
+	v.vms = slices.DeleteFunc(v.vms, func(o *testVM) bool { return o == v })
 }
 
 func (v *testVM) beat(b Beat) {
