Decider: a resigned decider is replaced at once; take-overs are not late

Cause: in TestRolloutsUnderFaults the reader of a failure domain changed after an outage; its resignation was heard as silence, and the order stood still for 2.0 s. A VM that lost the race for a claim waited twice as long as others for the rest of the order, and one that began to read because its domain's reader was silent waited the whole silence anew.

Change: beats say that their sender has resigned. Only a VM that decided and was replaced waits longer. A VM that heard the decider's beats counts the silence from the last one.

--- a/internal/state/gladedecider/decider.go
+++ b/internal/state/gladedecider/decider.go
@@ -63,6 +63,8 @@
 	Term    int64  `json:"term"`
 	// Acting reports that the decider reaches the store. Without it, another candidate that does takes over.
 	Acting bool `json:"acting,omitempty"`
+	// Resigned reports that the sender no longer decides: another candidate need not wait until it is silent.
+	Resigned bool `json:"resigned,omitempty"`
 	// Reason is the reason of the last step.
 	Reason string `json:"reason,omitempty"`
 }
@@ -125,8 +127,11 @@
 	settledAt time.Time
 	// heardAt is when the decider was last heard, or another one claimed the order.
 	heardAt time.Time
-	// heardTerm is the term seen last.
-	heardTerm int64
+	// heardTerm is the term seen last. beatHeard reports that its decider's beats reach this VM, and resigned that it has resigned.
+	heardTerm           int64
+	beatHeard, resigned bool
+	// owned reports that this process has decided on the order.
+	owned bool
 	// losses counts how often this VM was replaced as decider.
 	losses int
 	// calling reports that a call to the store is in progress.
@@ -259,18 +264,20 @@
 func (d *Decider) stepOrder(o *order, k Known, candidates []string, now time.Time) {
 	r := k.Rollout
 	if r.Status.Term > o.heardTerm {
-		o.heardTerm, o.heardAt = r.Status.Term, now
-		if o.term > 0 && !d.owns(o, r) {
-			d.fenced(o, r)
-		}
+		o.hear(r.Status.Term, now)
+	}
+	owns := d.owns(o, r)
+	if o.owned && !owns && r.Status.Term > o.term {
+		d.fenced(o, r)
 	}
+	o.owned = owns
 	if o.unsure {
 		d.read(o, now)
 	}
 	switch {
-	case d.owns(o, r) && d.candidateSince.IsZero():
+	case owns && d.candidateSince.IsZero():
 		d.resign(o, r)
-	case d.owns(o, r):
+	case owns:
 		d.beat(o, now)
 		d.decide(o, k, now)
 	case !o.unsure && !d.candidateSince.IsZero() && d.mayClaim(o, r, candidates, now):
@@ -278,6 +285,11 @@
 	}
 }
 
+// hear records that a term has begun.
+func (o *order) hear(term int64, now time.Time) {
+	o.heardTerm, o.heardAt, o.beatHeard, o.resigned = term, now, false, false
+}
+
 // fenced records that another VM decides. The caller holds d.mu.
 func (d *Decider) fenced(o *order, r gladerollout.Rollout) {
 	o.term, o.stopped = 0, nil
@@ -290,8 +302,8 @@
 // resign gives an order up because this VM is no candidate any longer; another one takes over at once. The caller holds d.mu.
 func (d *Decider) resign(o *order, r gladerollout.Rollout) {
 	d.config.Log.Info("This VM no longer decides on the order.", "service", o.service, "term", r.Status.Term)
-	d.config.Beat(Beat{VM: d.config.VM, Service: o.service, Term: r.Status.Term, Reason: "resigned"})
-	o.term = 0
+	d.config.Beat(Beat{VM: d.config.VM, Service: o.service, Term: r.Status.Term, Resigned: true})
+	o.term, o.owned = 0, false
 }
 
 // mayClaim reports whether this candidate should claim an order now. The caller holds d.mu.
@@ -306,17 +318,26 @@
 			rank++
 		}
 	}
-	wait, since := time.Duration(rank)*candidateStagger, d.candidateSince
-	if !vacant(r) {
-		wait += silenceLimit << o.losses
-		if d.reachedSince.IsZero() || now.Sub(d.reachedSince) < settleTime { // the decider may have lost the store too
-			return false
-		}
+	wait := time.Duration(rank) * candidateStagger
+	if vacant(r) || o.resigned {
+		return now.Sub(later(o.heardAt, d.candidateSince)) >= wait
+	}
+	if d.reachedSince.IsZero() || now.Sub(d.reachedSince) < settleTime { // the decider may have lost the store too
+		return false
+	}
+	wait += silenceLimit << o.losses
+	if o.beatHeard {
+		return now.Sub(o.heardAt) >= wait
 	}
-	if o.heardAt.After(since) {
-		since = o.heardAt
+	return now.Sub(later(o.heardAt, d.candidateSince)) >= wait
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return now.Sub(since) >= wait
+	return b
 }
 
 // HandleBeat records a beat of another candidate.
@@ -328,9 +349,14 @@
 	if o == nil || b.Term < o.heardTerm {
 		return
 	}
-	o.heardTerm = b.Term
-	if b.Acting {
-		o.heardAt = now
+	if b.Term > o.heardTerm {
+		o.hear(b.Term, now)
+	}
+	switch {
+	case b.Resigned:
+		o.resigned, o.heardAt = true, now
+	case b.Acting:
+		o.heardAt, o.beatHeard = now, true
 	}
 	o.reason = cmp.Or(b.Reason, o.reason)
 }
--- a/internal/state/gladedecider/write.go
+++ b/internal/state/gladedecider/write.go
@@ -97,8 +97,7 @@
 	o.calling = false
 	switch {
 	case err == nil:
-		o.backoff, o.reason, o.heardAt = 0, reason, now
-		o.heardTerm = max(o.heardTerm, written.Status.Term)
+		o.backoff, o.reason = 0, reason
 	case conflict:
 		d.count("rollout.conflicts")
 		d.config.Log.Warn("The order has changed; its status is taken from the store.", "service", o.service, "revision", written.Revision,
