Front: a store without orders may not know their kind

Cause: if the store answers 404 for a kind of which there has never been an object, no VM would be ready. Whether it does is not known.

Change: 404 is ErrNotFound; the list of orders is empty then and is read again every 2 s.

--- a/internal/proxy/gladefront/rollouts.go
+++ b/internal/proxy/gladefront/rollouts.go
@@ -5,13 +5,13 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/eelgrassglade/eelgrassglade/gladepeer"
+	"github.com/eelgrassglade/eelgrassglade/gladestore"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladerollout"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladeforward"
@@ -26,6 +26,8 @@
 	// rolloutWatchWait is how long a watch of the roll-outs waits. Calls to the store are dear, and a new version's first server
 	// causes a read of its own.
 	rolloutWatchWait = 5 * time.Second
+	// unknownKindWait is how long the reader waits until it lists the orders again if the store does not know their kind.
+	unknownKindWait = 2 * time.Second
 	// rolloutCheckInterval is how often a VM checks whether its knowledge of the roll-outs is current.
 	rolloutCheckInterval = 250 * time.Millisecond
 	// rolloutReadTimeout bounds the read of the roll-outs that precedes the publication of a new version's servers.
@@ -81,11 +83,35 @@
 		selector: gladerollout.NewSelector(rand.Float64),
 		recorder: gladerollout.NewRecorder(f.config.Settings.VM, start),
 		start:    start, heard: make(chan struct{}), logged: map[string]int64{}, stopped: map[string]gladedecider.Stop{},
-		follow: followConfig(f, gladeplatform.KindRollouts, rolloutWatchWait, gladeplatform.DecodeRollout,
-			f.onRollouts, f.onRolloutChanges, f.confirmRollouts),
+		follow: followRollouts(f),
 	}
 }
 
+// followRollouts returns the configuration of a Follow of the orders. A store that has never had one may not know their kind.
+func followRollouts(f *Front) gladeview.FollowConfig[entry[gladerollout.Rollout]] {
+	c := followConfig(f, gladeplatform.KindRollouts, rolloutWatchWait, gladeplatform.DecodeRollout, f.onRollouts, f.onRolloutChanges, f.confirmRollouts)
+	list, watch := c.List, c.Watch
+	c.List = func(ctx context.Context) ([]gladeview.Item[entry[gladerollout.Rollout]], int64, error) {
+		items, revision, err := list(ctx)
+		if errors.Is(err, gladestore.ErrNotFound) {
+			return nil, 0, nil
+		}
+		return items, revision, err
+	}
+	c.Watch = func(ctx context.Context, revision int64) ([]gladeview.Change[entry[gladerollout.Rollout]], int64, error) {
+		changes, next, err := watch(ctx, revision)
+		if errors.Is(err, gladestore.ErrNotFound) {
+			select {
+			case <-ctx.Done():
+			case <-time.After(unknownKindWait):
+			}
+			return nil, revision, gladeview.ErrHistoryGone
+		}
+		return changes, next, err
+	}
+	return c
+}
+
 // startRollouts starts the decider and the exchange of evidence.
 func (f *Front) startRollouts(forwarder *gladeforward.Forwarder) error {
 	x, s := f.rollouts, f.config.Settings
@@ -379,110 +405,3 @@
 	}
 	return gladeplatform.DecodeRollout(o)
 }
-
-// rolloutCandidates returns the VMs that read the store for their failure domains, which may decide on roll-outs.
-func (f *Front) rolloutCandidates() []string {
-	self, own := f.config.Settings.VM, f.config.Settings.FailureDomain
-	readers := f.readers()
-	if f.isReading() {
-		readers[own] = []string{self}
-	}
-	var vms []string
-	for _, names := range readers {
-		vms = append(vms, names[0])
-	}
-	return vms
-}
-
-// beatReceivers is the number of VMs of each failure domain that hear from a decider. The first one may have lost the store, so that
-// another one reads it.
-const beatReceivers = 3
-
-// readers returns the names of the other live VMs in the order of readers, by failure domain.
-func (f *Front) readers() map[string][]string {
-	domains := map[string][]string{}
-	for _, m := range f.node.Members() {
-		if !m.Leaving {
-			domains[m.FailureDomain] = append(domains[m.FailureDomain], m.Name)
-		}
-	}
-	for _, names := range domains {
-		slices.SortFunc(names, func(a, b string) int {
-			return cmp.Compare(gladepeer.RendezvousWeight(readerKey, b), gladepeer.RendezvousWeight(readerKey, a))
-		})
-	}
-	return domains
-}
-
-func (f *Front) sendRolloutStop(n gladedecider.Stop) {
-	f.onRolloutStop(n)
-	if err := gladepeer.Notify(f.node, rolloutStopNotice, n); err != nil {
-		f.log.Warn("Stop of a version not reported to the other VMs.", "service", n.Service, "target", n.Target, "reason", err)
-	}
-}
-
-// onRolloutStop stops the use of a version, unless the notice belongs to an earlier order.
-func (f *Front) onRolloutStop(n gladedecider.Stop) {
-	r, _, ok := f.rollouts.book.Get(n.Service, bootTime())
-	if !ok || !r.Pending() || r.Target != n.Target || r.Duration.Seconds() != n.DurationS {
-		return
-	}
-	f.rollouts.selector.Stop(n.Service, n.Target)
-	x := f.rollouts
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if last := x.stopped[n.Service]; last.Target != n.Target || last.DurationS != n.DurationS {
-		x.stopped[n.Service] = n
-		f.countCall("rollout.stopped")
-		f.log.Warn("Version stopped.", "service", n.Service, "target", n.Target, "reason", n.Reason)
-	}
-}
-
-// sendReport sends this VM's evidence to the decider of an order.
-func (f *Front) sendReport(vm string, r gladedecider.Report) {
-	if vm == f.config.Settings.VM {
-		f.rollouts.decider.Receive(r)
-		return
-	}
-	f.countCall("rollout.reports")
-	f.sendRolloutMessage(rolloutMessage{Report: &r}, vm)
-}
-
-// sendBeat tells the VMs that may decide that this VM does.
-func (f *Front) sendBeat(b gladedecider.Beat) {
-	var vms []string
-	for _, names := range f.readers() {
-		vms = append(vms, names[:min(beatReceivers, len(names))]...)
-	}
-	f.sendRolloutMessage(rolloutMessage{Beat: &b}, vms...)
-}
-
-func (f *Front) sendRolloutMessage(m rolloutMessage, vms ...string) {
-	var addresses []string
-	for _, member := range f.node.Members() {
-		for _, vm := range vms {
-			if address, err := offsetPort(member.PeerAddress, rolloutPortOffset); vm == member.Name && err == nil {
-				addresses = append(addresses, address)
-			}
-		}
-	}
-	f.rollouts.mu.Lock()
-	socket := f.rollouts.socket
-	f.rollouts.mu.Unlock()
-	if err := socket.Send(m, addresses); err != nil {
-		f.log.Warn("Evidence on a roll-out not sent.", "to", vms, "reason", err)
-	}
-}
-
-func (f *Front) onRolloutMessage(m rolloutMessage) {
-	f.rollouts.mu.Lock()
-	decider := f.rollouts.decider
-	f.rollouts.mu.Unlock()
-	switch {
-	case decider == nil: // this VM is starting
-	case m.Report != nil:
-		decider.Receive(*m.Report)
-	case m.Beat != nil:
-		decider.HandleBeat(*m.Beat)
-	}
-}
--- a/internal/proxy/gladefront/store_test.go
+++ b/internal/proxy/gladefront/store_test.go
@@ -25,6 +25,8 @@
 	hung       map[int]int
 	// rejectedKinds are the kinds of which all calls are rejected.
 	rejectedKinds []string
+	// unknownKinds are answered with 404.
+	unknownKinds []string
 	// calls counts the calls of all VMs by method and kind.
 	calls map[string]int
 }
@@ -124,6 +126,10 @@
 		return
 	}
 	s.calls[r.Method+" "+kind]++
+	if slices.Contains(s.unknownKinds, kind) {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
 	if r.Method == http.MethodPut {
 		s.writeStatus(kind, w, r)
 		return
