Decider: a state is confirmed by whoever knows the pending orders as well

Cause: a VM that had read the store for a moment had a higher revision than its reader, which hears of changes only, and took none of its confirmations until the next change: it used the old version only.

Change: the revisions of the pending orders are compared. The revision of a watch without changes counts too.

--- a/internal/proxy/gladefront/rollouts.go
+++ b/internal/proxy/gladefront/rollouts.go
@@ -107,6 +107,9 @@
 			}
 			return nil, revision, gladeview.ErrHistoryGone
 		}
+		if err == nil && len(changes) == 0 { // Follow reports only changes
+			f.rollouts.book.Advance(next)
+		}
 		return changes, next, err
 	}
 	return c
--- a/internal/state/gladedecider/book.go
+++ b/internal/state/gladedecider/book.go
@@ -110,12 +110,27 @@
 		return changed
 	}
 	b.known, b.revision = true, max(b.revision, s.Revision)
-	if s.Current && s.Revision >= b.revision {
+	if s.Current && b.coveredBy(s) {
 		b.confirmedAt = now
 	}
 	return changed
 }
 
+// coveredBy reports whether another VM knows the pending orders as well as this one. It may have heard of no change since, so that its
+// revision says nothing. The caller holds b.mu.
+func (b *Book) coveredBy(s States) bool {
+	newest := map[string]int64{}
+	for _, k := range s.Known {
+		newest[k.Rollout.Service] = k.Rollout.Revision
+	}
+	for service, x := range b.records {
+		if x.rollout.Pending() && newest[service] < x.rollout.Revision {
+			return false
+		}
+	}
+	return true
+}
+
 // put records a roll-out unless a later state of it is known. The caller holds b.mu.
 func (b *Book) put(r gladerollout.Rollout, elapsed time.Duration, now time.Time) bool {
 	seen := now.Add(-elapsed)
