--- a/internal/proxy/gladefront/rollouts_test.go
+++ b/internal/proxy/gladefront/rollouts_test.go
@@ -145,6 +145,20 @@
 	f.Assert(front.Dump().Rollouts[0].Status.State, qt.Equals, gladerollout.Reverted)
 }
 
+// Guards against VMs that are never ready because the store knows no kind of which there has been no object, and against calls
+// without a pause.
+func TestStoreWithoutOrders(t *testing.T) {
+	f := newRolloutFleet(t)
+	f.store.set(func() { f.store.unknownKinds = []string{gladeplatform.KindRollouts} })
+	front, _ := f.startVM(1)
+	f.eventually("ready", front.Ready)
+	time.Sleep(time.Second)
+	f.Assert(f.calls() <= 4, qt.IsTrue, qt.Commentf("%d calls", f.calls()))
+	f.store.set(func() { f.store.unknownKinds = nil })
+	f.order("v2", "")
+	f.eventually("order known", func() bool { _, _, ok := front.rollouts.book.Get("app", bootTime()); return ok })
+}
+
 // Guards against requests to servers of a version whose order this VM has not heard of, and against a hold without end.
 func TestServersOfUnknownVersionAreHeld(t *testing.T) {
 	f := newRolloutFleet(t)
@@ -156,7 +170,7 @@
 	second, _ := f.startVM(2)
 	f.eventually("ready", func() bool { return front.Ready() && second.Ready() })
 	calls := f.calls()
-	f.order("v2", "")
+	f.order("v2", `{"state":"reverted","target":"v2","durationS":12,"decider":"vm-9","term":1}`)
 	f.list("v2")
 	f.eventually("server known", func() bool { _, ok := second.fleet.Server("i-v2"); return ok })
 	f.callAll(2, 10)
