--- a/internal/fleet/gladerollout/decide.go
+++ b/internal/fleet/gladerollout/decide.go
@@ -89,9 +89,6 @@
 	d.SinceAnswer = max(in.SinceAnswer, d.sums.sinceAnswer(in.Elapsed))
 	d.answered = d.sums.answered(in.Elapsed)
 	d.verdict = d.sums.judge(in.Elapsed, d.sinceStep())
-	if debug != nil {
-		debug(d)
-	}
 	switch {
 	case d.verdict.bad != "":
 		return d.revert(d.verdict.bad)
@@ -126,7 +123,7 @@
 
 // after reports whether a part of the time limit has passed.
 func (d *decision) after(part float64) bool {
-	return d.Elapsed.Seconds() >= part*d.Rollout.Duration.Seconds()
+	return d.Elapsed >= time.Duration(part*float64(d.Rollout.Duration)).Round(time.Millisecond)
 }
 
 func (d *decision) sinceStep() time.Duration {
@@ -198,8 +195,6 @@
 		return d.revert("likely: " + d.verdict.likely)
 	case !d.StoreCurrent:
 		return d.keep()
-	case d.sinceStep() < stepInterval && !d.after(lastStepPart):
-		return d.keep()
 	case d.Rollout.Status.Share < halfShare && (d.Elapsed+2*stepInterval).Seconds() < lastStepPart*d.Rollout.Duration.Seconds():
 		return d.half("time runs out, nothing against the target")
 	}
@@ -291,5 +286,3 @@
 	}
 	return s
 }
-
-var debug func(d *decision)
--- a/internal/fleet/gladerollout/model_test.go
+++ b/internal/fleet/gladerollout/model_test.go
@@ -80,14 +80,11 @@
 		m.recorders = append(m.recorders, NewRecorder(fmt.Sprintf("vm-%d", i), 1))
 		m.selectors = append(m.selectors, NewSelector(m.random.Float64))
 	}
+	var servers []*modelServer
 	for i := range s.Old + s.Target {
-		k := &modelServer{name: fmt.Sprintf("i-%010d", i), flaky: s.Flaky && m.random.Float64() < 0.14}
-		if i < s.Old {
-			m.old = append(m.old, k)
-		} else {
-			m.target = append(m.target, k)
-		}
+		servers = append(servers, &modelServer{name: fmt.Sprintf("i-%010d", i), flaky: s.Flaky && m.random.Float64() < 0.14})
 	}
+	m.old, m.target = servers[:s.Old], servers[s.Old:]
 	return m
 }
 
@@ -103,13 +100,12 @@
 
 func (m *model) elapsed() time.Duration { return m.now.Sub(origin) }
 
-func (m *model) bursting() bool {
-	return m.Burst > 0 && m.elapsed() >= m.Burst && m.elapsed() < m.Burst+3*time.Second
+// during reports whether a span of time has begun and not ended.
+func (m *model) during(from, length time.Duration) bool {
+	return m.elapsed() >= from && m.elapsed() < from+length
 }
 
-func (m *model) storeDown() bool {
-	return m.elapsed() >= m.StoreFrom && m.elapsed() < m.StoreFrom+m.StoreFor
-}
+func (m *model) bursting() bool { return m.Burst > 0 && m.during(m.Burst, 3*time.Second) }
 
 // play runs the order to its time limit.
 func (m *model) play() result {
@@ -120,14 +116,13 @@
 		}
 		delete(m.events, at)
 		m.arrive()
-		switch e := m.elapsed(); {
-		case e == 0:
+		if m.elapsed() == 0 {
 			m.publish()
-		case e == m.Crash && e > 0:
+		} else if m.elapsed() == m.Crash {
 			m.crash()
 		}
 		for i := range m.VMs {
-			if e := m.elapsed() + time.Duration(i%25)*tick; m.elapsed() > 0 && e%(500*time.Millisecond) == 0 {
+			if m.elapsed() > 0 && (m.elapsed()+time.Duration(i%25)*tick)%(500*time.Millisecond) == 0 {
 				m.report(i)
 			}
 		}
@@ -247,16 +242,14 @@
 func (m *model) publish() {
 	r := m.stored
 	for _, s := range m.selectors {
-		m.after(m.between(50*time.Millisecond, 400*time.Millisecond), func() {
-			s.Set([]Rollout{r}, true)
-		})
+		m.after(m.between(50*time.Millisecond, 400*time.Millisecond), func() { s.Set([]Rollout{r}, true) })
 	}
 }
 
 func (m *model) decide() {
 	in := Input{
 		Rollout: m.stored, Elapsed: m.elapsed(), TargetServers: m.Target, OldServers: m.Old, OldRuns: len(m.oldRuns),
-		StoreCurrent: !m.storeDown(), CanaryShare: 0.1, CanarySlack: 50,
+		StoreCurrent: !m.during(m.StoreFrom, m.StoreFor), CanaryShare: 0.1, CanarySlack: 50,
 	}
 	for vm, e := range m.evidence {
 		e.Age = m.now.Sub(m.received[vm])
@@ -274,7 +267,7 @@
 			}
 		}
 	}
-	if m.storeDown() {
+	if m.during(m.StoreFrom, m.StoreFor) {
 		return
 	}
 	if m.stored.Status = d.Status; !m.stored.Pending() {
--- a/internal/fleet/gladerollout/sums.go
+++ b/internal/fleet/gladerollout/sums.go
@@ -32,23 +32,23 @@
 	old := map[string]bool{}
 	for _, e := range evidence {
 		for version, v := range e.Versions {
-			if version != target {
-				old[version] = true
-			}
 			for route, a := range v.Routes {
 				s.add(route, a, e.Age, version == target, e.Start == latest[e.VM])
 			}
+			if version != target {
+				old[version] = true
+				continue
+			}
 			for hash, k := range v.Servers {
-				if version == target {
-					servers[hash] = serverCount{servers[hash].begun + k.begun, servers[hash].failed + k.failed}
-				}
+				servers[hash] = serverCount{servers[hash].begun + k.begun, servers[hash].failed + k.failed}
 			}
 		}
 	}
-	if len(old) == 1 {
-		for version := range old {
-			s.from = version
-		}
+	for version := range old {
+		s.from = version
+	}
+	if len(old) > 1 {
+		s.from = ""
 	}
 	for _, k := range servers {
 		s.used++
--- a/internal/fleet/gladerollout/verdict.go
+++ b/internal/fleet/gladerollout/verdict.go
@@ -15,9 +15,10 @@
 	// suspectBuckets is the same for doubts: at least 1.4 times as long. Times on the way to being slow count.
 	suspectBuckets = 2
 	badLevel       = 0.01
-	// likelyMargin is the excess that must be significant when time runs out. Faulty servers are not spread evenly over
-	// the versions.
-	likelyMargin = 0.05
+	// likelyFactor is the part of the old version's own rate by which the target's must exceed it significantly when time
+	// runs out: faulty servers and bursts of requests do not strike the versions exactly alike.
+	likelyFactor = 1.5
+	likelyLevel  = 0.03
 	suspectLevel = 0.1
 	// Spans of two spanIntervals are judged apart, up to the age of maxSpanAge: good answers at other times don't hide that a version was bad for some seconds.
 	spanInterval, maxSpanAge = 2 * time.Second, 10 * time.Second
@@ -30,6 +31,9 @@
 	// Failures must have occurred on a part of the target's servers in use, since a few faulty servers don't make a bad
 	// version: on all of up to minFailing, and on more if more are in use, up to maxFailing.
 	minFailing, maxFailing, failingPart = 3, 8, 0.16
+	// If the old version has cleanAnswers with a rate of failures below cleanRate, there are no faulty servers to allow
+	// for, and failures on two servers suffice.
+	cleanAnswers, cleanRate = 100, 0.01
 )
 
 // verdict is what the evidence says about a target.
@@ -89,7 +93,8 @@
 // judgeSpan judges each route and all routes together.
 func (s *sums) judgeSpan(m measure, c span, v *verdict) {
 	var all, allNear comparison
-	rates, nearRates := s.oldRates(m, c, slowBuckets), s.oldRates(m, c, suspectBuckets)
+	// Medians of equal times may lie in neighbouring buckets, so other routes' rates are taken one bucket lower.
+	rates, nearRates := s.oldRates(m, c, slowBuckets-1), s.oldRates(m, c, suspectBuckets-1)
 	for _, name := range s.names() {
 		r := s.routes[name]
 		k, near := r.compare(m, c, slowBuckets, &rates), r.compare(m, c, suspectBuckets, &nearRates)
@@ -111,7 +116,7 @@
 		v.bad = text
 	}
 	excess := k.target.rate() - k.old().rate()
-	if v.likely == "" && spread && excess > margin && exceeds(k.target, k.old(), likelyMargin, badLevel) {
+	if v.likely == "" && spread && excess > margin && exceeds(k.target, k.old(), likelyFactor*k.old().rate(), badLevel) {
 		v.likely = text
 	}
 	excess = near.target.rate() - near.old().rate()
@@ -127,7 +132,7 @@
 	// expected is the number of hits that the target would have had at the old version's rates, and total the number of
 	// the old version's answers that gave the rates.
 	expected, total float64
-	// alone reports that the old version had no answers at these times, and earlier ones were taken.
+	// alone reports that the old version had too few answers at these times on all routes, and earlier ones were taken.
 	alone bool
 }
 
@@ -176,12 +181,12 @@
 // both would count against the target if its share has risen meanwhile. Where the old version has few answers on the
 // route, its rate on all routes counts as well.
 func (r *routeSums) compare(m measure, c span, distance int, all *oldRates) comparison {
-	old, median, alone, ok := r.reference(m, c)
+	old, median, few, ok := r.reference(m, c)
 	if !ok {
 		return comparison{}
 	}
 	pooled := m.count(&old, median, distance)
-	sum := comparison{total: max(pooled.total, all.total), alone: alone}
+	sum := comparison{total: max(pooled.total, all.total), alone: few && all.total < minOldAnswers}
 	for i := c.from; i < c.to; i++ {
 		target, rate := m.count(&r.target[i], median, distance), max(pooled.rate(), all.rates[i])
 		switch o := m.count(&r.old[i], median, distance); {
@@ -196,25 +201,40 @@
 	return sum
 }
 
-// reference returns the old version's requests on a route in the given classes, and their median. If there are too few,
-// alone is set and all classes are taken. It returns false without a median.
-func (r *routeSums) reference(m measure, c span) (old counts, median int, alone, ok bool) {
+// reference returns the old version's requests on a route in the given classes, or in all classes if there are too few,
+// which it reports. The median is that of all classes: with one of the given classes only, what is slow would differ from
+// route to route in a burst. It returns false without a median.
+func (r *routeSums) reference(m measure, c span) (old counts, median int, few, ok bool) {
 	old = c.total(&r.old)
-	few := old.conclusive() < minOldAnswers
-	if m.times != nil {
+	history := span{0, classes}.total(&r.old)
+	if m.times == nil {
+		few = old.conclusive() < minOldAnswers
+	} else {
 		few = m.times(&old).total() < minOldAnswers
+		if median, ok = m.times(&history).median(); !ok {
+			return old, 0, few, false
+		}
 	}
 	if few {
-		old, alone = span{0, classes}.total(&r.old), true
+		old = history
 	}
-	if m.times == nil {
-		return old, 0, alone, true
-	}
-	median, ok = m.times(&old).median()
-	return old, median, alone, ok
+	return old, median, few, true
 }
 
 // widespread reports whether the failures occurred on enough of the target's servers.
 func (s *sums) widespread() bool {
+	if s.clean() {
+		return s.failing > 0 && s.failing >= min(s.used, 2)
+	}
 	return s.failing > 0 && s.failing >= min(s.used, max(minFailing, min(int(failingPart*float64(s.used)), maxFailing)))
 }
+
+// clean reports whether the old version has hardly any failures.
+func (s *sums) clean() bool {
+	var old counts
+	for _, r := range s.routes {
+		t := span{0, classes}.total(&r.old)
+		old.merge(&t)
+	}
+	return old.answers() >= cleanAnswers && float64(old.failed) < cleanRate*float64(old.answers())
+}
