Datagrams between VMs: compress values above 1,200 bytes

Change: values above 1,200 bytes are sent as gzip; a receiver bounds the expanded size. Older builds ignore such datagrams and ask for what they miss.

Ruled out: fewer repetitions, since each lost datagram makes its receiver request the whole list.

--- a/internal/state/gladedatagram/socket.go
+++ b/internal/state/gladedatagram/socket.go
@@ -30,6 +30,7 @@
 type Socket[T any] struct {
 	config Config[T]
 	conn   net.PacketConn
+	packer compressor
 }
 
 // Open opens a socket, starts receiving and returns the clean-up function.
@@ -51,7 +52,11 @@
 				continue // an earlier datagram was sent to a closed port
 			}
 			var v T
-			if err := json.Unmarshal(b[:n], &v); err != nil {
+			raw, err := decompress(b[:n])
+			if err == nil {
+				err = json.Unmarshal(raw, &v)
+			}
+			if err != nil {
 				c.Log.Warn("Datagram cannot be read.", "peer", from, "bytes", n, "reason", err)
 				continue
 			}
@@ -76,6 +81,9 @@
 	if len(raw) > MaxBytes {
 		return eris.Wrapf(ErrTooLarge, "%d bytes", len(raw))
 	}
+	if raw, err = s.packer.compress(raw); err != nil {
+		return err
+	}
 	for _, address := range addresses {
 		to, err := net.ResolveUDPAddr("udp", address)
 		if err != nil {
