gladeserve: count bodies as they arrive, evict stalled requests, bound connections

Cause: a body's buffer had the announced length at once, or the length of a chunk; chunked bodies left two pieces of garbage per chunk; nothing bounded all bodies together, and nothing bounded the connections.

Without room the request is refused with 503, Retry-After: 1 and the end of its connection before it reaches the handler; an evicted one is refused likewise if it has not arrived, and else its connection is closed. Large answers are written in pieces of 64 KiB, each with the time limit that the whole answer had. Beyond the largest number of connections, the one that is idle for longest is closed, else the one whose caller keeps the VM waiting for longest (1 s at least), else the new one. Idle connections have no writer and no parser. The kernel's buffers are bounded, because unread bytes count as memory of the VM, and unsent ones are discarded when a write fails.

A body whose announced length is over the limit is now refused before "100 Continue" is sent. The test of readBody gets a nil hold as argument; what it checks is unchanged.

--- a/internal/proxy/gladeserve/conn.go
+++ b/internal/proxy/gladeserve/conn.go
@@ -12,11 +12,19 @@
 	"sync"
 	"time"
 
+	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladememory"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
 )
 
 const (
 	bufferBytes = 4 << 10
+	// keptHeadBytes is the size up to which the buffer of a header is kept for the connection's next request.
+	keptHeadBytes = 4 << 10
+	// headCopies is how many times a request's header is in memory: as received, and parsed.
+	headCopies = 2
+	// noRoomRetryAfter is the Retry-After value of a request for which there is no memory, in seconds.  Stalled requests lose their
+	// place within that time.
+	noRoomRetryAfter = "1"
 	// writeTimeout bounds a write to a caller that does not read.
 	writeTimeout = 10 * time.Second
 	// lingerTimeout is how long a refused caller's remaining bytes are read: closing the connection with unread bytes
@@ -32,40 +40,61 @@
 type conn struct {
 	server *Server
 	net    net.Conn
+	source deadlineReader
 	reader *bufio.Reader
+	// writer is set while an answer is written.
 	writer *bufio.Writer
 	head   []byte
-	parser *bufio.Reader
 
 	mu sync.Mutex
 	// idle is set until the first byte of the next request has arrived.
 	idle bool
-	// reading is set while a request is read.
-	reading bool
+	// reading is set while a request is read, and writing while a part of an answer is written.
+	reading, writing bool
+	// since is when the connection became idle, its request began to arrive, or the write in progress began.
+	since time.Time
 	// acceptedAt is set until the first request has begun.
 	acceptedAt time.Time
-	// closed is set once closeIdle has closed the connection.
+	// closed is set once the server has closed the connection.
 	closed bool
+	// hold counts the memory of the current request, and cancel ends the context with which it is handled.
+	hold   *gladememory.Hold
+	cancel context.CancelCauseFunc
+	// evicted is set if the current request made room for another one before it had arrived.
+	evicted bool
 }
 
+// Idle connections have neither a writer nor a parser: there may be many of them.
+var (
+	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferBytes) }}
+	parsers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferBytes) }}
+)
+
 // newConn returns the state of an accepted connection.
 func newConn(s *Server, n net.Conn) *conn {
-	return &conn{
-		server: s, net: n, reader: bufio.NewReaderSize(n, bufferBytes), writer: bufio.NewWriterSize(n, bufferBytes),
-		parser: bufio.NewReaderSize(nil, bufferBytes), idle: true, acceptedAt: time.Now(),
-	}
+	now := time.Now()
+	c := &conn{server: s, net: n, idle: true, acceptedAt: now, since: now}
+	c.source.conn = c
+	c.reader = bufio.NewReaderSize(&c.source, bufferBytes)
+	return c
 }
 
 // serve reads requests until the connection ends.
 func (c *conn) serve() {
-	defer func() { _ = c.net.Close() }()
+	defer func() {
+		_ = c.net.Close()
+		c.putWriter()
+	}()
 	for {
 		x, err := c.readRequest()
 		if err != nil {
+			c.endRequest()
 			c.refuse(err)
 			return
 		}
-		if !c.handle(x) {
+		keep := c.handle(x)
+		c.endRequest()
+		if !keep {
 			return
 		}
 	}
@@ -78,7 +107,7 @@
 func (c *conn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = true
+	c.idle, c.since = true, time.Now()
 }
 
 // beginRequest marks the connection as busy.  It returns false if closeIdle has closed the connection; the bytes that
@@ -89,7 +118,7 @@
 	if c.closed {
 		return false
 	}
-	c.idle, c.reading, c.acceptedAt = false, true, time.Time{}
+	c.idle, c.reading, c.since, c.acceptedAt = false, true, time.Now(), time.Time{}
 	return true
 }
 
@@ -100,12 +129,13 @@
 	c.reading = false
 }
 
-// setReadTimeout sets the time limit of a read of a request; it has passed if the server is interrupted.
+// setReadTimeout sets the time limit of a read of a request; it has passed if the server is interrupted or the request
+// evicted.
 func (c *conn) setReadTimeout(timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	deadline := time.Now().Add(timeout)
-	if c.server.interrupted() {
+	if c.evicted || c.server.interrupted() {
 		deadline = time.Unix(1, 0)
 	}
 	_ = c.net.SetReadDeadline(deadline)
@@ -154,37 +184,56 @@
 	if err != nil {
 		return nil, err
 	}
-	c.parser.Reset(bytes.NewReader(head))
-	r, err := http.ReadRequest(c.parser)
+	if f.length > limits.BodyBytes {
+		return nil, ErrBodyTooLarge
+	}
+	hold, err := c.beginHold(headCopies * len(head))
+	if err != nil {
+		return nil, err
+	}
+	r, err := parse(head)
 	if err != nil {
 		return nil, ErrMalformed
 	}
+	if cap(c.head) > keptHeadBytes {
+		c.head = nil
+	}
 	if r.Header.Get("Expect") != "" {
 		_ = c.net.SetWriteDeadline(began.Add(writeTimeout))
 		if _, err := c.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return nil, err
 		}
 	}
-	body, err := c.body(f, limits)
+	body, err := c.body(f, limits, hold)
 	if err != nil {
 		return nil, err
 	}
-	return &Exchange{Request: r, Body: body, LastByteAt: time.Now(), FirstByteAt: began, conn: c, closing: r.Close}, nil
+	return &Exchange{Request: r, Body: body, Hold: hold, LastByteAt: time.Now(), FirstByteAt: began, conn: c, closing: r.Close}, nil
+}
+
+// parse parses the header of a request.
+func parse(head []byte) (*http.Request, error) {
+	parser := parsers.Get().(*bufio.Reader) //nolint:forcetypeassert // the pool holds nothing else
+	parser.Reset(bytes.NewReader(head))
+	r, err := http.ReadRequest(parser)
+	if err == nil {
+		r.Body = http.NoBody // its own one reads from the parser
+	}
+	parser.Reset(nil)
+	parsers.Put(parser)
+	return r, err
 }
 
 // body reads the body of a request; HeaderTimeout bounds the wait for each read.
-func (c *conn) body(f framing, limits gladerelease.Limits) ([]byte, error) {
+func (c *conn) body(f framing, limits gladerelease.Limits, hold *gladememory.Hold) ([]byte, error) {
 	c.setReadTimeout(limits.HeaderTimeout)
-	if !f.chunked && f.length <= int64(c.reader.Buffered()) {
-		return readBody(c.reader, f, limits.BodyBytes)
+	c.source.timeout = limits.HeaderTimeout
+	body, err := readBody(c.reader, f, limits.BodyBytes, hold)
+	c.source.timeout = 0
+	if err != nil {
+		return nil, err
 	}
-	reader := &deadlineReader{conn: c, timeout: limits.HeaderTimeout}
-	buffered := make([]byte, c.reader.Buffered())
-	_, _ = io.ReadFull(c.reader, buffered) // cannot fail: the bytes are buffered
-	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(buffered), reader), bufferBytes)
-	body, err := readBody(c.reader, f, limits.BodyBytes)
-	reader.timeout = 0
-	return body, err
+	return body, hold.Begin(gladememory.Held, time.Now())
 }
 
 // deadlineReader extends the read deadline before each read while timeout is set.
@@ -203,19 +252,27 @@
 
 // refuse answers a request that could not be read.
 func (c *conn) refuse(err error) {
-	if errors.Is(err, errBetweenRequests) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+	if errors.Is(err, errBetweenRequests) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
 		return
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		err = ErrRequestTimeout
-		if c.server.interrupted() {
+		switch {
+		case c.evictedWhileRead():
+			err = gladememory.ErrEvicted
+		case c.server.interrupted():
 			err = ErrStopping
+		default:
+			err = ErrRequestTimeout
 		}
 	}
 	status := statusOf(err)
 	c.server.config.OnRefused(status, err)
 	x := &Exchange{conn: c, closing: true}
-	x.Reply(status, http.Header{}, nil)
+	h := http.Header{}
+	if isNoRoom(err) {
+		h.Set("Retry-After", noRoomRetryAfter)
+	}
+	x.Reply(status, h, nil)
 	if half, ok := c.net.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite()
 	}
@@ -225,14 +282,15 @@
 
 // handle runs the handler and cancels its context when the caller disconnects; it reports whether the connection is kept.
 func (c *conn) handle(x *Exchange) bool {
-	ctx, cancel := context.WithCancel(c.server.context)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(c.server.context)
+	defer cancel(nil)
+	c.setCancel(cancel)
 	_ = c.net.SetReadDeadline(time.Time{})
 	watched := make(chan struct{})
 	go func() {
 		defer close(watched)
 		if _, err := c.reader.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			cancel()
+			cancel(nil)
 		}
 	}()
 	c.server.config.Handle(ctx, x)
--- a/internal/proxy/gladeserve/exchange.go
+++ b/internal/proxy/gladeserve/exchange.go
@@ -1,17 +1,25 @@
 package gladeserve
 
 import (
+	"bufio"
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladememory"
 )
 
+// pieceBytes is the size of the pieces in which a large answer is written; the caller's progress is known after each.
+const pieceBytes = 64 << 10
+
 // Exchange is one request and its answer.
 type Exchange struct {
 	// Request is the parsed header; its own Body is empty.
 	Request *http.Request
 	// Body is the whole body.
 	Body []byte
+	// Hold counts the memory of the request and its answer until the end of the handler; nil counts nothing.
+	Hold *gladememory.Hold
 	// FirstByteAt is when the first byte of the request arrived.
 	FirstByteAt time.Time
 	// LastByteAt is when the last byte of the request arrived.
@@ -26,9 +34,20 @@
 
 // Reply writes a whole answer.
 func (x *Exchange) Reply(status int, h http.Header, body []byte) {
-	if x.Begin(status, h, int64(len(body))) == nil && x.write(body) == nil {
-		x.ended = x.flush() == nil
+	if x.Begin(status, h, int64(len(body))) == nil {
+		x.ended = x.writeWhole(body) == nil
+	}
+}
+
+// writeWhole writes the whole body of an answer and flushes it.  A large one is written in pieces, each with a time limit of its own.
+func (x *Exchange) writeWhole(body []byte) error {
+	for len(body) > pieceBytes {
+		if err := x.Write(body[:pieceBytes]); err != nil {
+			return err
+		}
+		body = body[pieceBytes:]
 	}
+	return x.Write(body)
 }
 
 // Started reports whether any part of the answer has been written.
@@ -37,6 +56,10 @@
 // Begin writes the answer's header.  A negative length means a chunked body, which Write adds to and End completes.
 func (x *Exchange) Begin(status int, h http.Header, length int64) error {
 	x.started = true
+	if x.conn.writer == nil {
+		x.conn.writer = writers.Get().(*bufio.Writer) //nolint:forcetypeassert // the pool holds nothing else
+		x.conn.writer.Reset(x.conn.net)
+	}
 	w := x.conn.writer
 	_ = x.conn.net.SetWriteDeadline(time.Now().Add(writeTimeout))
 	x.closing = x.closing || x.conn.server.stopping()
@@ -60,11 +83,17 @@
 
 // Write writes a part of the answer's body and flushes it.
 func (x *Exchange) Write(p []byte) error {
-	_ = x.conn.net.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if err := x.write(p); err != nil {
+	if err := x.Hold.Begin(gladememory.Answering, x.conn.beginWrite()); err != nil {
+		x.conn.endWrite(err)
 		return err
 	}
-	return x.flush()
+	err := x.write(p)
+	if err == nil {
+		err = x.flush()
+	}
+	x.conn.endWrite(err)
+	x.Hold.End(gladememory.Answering)
+	return err
 }
 
 func (x *Exchange) write(p []byte) error {
--- a/internal/proxy/gladeserve/head.go
+++ b/internal/proxy/gladeserve/head.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -33,7 +32,7 @@
 		return http.StatusHTTPVersionNotSupported
 	case errors.Is(err, ErrRequestTimeout):
 		return http.StatusRequestTimeout
-	case errors.Is(err, ErrStopping):
+	case errors.Is(err, ErrStopping), isNoRoom(err):
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusBadRequest
@@ -131,81 +130,3 @@
 	}
 	return nil
 }
-
-// readBody reads a whole body of at most limit bytes.
-func readBody(r *bufio.Reader, f framing, limit int64) ([]byte, error) {
-	if f.chunked {
-		return readChunks(r, limit)
-	}
-	if f.length > limit {
-		return nil, ErrBodyTooLarge
-	}
-	if f.length == 0 {
-		return nil, nil
-	}
-	body := make([]byte, f.length)
-	_, err := io.ReadFull(r, body)
-	return body, err
-}
-
-const (
-	maxChunkLineBytes = 1024
-	maxTrailerBytes   = 8 << 10
-)
-
-// readChunks reads a chunked body and discards its extensions and trailers.
-func readChunks(r *bufio.Reader, limit int64) ([]byte, error) {
-	var body []byte
-	for {
-		line, err := readChunkLine(r)
-		if err != nil {
-			return nil, err
-		}
-		size, _, _ := strings.Cut(line, ";")
-		n, err := strconv.ParseUint(strings.TrimRight(size, " \t"), 16, 31)
-		if err != nil {
-			return nil, eris.Wrapf(ErrMalformed, "invalid chunk size %q", size)
-		}
-		if n == 0 {
-			return body, skipTrailer(r)
-		}
-		if int64(len(body))+int64(n) > limit {
-			return nil, ErrBodyTooLarge
-		}
-		at := len(body)
-		body = append(body, make([]byte, n)...)
-		if _, err := io.ReadFull(r, body[at:]); err != nil {
-			return nil, err
-		}
-		var end [2]byte
-		if _, err := io.ReadFull(r, end[:]); err != nil {
-			return nil, err
-		}
-		if string(end[:]) != "\r\n" {
-			return nil, eris.Wrapf(ErrMalformed, "chunk of %d bytes is followed by %q", n, end)
-		}
-	}
-}
-
-func readChunkLine(r *bufio.Reader) (string, error) {
-	line, err := r.ReadSlice('\n')
-	switch {
-	case err != nil && !errors.Is(err, bufio.ErrBufferFull):
-		return "", err
-	case err != nil || len(line) > maxChunkLineBytes || !bytes.HasSuffix(line, []byte("\r\n")):
-		return "", eris.Wrap(ErrMalformed, "chunk line is too long or ends without CR LF")
-	}
-	return string(line[:len(line)-2]), nil
-}
-
-func skipTrailer(r *bufio.Reader) error {
-	for read := 0; ; {
-		line, err := readChunkLine(r)
-		if err != nil || line == "" {
-			return err
-		}
-		if read += len(line); read > maxTrailerBytes {
-			return ErrHeaderTooLarge
-		}
-	}
-}
--- a/internal/proxy/gladeserve/head_test.go
+++ b/internal/proxy/gladeserve/head_test.go
@@ -80,7 +80,7 @@
 		t.Run(x.name, func(t *testing.T) {
 			c := qt.New(t)
 			r := bufio.NewReader(strings.NewReader(x.in))
-			body, err := readBody(r, x.framing, 100)
+			body, err := readBody(r, x.framing, 100, nil)
 			if x.err != nil {
 				c.Assert(err, qt.ErrorIs, x.err)
 				return
--- /dev/null
+++ b/internal/proxy/gladeserve/room.go
@@ -0,0 +1,198 @@
+package gladeserve
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladememory"
+)
+
+const (
+	// socketBufferBytes is the size of the kernel's buffers of a connection, which doubles it.  Without it they grow to megabytes,
+	// and bytes in them count as memory of the VM.
+	socketBufferBytes = 64 << 10
+	// maxCloseTries is the number of connections that are tried to be closed for a new one; each may just have got a request.
+	maxCloseTries = 3
+)
+
+// isNoRoom reports whether a request was refused for lack of memory.
+func isNoRoom(err error) bool {
+	return errors.Is(err, gladememory.ErrNoRoom) || errors.Is(err, gladememory.ErrEvicted)
+}
+
+// beginHold begins to count the memory of a request, at first of its header.
+func (c *conn) beginHold(n int) (*gladememory.Hold, error) {
+	var h *gladememory.Hold
+	h = c.server.config.Memory.NewHold(func() { c.evict(h) })
+	c.mu.Lock()
+	c.hold = h
+	c.mu.Unlock()
+	now := time.Now()
+	_ = h.Begin(gladememory.Receiving, now) // cannot fail: nothing is held
+	return h, h.Grow(n, now)
+}
+
+func (c *conn) setCancel(cancel context.CancelCauseFunc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancel = cancel
+}
+
+// evict ends a request that made room for another one: it is refused if it has not arrived, and else its connection is closed.
+func (c *conn) evict(h *gladememory.Hold) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.hold != h: // it has ended
+	case c.reading:
+		c.evicted = true
+		_ = c.net.SetReadDeadline(time.Unix(1, 0))
+	default:
+		c.abort(gladememory.ErrEvicted)
+	}
+}
+
+func (c *conn) evictedWhileRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evicted
+}
+
+// abort closes the connection and discards what its caller has not read, which would occupy memory of the kernel.  The caller holds mu.
+func (c *conn) abort(reason error) {
+	c.closed = true
+	if c.cancel != nil {
+		c.cancel(reason)
+	}
+	discardUnsent(c.net)
+	_ = c.net.Close()
+}
+
+// discardUnsent lets the close of a connection discard what has not been sent.
+func discardUnsent(n net.Conn) {
+	if t, ok := n.(interface{ SetLinger(sec int) error }); ok {
+		_ = t.SetLinger(0)
+	}
+}
+
+// endRequest gives back what the request has occupied.
+func (c *conn) endRequest() {
+	c.mu.Lock()
+	h := c.hold
+	c.hold, c.cancel = nil, nil
+	c.mu.Unlock()
+	h.Release()
+	c.putWriter()
+}
+
+// putWriter gives back the writer of an answer.
+func (c *conn) putWriter() {
+	if c.writer != nil {
+		c.writer.Reset(nil)
+		writers.Put(c.writer)
+		c.writer = nil
+	}
+}
+
+// beginWrite sets the time limit of a write.
+func (c *conn) beginWrite() time.Time {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing, c.since = true, now
+	_ = c.net.SetWriteDeadline(now.Add(writeTimeout))
+	return now
+}
+
+// endWrite records the end of a write.
+func (c *conn) endWrite(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+	if err != nil {
+		discardUnsent(c.net)
+	}
+}
+
+// state returns what gladememory.ConnectionToClose needs to know.
+func (c *conn) state() gladememory.Connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return gladememory.Connection{Idle: c.idle, Waiting: c.reading || c.writing, Since: c.since}
+}
+
+// closeForRoom closes a connection that was in the given state, unless it has left it.
+func (c *conn) closeForRoom(was gladememory.Connection) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.idle != was.Idle || !c.since.Equal(was.Since) || !c.idle && !c.reading && !c.writing {
+		return false
+	}
+	c.abort(gladememory.ErrEvicted)
+	return true
+}
+
+// ClosedConnection describes a connection that was closed because there were too many.
+type ClosedConnection struct {
+	// State is what the connection did; a new one does nothing.
+	State gladememory.Connection
+	// New reports that it is the one that was just accepted.
+	New bool
+	// Open is the number of connections then, and Limit the largest number.
+	Open, Limit int
+	// Age is how long it was in that state.
+	Age time.Duration
+}
+
+// makeRoom closes a connection if there are too many, and reports whether there is room for another one.  The caller holds mu.
+func (s *Server) makeRoom(now time.Time) bool {
+	limit := s.config.MaxConnections
+	if limit <= 0 || len(s.conns) < limit {
+		return true
+	}
+	closed := ClosedConnection{Open: len(s.conns), Limit: limit}
+	for range maxCloseTries {
+		conns := make([]*conn, 0, len(s.conns))
+		states := make([]gladememory.Connection, 0, len(s.conns))
+		for c := range s.conns {
+			conns, states = append(conns, c), append(states, c.state())
+		}
+		i := gladememory.ConnectionToClose(states, now)
+		if i < 0 {
+			break
+		}
+		if conns[i].closeForRoom(states[i]) {
+			delete(s.conns, conns[i])
+			closed.State, closed.Age = states[i], now.Sub(states[i].Since)
+			s.config.onClosed(closed)
+			return true
+		}
+	}
+	closed.New = true
+	s.config.onClosed(closed)
+	return false
+}
+
+// onClosed reports a closed connection.
+func (c *Config) onClosed(closed ClosedConnection) {
+	if c.OnClosed != nil {
+		c.OnClosed(closed)
+	}
+}
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// limitBuffers bounds the kernel's buffers of a connection.
+func limitBuffers(n net.Conn) {
+	if t, ok := n.(*net.TCPConn); ok {
+		_ = t.SetReadBuffer(socketBufferBytes)
+		_ = t.SetWriteBuffer(socketBufferBytes)
+	}
+}
--- a/internal/proxy/gladeserve/server.go
+++ b/internal/proxy/gladeserve/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladememory"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
 )
 
@@ -26,6 +27,12 @@
 	Handle func(context.Context, *Exchange)
 	// OnRefused is called for each request that could not be read.
 	OnRefused func(status int, reason error)
+	// Memory counts what requests occupy; nil sets no limit.
+	Memory *gladememory.Ledger
+	// MaxConnections is the largest number of connections; zero sets no limit.
+	MaxConnections int
+	// OnClosed is called for each connection that is closed because there are too many; nil means that nobody listens.
+	OnClosed func(ClosedConnection)
 }
 
 // Server serves callers' connections.
@@ -70,10 +77,11 @@
 	c := newConn(s, n)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.finished {
+	if s.finished || !s.makeRoom(time.Now()) {
 		_ = n.Close()
 		return
 	}
+	limitBuffers(n)
 	s.conns[c] = struct{}{}
 	s.tasks.Go(func() {
 		c.serve()
