gladesend, gladeforward: count answers and bodies that are being sent

Cause: answers were bounded only while they were read, not while their callers read them; a call over that bound made its server look broken, so that callers who read nothing could get servers avoided. The head of a send had a buffer of the size of its body.

Change: an answer is counted in the hold of its request until it has been written. It waits up to 2 s for memory, in which stalled requests lose theirs; then the request, which has run, fails with 502 and is not sent again, and nothing is recorded against the server. Bodies above 8 KiB are sent in pieces of 64 KiB, so that a request whose server does not read can make room. Buffers of streams are counted too. Idle connections to servers are bounded in number, and the kernel's buffers of each in size.

The harness of the forwarder's tests now counts memory with the default limits; no check has changed.

--- a/internal/proxy/gladeforward/copies.go
+++ b/internal/proxy/gladeforward/copies.go
@@ -43,6 +43,12 @@
 	err  error
 }
 
+// copies reports whether the engines of the stream's service keep copies of each other's runs.
+func (s *stream) copies() bool {
+	engine := s.release.Services[s.service].Engine
+	return engine != nil && engine.Copies && s.route.Retryable()
+}
+
 // maintainCopy replaces a copy whose server is gone, and updates a copy made by call.
 func (a *attempt) maintainCopy(now time.Time) {
 	if a.received == 0 || !a.canCopy || a.copying || now.Before(a.nextCopy) {
--- a/internal/proxy/gladeforward/events.go
+++ b/internal/proxy/gladeforward/events.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"io"
 	"strconv"
+	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladememory"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladesend"
 )
 
@@ -41,6 +43,9 @@
 	buffer []byte
 	// start is the offset of the first unread byte in buffer, and scanned the offset up to which no event ends.
 	start, scanned int
+	// hold counts the memory of the buffers, and counted is what it has counted of them.
+	hold    *gladememory.Hold
+	counted int
 	// err is the error of source, reported once buffer holds no more complete events.
 	err error
 }
@@ -119,8 +124,18 @@
 	n, err := r.source.Read(b[:])
 	r.buffer = append(r.buffer, b[:n]...)
 	r.err = err
+	if grown := cap(r.buffer) + cap(r.unnumbered) - r.counted; grown > 0 {
+		r.counted += grown
+		if err := r.hold.Grow(grown, time.Now()); err != nil {
+			r.counted -= grown
+			r.err = err
+		}
+	}
 }
 
+// close gives back the memory of the buffers.
+func (r *eventReader) close() { r.hold.Shrink(r.counted) }
+
 // eventEnd returns the length of the first event in b, or zero if it is incomplete.  No event ends before the offset
 // from; the second result is the offset to continue from when b has grown.
 func eventEnd(b []byte, from int) (n, scanned int) {
--- a/internal/proxy/gladeforward/forward_test.go
+++ b/internal/proxy/gladeforward/forward_test.go
@@ -22,6 +22,7 @@
 	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
 	"github.com/eelgrassglade/eelgrassglade/gladewire"
 	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladebudget"
+	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladememory"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladesend"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladeserve"
@@ -91,6 +92,7 @@
 	client    *http.Client
 	stopPlan  atomic.Pointer[gladestop.Plan]
 	server    *gladeserve.Server
+	memory    *gladememory.Ledger
 	closers   []func()
 
 	mu sync.Mutex
@@ -129,6 +131,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := &harness{C: qt.New(t), network: &gladewire.Network{}, vm: "vm", domain: "shubra", held: map[string]map[string]int{}}
 		w.suspects.MaxDeaths = 3
+		w.memory = gladememory.New(gladememory.Config{Limits: gladememory.Derive(0, 0)})
 		w.start()
 		defer w.waitForCleanup()
 		defer func() {
@@ -188,7 +191,7 @@
 	w.Assert(err, qt.IsNil)
 	server, closeServer := gladeserve.New(gladeserve.Config{
 		Listener: l, Limits: func() gladerelease.Limits { return gladerelease.DefaultLimits },
-		Handle: forwarder.Handle, OnRefused: func(int, error) {},
+		Handle: forwarder.Handle, OnRefused: func(int, error) {}, Memory: w.memory,
 	})
 	w.server = server
 	w.closers = append(w.closers, closeServer)
--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -168,6 +168,7 @@
 	call := f.config.Decode(x.Request.Header)
 	gladesend.StripHopHeaders(call.Header)
 	call.Method, call.Target, call.Host, call.Body = x.Request.Method, x.Request.RequestURI, x.Request.Host, x.Body
+	call.Hold = x.Hold
 	j := &job{Forwarder: f, ctx: ctx, incoming: x, call: call, release: f.config.Release()}
 	if j.release == nil {
 		j.refuse(http.StatusServiceUnavailable, "no release known", startRetryAfter)
--- a/internal/proxy/gladeforward/plain.go
+++ b/internal/proxy/gladeforward/plain.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
+	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladememory"
 	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladequota"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladesend"
@@ -71,6 +72,10 @@
 				j.reply(&a)
 				return
 			}
+			if failure != &a {
+				j.call.Hold.Shrink(cap(a.body))
+				a.body = nil
+			}
 			if j.mayResend(&a) && j.repeat(ctx, answers, &running) || running > 0 {
 				continue
 			}
@@ -149,7 +154,7 @@
 		switch {
 		case a.err == nil && !notRun(&a) && a.status < http.StatusInternalServerError:
 			tracked.end(runCompleted)
-		case a.err == nil || ctx.Err() != nil || errors.Is(a.err, gladesend.ErrNotSent):
+		case a.err == nil || ctx.Err() != nil || errors.Is(a.err, gladesend.ErrNotSent) || isNoRoom(a.err):
 			tracked.end(runInconclusive)
 		default:
 			tracked.end(runLost)
@@ -200,6 +205,10 @@
 		j.mayHaveRun = true
 		j.log("Run ended.", "server", a.server.ID, "reason", a.err)
 		return false
+	case isNoRoom(a.err): // this says nothing about the server
+		j.mayHaveRun = true
+		j.log("No memory for the answer.", "server", a.server.ID, "reason", a.err)
+		return false
 	case a.err != nil:
 		j.mayHaveRun = true
 		j.recordFailure(a.server, a.err)
@@ -212,6 +221,9 @@
 	failed := a.status >= http.StatusInternalServerError
 	j.config.Fleet.RecordOutcome(a.server.ID, failed)
 	if failed && j.route.Retryable() {
+		if *failure != nil {
+			j.call.Hold.Shrink(cap((*failure).body))
+		}
 		*failure = a
 		j.log("Server failed it.", "server", a.server.ID, "status", a.status)
 		return false
@@ -219,13 +231,18 @@
 	return true
 }
 
+// isNoRoom reports whether an answer was lost for lack of memory.
+func isNoRoom(err error) bool {
+	return errors.Is(err, gladememory.ErrNoRoom) || errors.Is(err, gladememory.ErrEvicted)
+}
+
 func notRun(a *answer) bool {
 	return a.err == nil && (a.mark.NotRun || a.status == http.StatusMisdirectedRequest)
 }
 
 // mayResend reports whether the request may be sent again after an answer that is not returned to the caller.
 func (j *job) mayResend(a *answer) bool {
-	return errors.Is(a.err, gladesend.ErrNotSent) || notRun(a) || j.route.Retryable()
+	return errors.Is(a.err, gladesend.ErrNotSent) || notRun(a) || j.route.Retryable() && !isNoRoom(a.err)
 }
 
 // giveUp ends a request that no server answered successfully, with the failure answer of a server if there is one.
--- a/internal/proxy/gladeforward/stop.go
+++ b/internal/proxy/gladeforward/stop.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladememory"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladeserve"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
 )
@@ -91,8 +92,11 @@
 // logInterrupted logs that the request ends because its caller left or this process stops.
 func (j *job) logInterrupted(args ...any) {
 	message := "Caller left."
-	if j.stopped() {
+	switch {
+	case j.stopped():
 		message = "Interrupted by the stop."
+	case errors.Is(context.Cause(j.ctx), gladememory.ErrEvicted):
+		message = "Made room for other callers."
 	}
 	j.log(message, args...)
 }
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -215,12 +215,6 @@
 	return result
 }
 
-// copies reports whether the engines of the stream's service keep copies of each other's runs.
-func (s *stream) copies() bool {
-	engine := s.release.Services[s.service].Engine
-	return engine != nil && engine.Copies && s.route.Retryable()
-}
-
 // readAnswer sends the request and sends the parts of its answer to items.
 func (s *stream) readAnswer(ctx context.Context, send *gladesend.SendParams, items chan<- streamItem) {
 	deliver := func(i streamItem) bool {
@@ -249,7 +243,8 @@
 	if !deliver(streamItem{exchange: x}) {
 		return
 	}
-	r := eventReader{source: x, last: max(0, send.LastEvent)}
+	r := eventReader{source: x, last: max(0, send.LastEvent), hold: s.call.Hold}
+	defer r.close()
 	if s.call.OutputTokens > 0 {
 		r.limit = int64(s.call.OutputTokens) + extraEvents
 	}
@@ -388,6 +383,9 @@
 		a.recordUnsent()
 		a.log("Not sent.", "server", a.place.ID, "reason", i.err)
 		return attemptNotRun, true
+	case isNoRoom(i.err): // this says nothing about the server
+		a.fail(http.StatusBadGateway, i.err.Error())
+		return attemptAbandoned, true
 	}
 	a.log("Broken off.", "server", a.place.ID, "reason", i.err, "last", a.lastEvent, "got", a.received)
 	a.recordFailure(a.place.Server, i.err)
@@ -399,6 +397,12 @@
 // handleHeader evaluates the status and headers of an answer; the second result reports whether the attempt has ended.
 func (a *attempt) handleHeader(body []byte) (attemptResult, bool) {
 	x := a.exchange
+	replied := false
+	defer func() {
+		if !replied {
+			a.call.Hold.Shrink(cap(body))
+		}
+	}()
 	if x.Info.NotRun || x.Status == http.StatusMisdirectedRequest {
 		a.log("Server did not run it.", "server", a.place.ID, "status", x.Status)
 		a.handleNotRun(a.place.Server, x.Status, x.Info.Instance)
@@ -414,6 +418,7 @@
 		return 0, false
 	case x.Info.Signed && !a.incoming.Started() &&
 		(x.Status < http.StatusInternalServerError || a.sends >= max(1, a.route.Attempts)):
+		replied = true
 		return a.replyBody(body)
 	}
 	a.log("Server failed it.", "server", a.place.ID, "status", x.Status)
--- a/internal/proxy/gladesend/call.go
+++ b/internal/proxy/gladesend/call.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladememory"
 )
 
 // NoEvent is the event number of a stream that has no events yet.
@@ -45,6 +47,8 @@
 	Target string
 	Host   string
 	Body   []byte
+	// Hold counts the memory of the call and of its answers; nil counts nothing.
+	Hold *gladememory.Hold
 }
 
 // NormaliseSession normalises the identifier of a prompt part for comparison: lower case, without surrounding space and
--- a/internal/proxy/gladesend/exchange.go
+++ b/internal/proxy/gladesend/exchange.go
@@ -12,12 +12,17 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladememory"
 )
 
 // maxInlineBodyBytes is the size of the largest body that is written before the answer is read.  It fits into a small
 // send window, so that the write does not block.
 const maxInlineBodyBytes = 8 << 10
 
+// pieceBytes is the size of the pieces in which a larger body is written; the server's progress is known after each.
+const pieceBytes = 64 << 10
+
 // Client sends calls to backend servers.
 type Client struct {
 	Pool *Pool
@@ -49,6 +54,9 @@
 	// stopCancel detaches the connection from the context; it returns false if the context has already closed it.
 	stopCancel func() bool
 	closeOnce  sync.Once
+	// hold counts the memory of the body, and done is closed when the exchange is cancelled.
+	hold *gladememory.Hold
+	done <-chan struct{}
 }
 
 // Do sends a call and returns once the header of its answer has been read.
@@ -59,20 +67,14 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &Exchange{pool: c.Pool, conn: conn, writeResult: make(chan error, 1)}
+	x := &Exchange{pool: c.Pool, conn: conn, writeResult: make(chan error, 1), hold: call.Hold, done: ctx.Done()}
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	head, sentAt := c.encodeHead(call, s), time.Now()
 	if len(call.Body) <= maxInlineBodyBytes {
 		_, err = conn.Write(append(head, call.Body...))
 		x.writeResult <- err
 	} else {
-		go func() {
-			_, err := conn.Write(head)
-			if err == nil {
-				_, err = conn.Write(call.Body)
-			}
-			x.writeResult <- err
-		}()
+		go func() { x.writeResult <- writeBody(conn, head, call) }()
 	}
 	// A write error is not reported here, because a server may answer before it has read a long body.
 	if err := c.readHeader(x, call, AnswerHead{Server: s.Server, Started: s.Started, SentAt: sentAt}); err != nil {
@@ -82,11 +84,27 @@
 	return x, nil
 }
 
+// writeBody writes a request with a large body.
+func writeBody(w io.Writer, head []byte, call *Call) error {
+	if err := call.Hold.Begin(gladememory.Sending, time.Now()); err != nil {
+		return err
+	}
+	defer call.Hold.End(gladememory.Sending)
+	_, err := w.Write(head)
+	for body := call.Body; len(body) > 0 && err == nil; {
+		n := min(pieceBytes, len(body))
+		_, err = w.Write(body[:n])
+		body = body[n:]
+		call.Hold.Moved(n, time.Now())
+	}
+	return err
+}
+
 func (c *Client) encodeHead(call *Call, s *SendParams) []byte {
 	h := call.Header.Clone()
 	c.Encode(h, s)
 	var b bytes.Buffer
-	b.Grow(1024 + len(call.Body))
+	b.Grow(1024 + min(len(call.Body), maxInlineBodyBytes))
 	b.WriteString(call.Method + " " + call.Target + " HTTP/1.1\r\nHost: " + call.Host + "\r\n")
 	_ = h.Write(&b) // a bytes.Buffer returns no errors
 	if len(call.Body) > 0 || call.Method != http.MethodGet && call.Method != http.MethodHead {
--- a/internal/proxy/gladesend/limits.go
+++ b/internal/proxy/gladesend/limits.go
@@ -7,8 +7,11 @@
 	"fmt"
 	"io"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladememory"
 )
 
 // ErrLimit accompanies ErrBroken if a server sent more than the limit that the message names.
@@ -32,10 +35,15 @@
 	MaxBodyBytes = 8 << 20
 	// unreservedBytes is the size up to which a body does not count towards maxBufferedBytes.
 	unreservedBytes = 64 << 10
-	// maxBufferedBytes is the memory that all larger bodies may occupy together while they are read.
+	// maxBufferedBytes is the memory that all larger bodies may occupy together while they are read, if their calls have no hold.
 	maxBufferedBytes = 16 << 20
 	// firstBufferBytes is the size of the first buffer for a body.
 	firstBufferBytes = 2 << 10
+	// roomWait is how long an answer waits for memory.  Its request has run, so that it cannot be refused; callers that read nothing
+	// lose theirs within that time.
+	roomWait = 2 * time.Second
+	// roomCheckInterval is how often it looks for memory.
+	roomCheckInterval = 20 * time.Millisecond
 )
 
 // NewLimitError returns the error of an answer that exceeds the named limit; it is both ErrBroken and ErrLimit.
@@ -133,13 +141,27 @@
 }
 
 // ReadBody reads the whole body.  It returns ErrLimit as soon as the body exceeds MaxBodyBytes, or all bodies
-// together exceed maxBufferedBytes.
+// together exceed maxBufferedBytes.  If the call has a hold, the body's memory is counted in it instead, until the caller gives it back,
+// and ReadBody returns gladememory.ErrNoRoom or ErrEvicted if there is none.
 func (x *Exchange) ReadBody() ([]byte, error) {
 	if x.contentLength > MaxBodyBytes {
 		return nil, eris.Wrap(NewLimitError("body", MaxBodyBytes, "bytes"), x.conn.address)
 	}
-	b := bodyBuffer{bytes: make([]byte, 0, firstBufferBytes), budget: &x.pool.buffers, length: x.contentLength}
+	b := bodyBuffer{budget: &x.pool.buffers, length: x.contentLength, exchange: x}
 	defer func() { b.budget.release(b.reserved) }()
+	body, err := b.read(x)
+	if err != nil {
+		x.hold.Shrink(cap(b.bytes))
+	}
+	return body, err
+}
+
+// read reads the whole body of an exchange.
+func (b *bodyBuffer) read(x *Exchange) ([]byte, error) {
+	if err := b.hold(firstBufferBytes); err != nil {
+		return nil, err
+	}
+	b.bytes = make([]byte, 0, firstBufferBytes)
 	for {
 		if len(b.bytes) == cap(b.bytes) {
 			if err := b.grow(x.conn.address); err != nil {
@@ -164,7 +186,25 @@
 	// reserved is the number of bytes reserved in budget.
 	reserved int
 	// length is the announced length of the body, negative if it is unknown.
-	length int64
+	length   int64
+	exchange *Exchange
+}
+
+// hold counts size further bytes in the hold of the call.  It waits a while for room.
+func (b *bodyBuffer) hold(size int) error {
+	x := b.exchange
+	began := time.Now()
+	for now := began; ; now = time.Now() {
+		err := x.hold.Grow(size, now)
+		if !errors.Is(err, gladememory.ErrNoRoom) || now.Sub(began) >= roomWait {
+			return err
+		}
+		select {
+		case <-x.done:
+			return err
+		case <-time.After(roomCheckInterval):
+		}
+	}
 }
 
 // grow doubles the capacity, up to one byte more than the body may have.
@@ -179,14 +219,19 @@
 	if b.length >= 0 {
 		size = max(cap(b.bytes)+1, min(size, int(b.length)+1))
 	}
+	if err := b.hold(size); err != nil {
+		return err
+	}
 	reserved := 0
-	if size > unreservedBytes {
+	if size > unreservedBytes && b.exchange.hold == nil {
 		if !b.budget.reserve(size) {
 			return eris.Wrap(NewLimitError("all large bodies", maxBufferedBytes, "bytes"), address)
 		}
 		reserved = size
 	}
+	old := cap(b.bytes)
 	b.bytes = append(make([]byte, 0, size), b.bytes...)
+	b.exchange.hold.Shrink(old)
 	b.budget.release(b.reserved)
 	b.reserved = reserved
 	return nil
--- a/internal/proxy/gladesend/pool.go
+++ b/internal/proxy/gladesend/pool.go
@@ -39,6 +39,9 @@
 	defaultIdleTimeout = 800 * time.Millisecond
 	// idleTimeoutShare is the share of the server's idle timeout during which a connection is reused.
 	idleTimeoutShare = 0.8
+	// socketBufferBytes is the size of the kernel's buffers of a connection, which doubles it.  Without it they grow to megabytes,
+	// and bytes in them count as memory of the VM.
+	socketBufferBytes = 64 << 10
 	// ackTimeout is how long sent data may stay unacknowledged; it is above the longest harmless loss of packets.
 	ackTimeout = 3 * time.Second
 )
@@ -52,6 +55,8 @@
 	idle map[string][]*conn
 	// dials counts the connections opened.
 	dials int64
+	// idleCount is the number of idle connections, and maxIdle the largest one; zero sets no limit.
+	idleCount, maxIdle int
 
 	buffers bufferBudget
 }
@@ -70,6 +75,8 @@
 type PoolConfig struct {
 	// Dial opens a connection; nil means TCP with a timeout.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// MaxIdle is the largest number of idle connections; zero sets no limit.
+	MaxIdle int
 }
 
 // NewPool returns a pool and a function that closes its idle connections.
@@ -80,11 +87,13 @@
 				// Without this option a write to a silent peer blocks for minutes.  If it cannot be set, the send's own
 				// timers still apply.
 				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(ackTimeout.Milliseconds()))
+				_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, socketBufferBytes)
+				_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, socketBufferBytes)
 			})
 		}}
 		c.Dial = func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
 	}
-	p := &Pool{dial: c.Dial, idle: map[string][]*conn{}}
+	p := &Pool{dial: c.Dial, idle: map[string][]*conn{}, maxIdle: c.MaxIdle}
 	return p, p.close
 }
 
@@ -128,6 +137,7 @@
 		}
 		c := list[len(list)-1]
 		p.idle[address] = list[:len(list)-1]
+		p.idleCount--
 		p.mu.Unlock()
 		if time.Since(c.idleSince) < c.idleTimeout && c.reusable() {
 			return c
@@ -151,12 +161,39 @@
 		list = list[1:]
 	}
 	p.idle[c.address] = list
+	p.idleCount += 1 - len(expired)
+	if p.maxIdle > 0 && p.idleCount > p.maxIdle {
+		expired = append(expired, p.removeExpired(c)...)
+	}
 	p.mu.Unlock()
 	for _, o := range expired {
 		_ = o.Close()
 	}
 }
 
+// removeExpired removes the expired idle connections to all servers, and c if there are still too many.  The caller holds mu.
+func (p *Pool) removeExpired(c *conn) []*conn {
+	var removed []*conn
+	for address, list := range p.idle {
+		kept := list[:0:0]
+		for _, o := range list {
+			if c.idleSince.Sub(o.idleSince) > o.idleTimeout {
+				removed = append(removed, o)
+			} else {
+				kept = append(kept, o)
+			}
+		}
+		p.idle[address] = kept
+	}
+	if p.idleCount -= len(removed); p.idleCount > p.maxIdle {
+		list := p.idle[c.address] // its last one is c
+		p.idle[c.address] = list[:len(list)-1]
+		p.idleCount--
+		removed = append(removed, c)
+	}
+	return removed
+}
+
 // reusable reports whether the peer has neither closed the connection nor sent unexpected data.
 func (c *conn) reusable() bool {
 	sc, ok := c.Conn.(syscall.Conn)
@@ -192,6 +229,7 @@
 	p.mu.Lock()
 	list := p.idle[address]
 	delete(p.idle, address)
+	p.idleCount -= len(list)
 	p.mu.Unlock()
 	for _, c := range list {
 		_ = c.Close()
@@ -213,7 +251,7 @@
 			_ = c.Close()
 		}
 	}
-	p.idle = map[string][]*conn{}
+	p.idle, p.idleCount = map[string][]*conn{}, 0
 }
 
 // applyKeepAlive sets the idle timeout from the timeout parameter of a Keep-Alive header, in seconds.
