--- a/cmd/gladed/front.go
+++ b/cmd/gladed/front.go
@@ -5,11 +5,13 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
+	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladememory"
 	"github.com/eelgrassglade/eelgrassglade/internal/observe/gladelog"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladefront"
 	gladeplatform "github.com/eelgrassglade/eelgrassglade/platform"
@@ -31,6 +33,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(gladememory.Derive(settings.Memory, settings.Descriptors).Runtime)
 	host, _, err := net.SplitHostPort(settings.EntryAddress)
 	if err != nil {
 		return eris.Wrapf(err, "entry address %q", settings.EntryAddress)
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -18,6 +18,7 @@
 	"github.com/eelgrassglade/eelgrassglade/gladepeer"
 	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
 	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladebudget"
+	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladememory"
 	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladequota"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladeshare"
@@ -80,6 +81,7 @@
 
 	suspects *gladesuspect.Tracker
 	limits   *gladequota.Pool
+	memory   *gladememory.Ledger
 	pool     *gladesend.Pool
 	engine   *gladeplatform.Engine
 	relay    *gladerelay.Relay
@@ -168,7 +170,8 @@
 		return err
 	}
 	f.startFollowing()
-	pool, closePool := gladesend.NewPool(gladesend.PoolConfig{})
+	limits := f.startMemory()
+	pool, closePool := gladesend.NewPool(gladesend.PoolConfig{MaxIdle: limits.IdleServerConnections})
 	f.pool = pool
 	f.cleanup(closePool)
 	forwarder, closeForwarder := gladeforward.New(gladeforward.Config{
@@ -193,6 +196,7 @@
 		OnRefused: func(status int, reason error) {
 			f.log.Info("Refused an unreadable request.", "status", status, "reason", reason)
 		},
+		Memory: f.memory, MaxConnections: limits.Connections, OnClosed: f.onClosedConnection,
 	})
 	f.server = server
 	f.cleanup(closeServer)
@@ -269,6 +273,7 @@
 	gauge("suspects.refused", int64(len(f.suspects.Refused())))
 	gauge("suspects.refusedParts", int64(len(f.suspects.Held())))
 	f.limitGauges(gauge)
+	f.memoryGauges(gauge)
 	if r := f.release.Load(); r != nil {
 		gauge("release.version", r.Version)
 		age := f.age.State(bootTime())
