Memory tests: one large request in calm

A body of 4 MiB with an answer of 4 MiB, announced and chunked, on one connection three times, must be served with memory_mb = 120. The crowd's cases and their bounds are unchanged.

--- a/internal/proxy/gladesoak/memory_test.go
+++ b/internal/proxy/gladesoak/memory_test.go
@@ -1,6 +1,7 @@
 package gladesoak
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -331,3 +332,30 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Guards against limits that refuse a request inside the release's limits when there is no other load: a body of the largest legal size,
+// with an answer of that size, on one connection several times.
+func TestMemoryOneLargeRequest(t *testing.T) {
+	f := newMemoryFleet(t)
+	conn := f.connect()
+	f.Assert(conn, qt.IsNotNil)
+	reader := bufio.NewReader(conn)
+	for n, framing := range []string{fmt.Sprintf("Content-Length: %d", largeBody), "Transfer-Encoding: chunked", "Transfer-Encoding: chunked"} {
+		_ = conn.SetDeadline(time.Now().Add(crowdTime))
+		body := bodyText
+		if n > 0 {
+			body = chunks(largeBody, 64<<10) + "0\r\n\r\n"
+		}
+		_, err := io.WriteString(conn, head("/large/", n, framing)+body)
+		f.Assert(err, qt.IsNil)
+		r, err := http.ReadResponse(reader, nil)
+		f.Assert(err, qt.IsNil)
+		f.Check(r.StatusCode, qt.Equals, http.StatusOK)
+		size, err := io.Copy(io.Discard, r.Body)
+		f.Check(err, qt.IsNil)
+		f.Check(size, qt.Equals, int64(largeBody))
+	}
+	peak, err := f.peakMemory()
+	f.Check(err, qt.IsNil)
+	f.Check(peak < memoryLimitMB, qt.IsTrue, qt.Commentf("peak memory %.1f MB", peak))
+}
