--- a/internal/proxy/gladesend/limits.go
+++ b/internal/proxy/gladesend/limits.go
@@ -229,9 +229,10 @@
 		}
 		reserved = size
 	}
-	old := cap(b.bytes)
-	b.bytes = append(make([]byte, 0, size), b.bytes...)
-	b.exchange.hold.Shrink(old)
+	old := b.bytes
+	b.bytes = append(gladememory.NewBuffer(size), old...)
+	gladememory.Recycle(old)
+	b.exchange.hold.Shrink(cap(old))
 	b.budget.release(b.reserved)
 	b.reserved = reserved
 	return nil
--- a/internal/proxy/gladeserve/body.go
+++ b/internal/proxy/gladeserve/body.go
@@ -35,16 +35,21 @@
 // readBody reads a whole body of at most limit bytes and counts its memory in hold.
 func readBody(r *bufio.Reader, f framing, limit int64, hold *gladememory.Hold) ([]byte, error) {
 	b := bodyBuffer{hold: hold, limit: limit}
-	if f.chunked {
-		err := b.readChunks(r)
-		return b.bytes, err
+	var err error
+	switch {
+	case f.chunked:
+		err = b.readChunks(r)
+	case f.length > limit:
+		err = ErrBodyTooLarge
+	default:
+		b.limit = f.length
+		err = b.read(r, f.length)
 	}
-	if f.length > limit {
-		return nil, ErrBodyTooLarge
+	if err != nil {
+		gladememory.Recycle(b.bytes)
+		return nil, err
 	}
-	b.limit = f.length
-	err := b.read(r, f.length)
-	return b.bytes, err
+	return b.bytes, nil
 }
 
 // read reads n bytes.
@@ -88,9 +93,10 @@
 	if err := b.hold.Grow(int(size), time.Now()); err != nil {
 		return err
 	}
-	old := cap(b.bytes)
-	b.bytes = append(make([]byte, 0, size), b.bytes...)
-	b.hold.Shrink(old)
+	old := b.bytes
+	b.bytes = append(gladememory.NewBuffer(int(size)), old...)
+	gladememory.Recycle(old)
+	b.hold.Shrink(cap(old))
 	return nil
 }
 
