--- a/internal/proxy/gladesend/limits.go
+++ b/internal/proxy/gladesend/limits.go
@@ -229,10 +229,9 @@
 		}
 		reserved = size
 	}
-	old := b.bytes
-	b.bytes = append(gladememory.NewBuffer(size), old...)
-	gladememory.Recycle(old)
-	b.exchange.hold.Shrink(cap(old))
+	old := cap(b.bytes)
+	b.bytes = append(make([]byte, 0, size), b.bytes...)
+	b.exchange.hold.Shrink(old)
 	b.budget.release(b.reserved)
 	b.reserved = reserved
 	return nil
