--- a/internal/proxy/gladefront/rollouts_test.go
+++ b/internal/proxy/gladefront/rollouts_test.go
@@ -186,6 +186,9 @@
 	for name, readable := range map[string]bool{"roll-outs known": true, "roll-outs not readable": false} {
 		t.Run(name, func(t *testing.T) {
 			f := newRolloutFleet(t)
+			if !readable { // the watch says nothing, not even that there are no orders up to a revision
+				f.store.set(func() { f.store.hangs[1] = []string{gladeplatform.KindRollouts} })
+			}
 			front, _ := f.startVM(1)
 			f.eventually("ready", front.Ready)
 			if !readable {
--- a/internal/state/gladedecider/world_test.go
+++ b/internal/state/gladedecider/world_test.go
@@ -146,7 +146,9 @@
 func (v *testVM) freeze() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.frozen = make(chan struct{})
+	if v.frozen == nil {
+		v.frozen = make(chan struct{})
+	}
 }
 
 func (v *testVM) thaw() {
