gladerollout: a replaced order's target gets no more requests

When an order for v3 replaced the one for v2 in progress, every VM's rule became "any version but v3": the servers of v2, of which nothing was proven, got as many requests as their load attracted. An order for the version in use, which takes v2 back, gave "any version but v1", and so v2 got all requests.

The target of an order that another one replaces now counts as withdrawn, like a reverted one, and requests go to the old version only. The status names the withdrawn version and the old one from the first status of an order on, so that VMs that start later know both. The decider names the old version as soon as the reports show it, which takes one more write per order where the shares do not change at the same time.

--- a/internal/fleet/gladerollout/decide.go
+++ b/internal/fleet/gladerollout/decide.go
@@ -117,6 +117,7 @@
 		State: InProgress, Target: r.Target, DurationS: r.Duration.Seconds(), Decider: r.Status.Decider, Term: r.Status.Term,
 		StepS: in.Elapsed.Seconds(),
 	}
+	s.From, s.Withdrawn = r.before()
 	if in.TargetServers > 0 {
 		s.Share = budgetShare * in.CanaryShare
 		s.Concentrate = concentration(s.Share, in.TargetServers, in.OldServers)
@@ -138,7 +139,15 @@
 	return max(time.Duration(firstStagePart*float64(limit)), firstStageMin)
 }
 
-func (d *decision) keep() Decision { return Decision{Status: d.Rollout.Status} }
+// keep returns the status as it is, except that it names the old version once that is known: if another order replaces this one, the
+// requests go to that version.
+func (d *decision) keep() Decision {
+	k := Decision{Status: d.Rollout.Status}
+	if k.Status.From == "" && d.sums.from != "" && d.sums.from != k.Status.Withdrawn && d.StoreCurrent {
+		k.Status.From, k.Reason = d.sums.from, "old version seen"
+	}
+	return k
+}
 
 func (d *decision) revert(reason string) Decision {
 	s := d.Rollout.Status
@@ -150,7 +159,7 @@
 func (d *decision) step(share float64, reason string) Decision {
 	s := d.Rollout.Status
 	s.Share, s.RouteShares, s.Concentrate, s.StepS = share, nil, 0, d.Elapsed.Seconds()
-	if d.sums.from != "" {
+	if d.sums.from != "" && d.sums.from != s.Withdrawn && s.From != s.Target {
 		s.From = d.sums.from
 	}
 	return Decision{Status: s, Reason: reason}
--- a/internal/fleet/gladerollout/rollout.go
+++ b/internal/fleet/gladerollout/rollout.go
@@ -34,6 +34,8 @@
 	Rate float64 `json:"rate,omitempty"`
 	// From is the old version if the service has only one.
 	From string `json:"from,omitempty"`
+	// Withdrawn is the target of an earlier order that did not complete. Its servers may still be listed.
+	Withdrawn string `json:"withdrawn,omitempty"`
 }
 
 // Rollout is an operator's order with its status, at a revision of its object.
@@ -53,3 +55,20 @@
 func (r Rollout) statusApplies() bool {
 	return r.Status.Target == r.Target && r.Status.DurationS == r.Duration.Seconds()
 }
+
+// before returns what the status of an earlier order says about this one: the version in use, empty if it is not known, and the
+// target of the last order that did not complete.
+func (r Rollout) before() (from, withdrawn string) {
+	s := r.Status
+	switch {
+	case s.Target == "":
+		return "", ""
+	case s.State == Complete:
+		return s.Target, ""
+	case s.Target != r.Target:
+		return s.From, s.Target
+	case s.Withdrawn == r.Target:
+		return s.From, ""
+	}
+	return s.From, s.Withdrawn
+}
--- a/internal/fleet/gladerollout/selector.go
+++ b/internal/fleet/gladerollout/selector.go
@@ -23,8 +23,9 @@
 	stopped bool
 	// completed is the target of the last completed order, and from the only old version that the last status named.
 	completed, from string
-	// reverted reports that an earlier order's target was reverted, so that its servers may still be listed.
-	reverted bool
+	// withdrawn reports that an earlier order's target was reverted, or replaced before it was complete, so that its servers may
+	// still be listed.
+	withdrawn bool
 }
 
 // phaseKey names an accumulator.
@@ -60,9 +61,9 @@
 func nextOrder(known *order, r Rollout, current bool) *order {
 	o := &order{Rollout: r, current: current}
 	if known != nil {
-		o.completed, o.from, o.reverted = known.completed, known.from, known.reverted
+		o.completed, o.from, o.withdrawn = known.completed, known.from, known.withdrawn
 		if known.Target != r.Target {
-			o.reverted = known.reverted || known.stopped || known.statusApplies() && known.Status.State == Reverted
+			o.withdrawn = known.withdrawn || known.stopped || known.statusApplies() && known.Status.State != Complete
 		}
 		o.stopped = known.stopped && known.Target == r.Target && known.Duration == r.Duration && r.Pending()
 	}
@@ -71,9 +72,9 @@
 	}
 	switch r.Status.State {
 	case Complete:
-		o.completed, o.from, o.reverted = r.Status.Target, r.Status.Target, false
-	case Reverted:
-		o.reverted = o.reverted || r.Status.Target != r.Target
+		o.completed, o.from, o.withdrawn = r.Status.Target, r.Status.Target, false
+	case Reverted, InProgress:
+		o.withdrawn = o.withdrawn || r.Status.Withdrawn != "" || r.Status.Target != r.Target
 	}
 	return o
 }
@@ -109,11 +110,11 @@
 // oldOnly returns the rule of a request for the old version.
 func (o *order) oldOnly() gladefleet.VersionRule {
 	switch {
-	case o.reverted && o.from != "" && o.from != o.Target:
+	case o.withdrawn && o.from != "" && o.from != o.Target:
 		return gladefleet.VersionRule{Only: o.from} // servers of the earlier order's target may still be listed
-	case o.completed == o.Target:
+	case o.completed == o.Target || o.from == o.Target:
 		// An order for the version in use, or for one that a stop did not reach in time: no other may be left.
-		return gladefleet.VersionRule{Only: o.Target, Fallback: true}
+		return gladefleet.VersionRule{Only: o.Target, Fallback: !o.withdrawn}
 	}
 	return gladefleet.VersionRule{Except: o.Target}
 }
