gladeforward: a waiting request follows the roll-out

The versions that a request may use were decided once, before it waited for room. A request for the version on trial could be sent there after the stop, up to an eighth of its route's target later. One for the old version still asked for it once all traffic had moved, and was refused if the old servers had stopped meanwhile.

The share is still counted once per request. Later tries keep the version on trial only while requests are meant for it, and otherwise use what repeats use.

--- a/internal/fleet/gladerollout/selector.go
+++ b/internal/fleet/gladerollout/selector.go
@@ -107,6 +107,18 @@
 	return o.oldOnly()
 }
 
+// Uses reports whether requests on a route are still meant for a version that Choose has named.
+func (s *Selector) Uses(service, route, version string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.orders[service]
+	if o == nil || o.Target != version {
+		return false
+	}
+	share, _ := o.share(route)
+	return share > 0
+}
+
 // oldOnly returns the rule of a request for the old version.
 func (o *order) oldOnly() gladefleet.VersionRule {
 	switch {
--- a/internal/proxy/gladeforward/versions.go
+++ b/internal/proxy/gladeforward/versions.go
@@ -13,7 +13,8 @@
 )
 
 // versionRule returns the versions of servers that the next send of the request may use. The first one counts for the share of a
-// version, so it is decided once.
+// version, so that is decided once; a request that has waited for room meanwhile follows the roll-out, whose target may have been
+// withdrawn, or may be all that is left.
 func (j *job) versionRule() gladefleet.VersionRule {
 	if j.config.Versions == nil {
 		return gladefleet.VersionRule{}
@@ -23,8 +24,13 @@
 	}
 	if !j.ruled {
 		j.rule, j.ruled = j.config.Versions(j.service, j.route.Name, false), true
+		return j.rule
 	}
-	return j.rule
+	meant := j.rule.Only != "" && j.rule.Fallback
+	if meant && (j.config.UsesVersion == nil || j.config.UsesVersion(j.service, j.route.Name, j.rule.Only)) {
+		return j.rule
+	}
+	return j.repeatRule()
 }
 
 // repeatRule returns the versions of servers that repeats of the request and copies of its run may use.
--- a/internal/proxy/gladeforward/versions_test.go
+++ b/internal/proxy/gladeforward/versions_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladerollout"
+	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladesend"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
 )
 
 // versionRules are the rules of a roll-out in a test.
@@ -261,3 +263,28 @@
 		w.Assert(w.forwarder.versionRuns, qt.HasLen, 0)
 	})
 }
+
+// Guards against a request that waited for room while its version was withdrawn, and is sent to it seconds after the stop; and against
+// one meant for the old version that is refused because only the new one is left at the end of its wait.
+func TestWaitingRequestFollowsRollout(t *testing.T) {
+	runTest(t, func(w *harness) {
+		rules, uses := w.rollOut(canary, exceptNew), true
+		w.forwarder.config.UsesVersion = func(_, _, version string) bool { return uses && version == "v2" }
+		waiting := func() *job {
+			return &job{Forwarder: w.forwarder, service: "app", route: &gladerelease.Route{}, call: gladesend.Call{LastEvent: gladesend.NoEvent}}
+		}
+		j := waiting()
+		w.Assert(j.versionRule(), qt.Equals, canary)
+		w.Assert(j.versionRule(), qt.Equals, canary)
+		uses = false
+		w.Assert(j.versionRule(), qt.Equals, exceptNew)
+		w.Assert(rules.asked, qt.Equals, 1)
+
+		rules.set(exceptNew, exceptNew)
+		j = waiting()
+		w.Assert(j.versionRule(), qt.Equals, exceptNew)
+		rules.set(allTraffic, allTraffic)
+		w.Assert(j.versionRule(), qt.Equals, allTraffic)
+		w.Assert(rules.asked, qt.Equals, 2)
+	})
+}
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -188,7 +188,8 @@
 		OnLoadChange: f.sharer.NotifyChanged, Log: f.log.Named("proxy"), Metrics: f.metrics,
 	}
 	if f.rollouts != nil {
-		forwarding.Versions, forwarding.Recorder, forwarding.Release = f.rollouts.selector.Choose, f.rollouts.recorder, f.usableRelease
+		forwarding.Versions, forwarding.UsesVersion = f.rollouts.selector.Choose, f.rollouts.selector.Uses
+		forwarding.Recorder, forwarding.Release = f.rollouts.recorder, f.usableRelease
 	}
 	forwarder, closeForwarder := gladeforward.New(forwarding)
 	f.cleanup(closeForwarder)
