gladerollout: the wait of abandoned requests counts

A request that its caller or its time limit ended before the first event left no trace in the evidence, because it is no failure. Where callers do not wait much longer than 2.8 to 4 times the usual time, a version that is 8 times slower showed only in the few runs between the two ages. The wait of such a request now counts as one of at least that long. It still counts neither as an answer nor as a failure.

--- a/internal/fleet/gladerollout/evidence.go
+++ b/internal/fleet/gladerollout/evidence.go
@@ -45,7 +45,8 @@
 // counts are the requests of one version, route and class of age.
 type counts struct {
 	begun, failed, inconclusive int
-	// first counts the answered requests by the time to the first event, open those that wait for it by their age, and
+	// first counts the answered requests by the time to the first event, open those that wait for it by their age, or were
+	// abandoned, and
 	// gaps the requests by the mean gap between their events.
 	first, open, gaps histogram
 }
@@ -87,8 +88,10 @@
 	}
 }
 
-func (u *Run) conclusive() bool { return u.ended.IsZero() || u.outcome != Inconclusive }
-func (u *Run) failed() bool     { return !u.ended.IsZero() && u.outcome == Failed }
+func (u *Run) conclusive() bool {
+	return u.ended.IsZero() || u.outcome == Succeeded || u.outcome == Failed
+}
+func (u *Run) failed() bool { return !u.ended.IsZero() && u.outcome == Failed }
 
 func (c *counts) addRun(u *Run, now time.Time) {
 	c.begun++
--- a/internal/fleet/gladerollout/recorder.go
+++ b/internal/fleet/gladerollout/recorder.go
@@ -16,6 +16,9 @@
 	Failed
 	// Inconclusive says nothing about the version: a crash, a departure, a refusal, or the caller's own mistake.
 	Inconclusive
+	// Abandoned is the end by the caller or the time limit. It is no failure, but the time waited for the first event until
+	// then counts: a slow version would otherwise leave no trace where callers do not wait for it.
+	Abandoned
 )
 
 // maxRuns bounds the runs of a service that a recorder holds. It is 24 s of 170 requests per second at one VM.
@@ -118,7 +121,7 @@
 }
 
 // latency returns the time to the first event, or to the answer of a plain request, or the time waited for it so far.
-// It returns false if the run ended without an answer.
+// It returns false if the run ended without an answer, unless it was abandoned.
 func (u *Run) latency(now time.Time) (d time.Duration, answered, ok bool) {
 	switch {
 	case !u.firstEvent.IsZero():
@@ -127,6 +130,8 @@
 		return now.Sub(u.began), false, true
 	case u.outcome == Succeeded:
 		return u.ended.Sub(u.began), true, true
+	case u.outcome == Abandoned:
+		return u.ended.Sub(u.began), false, true
 	}
 	return 0, false, false
 }
--- a/internal/proxy/gladeforward/versions.go
+++ b/internal/proxy/gladeforward/versions.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladerollout"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladesend"
@@ -141,8 +142,10 @@
 // endPlain records the outcome of one send of a plain request; canceled reports that this VM ended it.
 func (u *versionRun) endPlain(a *answer, canceled bool) {
 	switch {
-	case notRun(a) || errors.Is(a.err, gladesend.ErrNotSent) || a.err != nil && canceled:
+	case notRun(a) || errors.Is(a.err, gladesend.ErrNotSent) || errors.Is(a.err, gladesuspect.ErrPoison):
 		u.end(gladerollout.Inconclusive, 0)
+	case a.err != nil && canceled:
+		u.end(gladerollout.Abandoned, 0)
 	case a.err != nil:
 		u.endLost(0)
 	default:
@@ -157,6 +160,8 @@
 		a.versionRun.end(answerOutcome(a.exchange.Status), a.received)
 	case result == attemptBroken && a.serverFailed:
 		a.versionRun.end(gladerollout.Failed, a.received)
+	case result == attemptAbandoned:
+		a.versionRun.end(gladerollout.Abandoned, a.received)
 	case result == attemptBroken && !a.suspected:
 		a.versionRun.endLost(a.received)
 	default:
