--- a/internal/proxy/gladeforward/versions.go
+++ b/internal/proxy/gladeforward/versions.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladerollout"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladesend"
@@ -13,7 +14,8 @@
 )
 
 // versionRule returns the versions of servers that the next send of the request may use. The first one counts for the share of a
-// version, so it is decided once.
+// version, so that is decided once; a request that has waited for room meanwhile follows the roll-out, whose target may have been
+// withdrawn, or may be all that is left.
 func (j *job) versionRule() gladefleet.VersionRule {
 	if j.config.Versions == nil {
 		return gladefleet.VersionRule{}
@@ -23,8 +25,13 @@
 	}
 	if !j.ruled {
 		j.rule, j.ruled = j.config.Versions(j.service, j.route.Name, false), true
+		return j.rule
 	}
-	return j.rule
+	meant := j.rule.Only != "" && j.rule.Fallback
+	if meant && (j.config.UsesVersion == nil || j.config.UsesVersion(j.service, j.route.Name, j.rule.Only)) {
+		return j.rule
+	}
+	return j.repeatRule()
 }
 
 // repeatRule returns the versions of servers that repeats of the request and copies of its run may use.
@@ -135,8 +142,10 @@
 // endPlain records the outcome of one send of a plain request; canceled reports that this VM ended it.
 func (u *versionRun) endPlain(a *answer, canceled bool) {
 	switch {
-	case notRun(a) || errors.Is(a.err, gladesend.ErrNotSent) || a.err != nil && canceled:
+	case notRun(a) || errors.Is(a.err, gladesend.ErrNotSent) || errors.Is(a.err, gladesuspect.ErrPoison):
 		u.end(gladerollout.Inconclusive, 0)
+	case a.err != nil && canceled:
+		u.end(gladerollout.Abandoned, 0)
 	case a.err != nil:
 		u.endLost(0)
 	default:
@@ -151,6 +160,8 @@
 		a.versionRun.end(answerOutcome(a.exchange.Status), a.received)
 	case result == attemptBroken && a.serverFailed:
 		a.versionRun.end(gladerollout.Failed, a.received)
+	case result == attemptAbandoned:
+		a.versionRun.end(gladerollout.Abandoned, a.received)
 	case result == attemptBroken && !a.suspected:
 		a.versionRun.endLost(a.received)
 	default:
