--- a/internal/fleet/gladefleet/choose.go
+++ b/internal/fleet/gladefleet/choose.go
@@ -79,16 +79,9 @@
 func (t *Table) Choose(n Requirements, now time.Time) (*Reservation, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n.reports, n.value = t.measured(n.Service, now), t.prefixValueOf(&n)
-	best, reason, full := t.selectServer(n, now)
-	switch {
-	case full:
-		return nil, eris.Wrap(ErrFull, n.Service)
-	case best == nil:
-		if until := t.firstBackoffEnd(n, now); !until.IsZero() {
-			return nil, &BackoffError{Until: until}
-		}
-		return nil, eris.Wrap(ErrNoServer, n.Service)
+	best, reason, err := t.find(&n, now)
+	if err != nil {
+		return nil, err
 	}
 	prompt := n.Prompt
 	if n.value != nil {
@@ -103,6 +96,23 @@
 	return k, nil
 }
 
+// find returns the server that Choose selects and the reason, or why there is none. It changes nothing but the requirements, in
+// which it sets what is known of reports and of the prefix.
+func (t *Table) find(n *Requirements, now time.Time) (*entry, string, error) {
+	n.reports, n.value = t.measured(n.Service, now), t.prefixValueOf(n)
+	best, reason, full := t.selectServer(*n, now)
+	switch {
+	case full:
+		return nil, "", eris.Wrap(ErrFull, n.Service)
+	case best == nil:
+		if until := t.firstBackoffEnd(*n, now); !until.IsZero() {
+			return nil, "", &BackoffError{Until: until}
+		}
+		return nil, "", eris.Wrap(ErrNoServer, n.Service)
+	}
+	return best, reason, nil
+}
+
 // healthRank orders servers by health. A server is chosen only if none with a lower rank can be used.
 type healthRank int
 
@@ -218,14 +228,11 @@
 	if rank < s.rank {
 		*s = selection{rank: rank}
 	}
-	if !n.Limits.fits(e, n, t.memoryShare(e)) || rank == exhausted && n.Waiting && (e.limited || now.Before(e.exhaustedUntil)) {
+	if t.lacksRoom(e, rank, &n, now) != "" {
 		s.full = s.full || rank == healthy || rank == exhausted
 		return
 	}
-	load := t.placementCost(s, e, jitter, &n, now)
-	if rank == exhausted { // the one that has room first
-		load = e.exhaustedUntil.Sub(now).Seconds()
-	}
+	load := t.rankedCost(s, e, rank, jitter, &n, now)
 	if s.best == nil || load < s.bestLoad {
 		s.best, s.bestLoad = e, load
 	}
@@ -234,6 +241,26 @@
 	}
 }
 
+// lacksRoom returns what leaves a server no room for a request, empty if it has room.
+func (t *Table) lacksRoom(e *entry, rank healthRank, n *Requirements, now time.Time) Exclusion {
+	if lack := n.Limits.lack(e, n, t.memoryShare(e)); lack != "" {
+		return lack
+	}
+	if rank == exhausted && n.Waiting && (e.limited || now.Before(e.exhaustedUntil)) {
+		return ExcludedLimit
+	}
+	return ""
+}
+
+// rankedCost returns the cost by which a server is compared with others of its rank.
+func (t *Table) rankedCost(s *selection, e *entry, rank healthRank, jitter float64, n *Requirements, now time.Time) float64 {
+	cost := t.placementCost(s, e, jitter, n, now)
+	if rank == exhausted { // the one that has room first
+		return e.exhaustedUntil.Sub(now).Seconds()
+	}
+	return cost
+}
+
 // prefers reports whether a session's affinity to e is stronger than to the current server, nil for none. Servers of
 // this VM's failure domain come first.
 func (t *Table) prefers(session uint64, e, current *entry) bool {
@@ -275,7 +302,24 @@
 
 // eligible reports whether a server may get new requests now.
 func (e *entry) eligible(now time.Time) bool {
-	return e.inService(now) && !now.Before(e.backoffUntil) && !now.Before(e.heldUntil)
+	return e.ineligible(now) == ""
+}
+
+// ineligible returns why a server must not get new requests now, empty if it may.
+func (e *entry) ineligible(now time.Time) Exclusion {
+	switch {
+	case e.replaced:
+		return ExcludedReplaced
+	case e.Leaving:
+		return ExcludedLeaving
+	case e.lastUse.reached(now):
+		return ExcludedGone
+	case now.Before(e.backoffUntil):
+		return ExcludedBackoff
+	case now.Before(e.heldUntil):
+		return ExcludedHeld
+	}
+	return ""
 }
 
 // servesLeaving reports whether a leaving server may get new requests now if there is no other.
--- a/internal/fleet/gladefleet/load.go
+++ b/internal/fleet/gladefleet/load.go
@@ -77,11 +77,14 @@
 	return 1 / (1 + x*x)
 }
 
-// RecordLoad records what a server says about its load. Reports without WorkPercent are not used.
+// RecordLoad records what a server says about its load. Reports without WorkPercent change no choice.
 func (t *Table) RecordLoad(id string, r LoadReport, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.servers[id]
+	if e != nil && !now.Before(e.statedAt) {
+		e.stated, e.statedAt = r, now
+	}
 	if e == nil || r.WorkPercent <= 0 || now.Before(e.reported.at) {
 		return
 	}
--- a/internal/fleet/gladefleet/room.go
+++ b/internal/fleet/gladefleet/room.go
@@ -43,15 +43,18 @@
 	PendingPrefill, UsedMemory int
 }
 
-// fits reports whether a server has room for a request when at most the given share of its memory may be used.
-func (r CapacityLimits) fits(e *entry, n Requirements, memoryShare float64) bool {
+// lack returns what a server lacks for a request when at most the given share of its memory may be used, empty if it has room.
+func (r CapacityLimits) lack(e *entry, n *Requirements, memoryShare float64) Exclusion {
 	if r.Memory > 0 && e.Slots > 0 && e.totalRuns() >= e.Slots {
-		return false
+		return ExcludedSlots
 	}
 	if unread := e.pendingPrefill(); r.MaxPendingPrefill > 0 && unread > 0 && unread+n.Prompt > r.MaxPendingPrefill {
-		return false
+		return ExcludedPrefill
 	}
-	return r.hasMemory(e, memoryShare)
+	if !r.hasMemory(e, memoryShare) {
+		return ExcludedMemory
+	}
+	return ""
 }
 
 // hasMemory reports whether a server uses no more than the given share of its memory, so that it accepts another run or
--- a/internal/fleet/gladefleet/server.go
+++ b/internal/fleet/gladefleet/server.go
@@ -96,6 +96,9 @@
 	backoffUntil time.Time
 	// reported is what the server said of its load, and what was measured of its answers.
 	reported reportedLoad
+	// stated is the last statement of the server about its load, and statedAt its time, zero if there is none. It is only shown.
+	stated   LoadReport
+	statedAt time.Time
 	// held are the parts of prompts that this VM has left there, the last used one first.
 	held []heldPart
 	// placed counts the prompt tokens read there and the copies placed there for all VMs, as far as this VM was told.
--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -151,7 +151,7 @@
 		e.failed, e.ended, e.failures, e.errorRate, e.replaced = false, false, 0, 0, false
 		e.overruns, e.quarantinedUntil = 0, time.Time{}
 		e.limited, e.exhaustedUntil, e.returningSince, e.backoffUntil = false, time.Time{}, time.Time{}, time.Time{}
-		e.reported = reportedLoad{}
+		e.reported, e.stated, e.statedAt = reportedLoad{}, LoadReport{}, time.Time{}
 		t.prefixes.forget(e, 0)
 		e.limitNewProcess(s)
 	case e.Leaving:
