Roll-outs, queue: what they would say without counting a request

Selector.Peek returns the rule of the next request and leaves the accumulator as it is. Queue.Ahead counts the waiting requests that would precede a new one.

--- a/internal/admit/gladeline/line.go
+++ b/internal/admit/gladeline/line.go
@@ -91,6 +91,19 @@
 	return float64(ahead) > float64(len(l.servedAt))*wait.Seconds()/rateWindow.Seconds()
 }
 
+// Ahead returns the number of waiting requests that would precede a request that joins now.
+func (l *Queue) Ahead(r Request) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	last, ahead := &Waiter{Request: r, sequence: l.lastSequence + 1}, 0
+	for _, w := range l.waiting {
+		if l.precedes(w, last) {
+			ahead++
+		}
+	}
+	return ahead
+}
+
 // IsNext reports whether the request is the next to be served.
 func (w *Waiter) IsNext() bool {
 	l := w.queue
--- a/internal/fleet/gladerollout/selector.go
+++ b/internal/fleet/gladerollout/selector.go
@@ -90,6 +90,26 @@
 // Choose returns the versions that a request may use. Repeat marks repeats, second sends and resumed runs, which stay
 // with the old version while only a share of the requests goes to the target.
 func (s *Selector) Choose(service, route string, repeat bool) gladefleet.VersionRule {
+	return s.rule(service, route, repeat, s.advance)
+}
+
+// Peek returns the rule that Choose would return next and does not count the request. Before the first request of a route, whose
+// phase is random, it takes the middle of the phases.
+func (s *Selector) Peek(service, route string, repeat bool) gladefleet.VersionRule {
+	return s.rule(service, route, repeat, func(k phaseKey, share float64) bool {
+		phase, ok := s.phases[k]
+		if !ok {
+			phase = middlePhase
+		}
+		return phase+min(share, 1) >= 1
+	})
+}
+
+// middlePhase is the middle of the initial phases, which are random from 0 to 1.
+const middlePhase = 0.5
+
+// rule returns the versions that a request may use; isTarget decides whether one that counts for the share goes to the target.
+func (s *Selector) rule(service, route string, repeat bool, isTarget func(phaseKey, float64) bool) gladefleet.VersionRule {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := s.orders[service]
@@ -100,7 +120,7 @@
 	switch {
 	case all:
 		return gladefleet.VersionRule{Only: o.Target, Fallback: true}
-	case !repeat && share > 0 && s.advance(phaseKey{service, route}, share):
+	case !repeat && share > 0 && isTarget(phaseKey{service, route}, share):
 		return gladefleet.VersionRule{Only: o.Target, Fallback: true, Concentrate: o.Status.Concentrate}
 	}
 	return o.oldOnly()
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -147,10 +147,7 @@
 		s.reserveCopy(place, room)
 		return place, ""
 	}
-	need := gladefleet.Requirements{
-		Service: s.service, Prompt: max(1, s.call.PromptTokens), Tokens: s.maxTokens(), Session: s.sessionHash(),
-		Avoid: s.avoid, Limits: room, Prefix: s.prefix(),
-	}
+	need := s.requirements(room)
 	place, err := s.waitForPlace(need)
 	if errors.Is(err, gladefleet.ErrNoServer) && len(s.avoid) > 0 {
 		s.avoid, need.Avoid = nil, nil // the request failed on all servers; the first may have restarted
@@ -169,6 +166,14 @@
 	return nil, ""
 }
 
+// requirements returns what the stream requires of a server.
+func (s *stream) requirements(room gladefleet.CapacityLimits) gladefleet.Requirements {
+	return gladefleet.Requirements{
+		Service: s.service, Prompt: max(1, s.call.PromptTokens), Tokens: s.maxTokens(), Session: s.sessionHash(),
+		Avoid: s.avoid, Limits: room, Prefix: s.prefix(),
+	}
+}
+
 // streamItem is what readAnswer sends: the header of the answer, an event, or the error that ends it.
 type streamItem struct {
 	exchange *gladesend.Exchange
