gladectl where: explain where a request would go

The metrics address answers GET /where with the explanation as JSON; gladectl prints it. The explanation uses the decisions of the forwarder for routes, rules, queues and Retry-After, and asks no server or coordinator.

--- a/cmd/gladectl/main.go
+++ b/cmd/gladectl/main.go
@@ -14,7 +14,15 @@
 )
 
 func main() {
-	app := &cli.Command{
+	if err := newCommand().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "gladectl:", err)
+		os.Exit(1)
+	}
+}
+
+// newCommand returns the command with its subcommands.
+func newCommand() *cli.Command {
+	return &cli.Command{
 		Name:  "gladectl",
 		Usage: "inspect and control eelgrassglade",
 		Flags: []cli.Flag{
@@ -35,12 +43,9 @@
 			noteCommand(),
 			{Name: "dump", Usage: "print the state of a VM", Action: dump},
 			{Name: "rollouts", Usage: "print the roll-outs of server versions as a VM knows them", Action: rollouts},
+			whereCommand(),
 		},
 	}
-	if err := app.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "gladectl:", err)
-		os.Exit(1)
-	}
 }
 
 func explain(ctx context.Context, c *cli.Command) error {
--- a/internal/fleet/gladefleet/explain_test.go
+++ b/internal/fleet/gladefleet/explain_test.go
@@ -101,7 +101,9 @@
 	})
 }
 
-func isFull(k Candidate) bool { return k.Excluded == ExcludedLimit || strings.HasPrefix(string(k.Excluded), "no room") }
+func isFull(k Candidate) bool {
+	return k.Excluded == ExcludedLimit || strings.HasPrefix(string(k.Excluded), "no room")
+}
 
 // Guards against reasons that name another cause than the one that leaves a server out.
 func TestExplanationNamesTheCause(t *testing.T) {
--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -59,6 +59,8 @@
 	// Versions returns the versions of servers that a request may use; repeat marks repeats, second sends and resumed runs. Nil
 	// restricts none.
 	Versions func(service, route string, repeat bool) gladefleet.VersionRule
+	// PeekVersions returns what Versions would return next, without counting the request. It is used by Explain only.
+	PeekVersions func(service, route string, repeat bool) gladefleet.VersionRule
 	// Recorder counts what is seen of each version of the servers; nil counts nothing.
 	Recorder *gladerollout.Recorder
 	// Suspects refuses requests that crash the servers that run them.
--- a/internal/proxy/gladeforward/limits.go
+++ b/internal/proxy/gladeforward/limits.go
@@ -32,6 +32,8 @@
 	Acquire func(ctx context.Context, s gladequota.Server, r gladequota.Request) error
 	// Sent records that a request reached a server without permission.
 	Sent func(s gladequota.Server)
+	// States returns the limits that servers name; nil means none. It is used by Explain only.
+	States func() []gladequota.State
 }
 
 // limitedServer returns the identity by which limits know a server.
@@ -103,11 +105,17 @@
 	return 0, false
 }
 
-// waitForRoom waits until there is a server again, and reports whether the request may be tried again then.
-func (j *job) waitForRoom(err error) bool {
+// limitWait returns how long the request waits until there is a server again, and false if it does not wait.
+func (j *job) limitWait(err error) (time.Duration, bool) {
 	after, ok := roomAfter(err)
 	longest := min(maxLimitWait, time.Duration(limitWaitShare*float64(j.route.Target)))
-	if !ok || after > longest || after >= time.Until(j.deadline) {
+	return after, ok && after <= longest && after < time.Until(j.deadline)
+}
+
+// waitForRoom waits until there is a server again, and reports whether the request may be tried again then.
+func (j *job) waitForRoom(err error) bool {
+	after, ok := j.limitWait(err)
+	if !ok {
 		return false
 	}
 	j.count("limits.waited")
@@ -142,9 +150,14 @@
 	if until.IsZero() {
 		return noServerRetryAfter
 	}
-	after := max(minBackoffRetryAfter, time.Until(until))
+	after := backoffRetryAfter(until)
 	return (after + time.Duration(retryAfterShare*rand.Float64()*float64(after))).Round(time.Millisecond)
 }
 
+// backoffRetryAfter returns the shortest Retry-After value while all servers are in backoff.
+func backoffRetryAfter(until time.Time) time.Duration {
+	return max(minBackoffRetryAfter, time.Until(until))
+}
+
 // minBackoffRetryAfter is the shortest Retry-After value while servers are in backoff.
 const minBackoffRetryAfter = 10 * time.Millisecond
--- a/internal/proxy/gladeforward/room.go
+++ b/internal/proxy/gladeforward/room.go
@@ -75,11 +75,7 @@
 func (s *stream) waitForPlace(need gladefleet.Requirements) (*gladefleet.Reservation, error) {
 	queue, now := s.queue(s.service), time.Now()
 	need.Waiting = true
-	// Within a priority, generations that have begun come before new ones.
-	r := gladeline.Request{Rank: 2 * s.rank(), Organisation: s.organisation, Cost: need.Tokens}
-	if s.mayHaveRun {
-		r.Rank--
-	}
+	r := s.queueRequest(need)
 	if queue.Empty() || s.mayHaveRun {
 		if place, err := s.choose(need, false); !s.hasRoomSoon(err) {
 			return place, err
@@ -118,6 +114,15 @@
 	}
 }
 
+// queueRequest returns how the stream waits in a queue. Within a priority, generations that have begun come before new ones.
+func (s *stream) queueRequest(need gladefleet.Requirements) gladeline.Request {
+	r := gladeline.Request{Rank: 2 * s.rank(), Organisation: s.organisation, Cost: need.Tokens}
+	if s.mayHaveRun {
+		r.Rank--
+	}
+	return r
+}
+
 // hasRoomSoon reports whether a request for which there is no place waits for one.
 func (s *stream) hasRoomSoon(err error) bool {
 	if backoff, ok := errors.AsType[*gladefleet.BackoffError](err); ok {
@@ -198,6 +203,11 @@
 
 // fullRetryAfter returns the Retry-After value for a request that is refused for lack of room.
 func (j *job) fullRetryAfter() time.Duration {
-	after := retryAfterShare * float64(j.route.Target) * (0.5 + rand.Float64())
+	after := float64(j.meanFullRetryAfter()) * (0.5 + rand.Float64())
 	return time.Duration(after).Round(time.Millisecond)
 }
+
+// meanFullRetryAfter returns the mean of these values.
+func (j *job) meanFullRetryAfter() time.Duration {
+	return time.Duration(retryAfterShare * float64(j.route.Target))
+}
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -181,7 +181,7 @@
 		Client:   &gladesend.Client{Pool: pool, Encode: gladeplatform.EncodeSend, Decode: gladeplatform.DecodeAnswer, OnAnswer: f.onAnswer},
 		Engine:   gladeforward.Engine{Copy: f.engine.Copy, Free: f.engine.Free, CachedTokens: f.engine.Held},
 		Budget:   f.budget,
-		Limits:   gladeforward.Limits{Acquire: f.limits.Acquire, Sent: f.limits.Sent},
+		Limits:   gladeforward.Limits{Acquire: f.limits.Acquire, Sent: f.limits.Sent, States: f.limits.States},
 		Suspects: f.suspects, OnServerDeath: f.reportDeath,
 		StopPlan: f.stopPlan.Load, Instance: f.engine.Instance, OnSuccessor: f.reportSuccessor, BootTime: bootTime,
 		Decode: gladeplatform.DecodeCall, SetAnswerID: gladeplatform.SetAnswerID, CopyName: gladeplatform.CopyName,
@@ -189,6 +189,7 @@
 	}
 	if f.rollouts != nil {
 		forwarding.Versions, forwarding.Recorder, forwarding.Release = f.rollouts.selector.Choose, f.rollouts.recorder, f.usableRelease
+		forwarding.PeekVersions = f.rollouts.selector.Peek
 	}
 	forwarder, closeForwarder := gladeforward.New(forwarding)
 	f.cleanup(closeForwarder)
@@ -213,7 +214,9 @@
 	if err := f.listen(s.ReadyAddress, map[string]http.HandlerFunc{gladeplatform.ReadyPath: f.serveReady}); err != nil {
 		return err
 	}
-	return f.listen(f.config.MetricsAddress, map[string]http.HandlerFunc{"/metrics": f.serveMetrics, "/dump": f.serveDump})
+	return f.listen(f.config.MetricsAddress, map[string]http.HandlerFunc{
+		"/metrics": f.serveMetrics, "/dump": f.serveDump, "GET /where": f.serveWhere(forwarder.Explain),
+	})
 }
 
 // bootTime returns the time since the start of the machine, as a time.  Unlike the monotonic clock, it includes the time
