--- a/internal/admit/gladeline/line_test.go
+++ b/internal/admit/gladeline/line_test.go
@@ -106,3 +106,15 @@
 	}
 	c.Assert(l.ExceedsWait(r, time.Second, now), qt.IsFalse)
 }
+
+// Guards against a count of preceding requests that is not the order of service, or that joins the queue.
+func TestAheadFollowsTheOrder(t *testing.T) {
+	c := qt.New(t)
+	l := New()
+	for rank := range 4 {
+		l.Enqueue(Request{Rank: rank, Organisation: "a"}, start)
+	}
+	c.Assert(l.Ahead(Request{Rank: 2, Organisation: "a"}), qt.Equals, 3)
+	c.Assert(l.Ahead(Request{Rank: -1, Organisation: "b"}), qt.Equals, 0)
+	c.Assert(l.Len(), qt.Equals, 4)
+}
