--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -188,8 +188,7 @@
 		OnLoadChange: f.sharer.NotifyChanged, Log: f.log.Named("proxy"), Metrics: f.metrics,
 	}
 	if f.rollouts != nil {
-		forwarding.Versions, forwarding.Recorder, forwarding.Release = f.rollouts.selector.Choose, f.rollouts.recorder, f.usableRelease
-		forwarding.PeekVersions = f.rollouts.selector.Peek
+		f.useRollouts(&forwarding)
 	}
 	forwarder, closeForwarder := gladeforward.New(forwarding)
 	f.cleanup(closeForwarder)
@@ -214,6 +213,11 @@
 	if err := f.listen(s.ReadyAddress, map[string]http.HandlerFunc{gladeplatform.ReadyPath: f.serveReady}); err != nil {
 		return err
 	}
+	return f.serveOperators(forwarder)
+}
+
+// serveOperators listens on the metrics address.
+func (f *Front) serveOperators(forwarder *gladeforward.Forwarder) error {
 	return f.listen(f.config.MetricsAddress, map[string]http.HandlerFunc{
 		"/metrics": f.serveMetrics, "/dump": f.serveDump, "GET /where": f.serveWhere(forwarder.Explain),
 	})
--- a/internal/proxy/gladefront/rollouts.go
+++ b/internal/proxy/gladefront/rollouts.go
@@ -186,6 +186,11 @@
 	return known
 }
 
+// useRollouts makes a forwarder choose versions by the roll-outs and record what it sees of them.
+func (f *Front) useRollouts(c *gladeforward.Config) {
+	c.Versions, c.PeekVersions, c.Recorder, c.Release = f.rollouts.selector.Choose, f.rollouts.selector.Peek, f.rollouts.recorder, f.usableRelease
+}
+
 // usableRelease returns the release in force, or nil if this VM does not know the roll-outs: it might use a bad version.
 func (f *Front) usableRelease() *gladerelease.Release {
 	if !f.rolloutsKnown() {
