--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -61,6 +61,8 @@
 	Versions func(service, route string, repeat bool) gladefleet.VersionRule
 	// UsesVersion reports whether requests are still meant for a version that Versions has named; nil means that they are.
 	UsesVersion func(service, route, version string) bool
+	// PeekVersions returns what Versions would return next, without counting the request. It is used by Explain only.
+	PeekVersions func(service, route string, repeat bool) gladefleet.VersionRule
 	// Recorder counts what is seen of each version of the servers; nil counts nothing.
 	Recorder *gladerollout.Recorder
 	// Suspects refuses requests that crash the servers that run them.
--- a/internal/proxy/gladefront/rollouts.go
+++ b/internal/proxy/gladefront/rollouts.go
@@ -186,6 +186,13 @@
 	return known
 }
 
+// useRollouts makes a forwarder choose versions by the roll-outs and record what it sees of them.
+func (f *Front) useRollouts(c *gladeforward.Config) {
+	s := f.rollouts.selector
+	c.Versions, c.PeekVersions, c.UsesVersion = s.Choose, s.Peek, s.Uses
+	c.Recorder, c.Release = f.rollouts.recorder, f.usableRelease
+}
+
 // usableRelease returns the release in force, or nil if this VM does not know the roll-outs: it might use a bad version.
 func (f *Front) usableRelease() *gladerelease.Release {
 	if !f.rolloutsKnown() {
