gladedecider: another decider's stop notice is binding

A decider that found the target bad, sent the notice and died before it wrote the end left an order in progress. Its successor judged anew with the evidence that was left; as the VMs no longer used the target, there was no more, and at the end of the time limit the order was completed. The candidates now record the notice, and whoever decides next reverts.

--- a/internal/proxy/gladefront/rollouts.go
+++ b/internal/proxy/gladefront/rollouts.go
@@ -138,7 +138,10 @@
 	x.mu.Lock()
 	x.socket, x.decider = socket, decider
 	x.mu.Unlock()
-	gladepeer.HandleNotice(f.node, rolloutStopNotice, func(_ string, n gladedecider.Stop) { f.onRolloutStop(n) })
+	gladepeer.HandleNotice(f.node, rolloutStopNotice, func(_ string, n gladedecider.Stop) {
+		f.onRolloutStop(n)
+		decider.HandleStop(n)
+	})
 	closeReporter := gladedecider.StartReporter(gladedecider.ReporterConfig{
 		VM: s.VM, Start: x.start, Book: x.book, Runs: forwarder.RunsOnOthers, Send: f.sendReport, Now: bootTime,
 		Evidence: func(service string) gladerollout.Evidence { return x.recorder.Evidence(service, time.Now()) },
--- a/internal/state/gladedecider/decider.go
+++ b/internal/state/gladedecider/decider.go
@@ -142,6 +142,8 @@
 	backoff time.Duration
 	// stopped holds the decision to stop the target; it holds until the end of the order is written.
 	stopped *gladerollout.Decision
+	// notice is the reason of another decider's notice to stop the target.
+	notice  string
 	stopAt  time.Time
 	stops   int
 	beatAt  time.Time
@@ -361,6 +363,17 @@
 	o.reason = cmp.Or(b.Reason, o.reason)
 }
 
+// HandleStop records the notice of another VM that decided on an order. The VMs that received it do not use the target until the order
+// has ended, so whoever decides next must end it.
+func (d *Decider) HandleStop(s Stop) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	o := d.orders[s.Service]
+	if o != nil && o.target == s.Target && o.duration.Seconds() == s.DurationS {
+		o.notice = cmp.Or(s.Reason, "stopped")
+	}
+}
+
 // beat tells the other candidates that this VM decides. The caller holds d.mu.
 func (d *Decider) beat(o *order, now time.Time) {
 	if now.Sub(o.beatAt) < beatInterval {
--- a/internal/state/gladedecider/decider_test.go
+++ b/internal/state/gladedecider/decider_test.go
@@ -301,3 +301,33 @@
 		w.set(func() { w.Assert(taken.Sub(second) >= settleTime-decideInterval, qt.IsTrue) })
 	})
 }
+
+// Guards against a bad version that a new decider completes: the one that stopped it died before it wrote that, and some of the evidence
+// is gone. The VMs use no target that was stopped, so there would be no more evidence either.
+func TestNoticeOfDeadDeciderHolds(t *testing.T) {
+	runWorld(t, 3, func(w *world) {
+		w.put("v2")
+		advance(2 * time.Second)
+		v := w.decidingVM()
+		w.set(func() { w.decide, v.cut = revert, true })
+		advance(time.Second)
+		stops := v.made().stops
+		w.Assert(len(stops) > 0, qt.IsTrue)
+		w.Assert(w.last().State, qt.Equals, gladerollout.InProgress)
+		for _, o := range w.vms {
+			if o != v {
+				o.decider.HandleStop(Stop{Service: service, Target: "v2", DurationS: 1}) // of another order
+				o.decider.HandleStop(stops[0])
+			}
+		}
+		v.kill()
+		w.set(func() { w.decide = raise })
+		advance(silenceLimit + 2*candidateStagger + time.Second)
+		w.Assert(w.last().State, qt.Equals, gladerollout.Reverted)
+		w.Assert(w.last().Target, qt.Equals, "v2")
+		for _, s := range w.statuses() {
+			w.Check(s.Share < 1, qt.IsTrue, qt.Commentf("%+v", s))
+		}
+		w.checkTerms()
+	})
+}
--- a/internal/state/gladedecider/write.go
+++ b/internal/state/gladedecider/write.go
@@ -1,6 +1,7 @@
 package gladedecider
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -32,12 +33,15 @@
 // decide asks for a decision on an order of this VM and carries it out. The caller holds d.mu.
 func (d *Decider) decide(o *order, k Known, now time.Time) {
 	r := k.Rollout
-	if now.Before(o.settledAt) { // without the reports of all VMs, the target seems to have no answers
+	if o.notice != "" && o.stopped == nil {
+		o.stopped = stopDecision(r, "stopped by an earlier decider: "+o.notice)
+	}
+	if o.stopped == nil && now.Before(o.settledAt) { // without the reports of all VMs, the target seems to have no answers
 		return
 	}
 	decision := d.config.Decide(d.collect(o, k, now))
 	if decision.Stop && o.stopped == nil {
-		o.stopped = &decision
+		o.stopped, o.notice = &decision, cmp.Or(decision.Reason, "stopped")
 	}
 	if o.stopped != nil {
 		decision = *o.stopped
@@ -55,6 +59,13 @@
 	}
 }
 
+// stopDecision returns the decision to end the use of the target.
+func stopDecision(r gladerollout.Rollout, reason string) *gladerollout.Decision {
+	s := r.Status
+	s.State, s.Share, s.RouteShares, s.Concentrate = gladerollout.Reverted, 0, nil, 0
+	return &gladerollout.Decision{Status: s, Stop: true, Reason: reason}
+}
+
 // stop tells all VMs to stop the use of the target, and repeats that until the end of the order is written. The caller holds d.mu.
 func (d *Decider) stop(o *order, r gladerollout.Rollout, now time.Time) {
 	if o.stops >= maxStops || now.Sub(o.stopAt) < stopRepeat {
