--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -165,11 +165,7 @@
 		Progress: poisonProgress, OnRefused: f.reportRefusal, OnCleared: f.reportCleared,
 		OnHeld: f.reportHeld, OnAnswered: f.reportAnswered, Log: f.log.Named("suspects"),
 	})
-	engine, closeEngine := gladeplatform.NewEngine(gladeplatform.EngineConfig{OnAnswer: f.onEngineAnswer, Transport: &http.Transport{
-		MaxIdleConnsPerHost: 1, IdleConnTimeout: engineIdleTimeout, DialContext: dialEngine, MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}})
-	f.engine = engine
-	f.cleanup(closeEngine)
+	f.openEngine()
 	f.openStore()
 	if err := f.startPeers(); err != nil {
 		return err
@@ -227,6 +223,15 @@
 	})
 }
 
+// openEngine prepares the calls to model engines.
+func (f *Front) openEngine() {
+	engine, closeEngine := gladeplatform.NewEngine(gladeplatform.EngineConfig{OnAnswer: f.onEngineAnswer, Transport: &http.Transport{
+		MaxIdleConnsPerHost: 1, IdleConnTimeout: engineIdleTimeout, DialContext: dialEngine, MaxResponseHeaderBytes: maxResponseHeaderBytes,
+	}})
+	f.engine = engine
+	f.cleanup(closeEngine)
+}
+
 // bootTime returns the time since the start of the machine, as a time.  Unlike the monotonic clock, it includes the time
 // for which the machine was suspended.
 func bootTime() time.Time {
