--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -380,7 +380,7 @@
 		s.Release = r.Version
 	}
 	if f.rollouts != nil {
-		s.Rollouts = f.rollouts.book.Newest()
+		s.Rollouts = f.rollouts.registry.Newest()
 	}
 	return s
 }
--- a/internal/proxy/gladefront/rollout_dump.go
+++ b/internal/proxy/gladefront/rollout_dump.go
@@ -29,7 +29,7 @@
 		return nil
 	}
 	now := bootTime()
-	states, current := f.rollouts.book.States(now), f.rollouts.book.Current(now)
+	states, current := f.rollouts.registry.States(now), f.rollouts.registry.Current(now)
 	f.rollouts.mu.Lock()
 	decider := f.rollouts.decider
 	f.rollouts.mu.Unlock()
@@ -60,7 +60,7 @@
 	if f.rollouts == nil {
 		return
 	}
-	all, current := f.rollouts.book.Rollouts(bootTime())
+	all, current := f.rollouts.registry.Rollouts(bootTime())
 	pending := int64(0)
 	for _, r := range all {
 		if r.Pending() {
--- a/internal/proxy/gladefront/rollout_peers.go
+++ b/internal/proxy/gladefront/rollout_peers.go
@@ -22,9 +22,9 @@
 	return vms
 }
 
-// beatReceivers is the number of VMs of each failure domain that hear from a decider. The first one may have lost the store, so that
+// heartbeatReceivers is the number of VMs of each failure domain that hear from a decider. The first one may have lost the store, so that
 // another one reads it.
-const beatReceivers = 3
+const heartbeatReceivers = 3
 
 // readers returns the names of the other live VMs in the order of readers, by failure domain.
 func (f *Front) readers() map[string][]string {
@@ -51,7 +51,7 @@
 
 // onRolloutStop stops the use of a version, unless the notice belongs to an earlier order.
 func (f *Front) onRolloutStop(n gladedecider.Stop) {
-	r, _, ok := f.rollouts.book.Get(n.Service, bootTime())
+	r, _, ok := f.rollouts.registry.Get(n.Service, bootTime())
 	if !ok || !r.Pending() || r.Target != n.Target || r.Duration.Seconds() != n.DurationS {
 		return
 	}
@@ -76,13 +76,13 @@
 	f.sendRolloutMessage(rolloutMessage{Report: &r}, vm)
 }
 
-// sendBeat tells the VMs that may decide that this VM does.
-func (f *Front) sendBeat(b gladedecider.Beat) {
+// sendHeartbeat tells the VMs that may decide that this VM does.
+func (f *Front) sendHeartbeat(b gladedecider.Heartbeat) {
 	var vms []string
 	for _, names := range f.readers() {
-		vms = append(vms, names[:min(beatReceivers, len(names))]...)
+		vms = append(vms, names[:min(heartbeatReceivers, len(names))]...)
 	}
-	f.sendRolloutMessage(rolloutMessage{Beat: &b}, vms...)
+	f.sendRolloutMessage(rolloutMessage{Heartbeat: &b}, vms...)
 }
 
 func (f *Front) sendRolloutMessage(m rolloutMessage, vms ...string) {
@@ -110,7 +110,7 @@
 	case decider == nil: // this VM is starting
 	case m.Report != nil:
 		decider.Receive(*m.Report)
-	case m.Beat != nil:
-		decider.HandleBeat(*m.Beat)
+	case m.Heartbeat != nil:
+		decider.HandleHeartbeat(*m.Heartbeat)
 	}
 }
--- a/internal/proxy/gladefront/rollouts.go
+++ b/internal/proxy/gladefront/rollouts.go
@@ -48,7 +48,7 @@
 
 // rollouts is what a VM has for the roll-outs of server versions.
 type rollouts struct {
-	book     *gladedecider.Book
+	registry *gladedecider.Registry
 	selector *gladerollout.Selector
 	recorder *gladerollout.Recorder
 	decider  *gladedecider.Decider
@@ -72,14 +72,14 @@
 
 // rolloutMessage is a datagram on roll-outs.
 type rolloutMessage struct {
-	Report *gladedecider.Report `json:"report,omitempty"`
-	Beat   *gladedecider.Beat   `json:"beat,omitempty"`
+	Report    *gladedecider.Report    `json:"report,omitempty"`
+	Heartbeat *gladedecider.Heartbeat `json:"heartbeat,omitempty"`
 }
 
 func newRollouts(f *Front) *rollouts {
 	start := time.Now().UnixNano()
 	return &rollouts{
-		book:     gladedecider.NewBook(cmp.Or(f.config.Settings.RollbackBound, defaultRollbackBound) / 2),
+		registry: gladedecider.NewRegistry(cmp.Or(f.config.Settings.RollbackBound, defaultRollbackBound) / 2),
 		selector: gladerollout.NewSelector(rand.Float64),
 		recorder: gladerollout.NewRecorder(f.config.Settings.VM, start),
 		start:    start, heard: make(chan struct{}), logged: map[string]int64{}, stopped: map[string]gladedecider.Stop{},
@@ -108,7 +108,7 @@
 			return nil, revision, gladeview.ErrHistoryGone
 		}
 		if err == nil && len(changes) == 0 { // Follow reports only changes
-			f.rollouts.book.Advance(next)
+			f.rollouts.registry.Advance(next)
 		}
 		return changes, next, err
 	}
@@ -129,10 +129,10 @@
 		return eris.Wrap(err, "opening the socket for evidence on roll-outs")
 	}
 	decider, closeDecider := gladedecider.New(gladedecider.Config{
-		VM: s.VM, Book: x.book, CanaryShare: cmp.Or(s.CanaryShare, defaultCanaryShare), CanarySlack: cmp.Or(s.CanarySlack, defaultCanarySlack),
+		VM: s.VM, Registry: x.registry, CanaryShare: cmp.Or(s.CanaryShare, defaultCanaryShare), CanarySlack: cmp.Or(s.CanarySlack, defaultCanarySlack),
 		Candidates: f.rolloutCandidates, Reached: f.reachesStore, Write: f.writeRollout, Read: f.readRollouts,
 		Servers: func(service, target string) (int, int) { return f.fleet.VersionCounts(service, target, time.Now()) },
-		Stop:    f.sendRolloutStop, Beat: f.sendBeat, OnChange: f.announceRollouts,
+		Stop:    f.sendRolloutStop, Heartbeat: f.sendHeartbeat, OnChange: f.announceRollouts,
 		Now: bootTime, Log: f.log.Named("rollouts"), Metrics: f.metrics,
 	})
 	x.mu.Lock()
@@ -143,7 +143,7 @@
 		decider.HandleStop(n)
 	})
 	closeReporter := gladedecider.StartReporter(gladedecider.ReporterConfig{
-		VM: s.VM, Start: x.start, Book: x.book, Runs: forwarder.RunsOnOthers, Send: f.sendReport, Now: bootTime,
+		VM: s.VM, Start: x.start, Registry: x.registry, Runs: forwarder.RunsOnOthers, Send: f.sendReport, Now: bootTime,
 		Evidence: func(service string) gladerollout.Evidence { return x.recorder.Evidence(service, time.Now()) },
 		Log:      f.log.Named("rollouts"),
 	})
@@ -185,7 +185,7 @@
 	if f.rollouts == nil {
 		return true
 	}
-	_, known := f.rollouts.book.Revision()
+	_, known := f.rollouts.registry.Revision()
 	return known
 }
 
@@ -238,7 +238,7 @@
 // confirmRollouts records that this VM knows the newest roll-outs if it reads the store: its watch of them would have ended.
 func (f *Front) confirmRollouts() {
 	if f.reachesStore() {
-		f.rollouts.book.Confirm(bootTime())
+		f.rollouts.registry.Confirm(bootTime())
 	}
 }
 
@@ -291,7 +291,7 @@
 			listed = append(listed, i.Value.value)
 		}
 	}
-	if f.rollouts.book.List(listed, revision, bootTime()) {
+	if f.rollouts.registry.List(listed, revision, bootTime()) {
 		f.announceRollouts()
 	}
 }
@@ -300,12 +300,12 @@
 	now := bootTime()
 	for _, c := range changes {
 		if c.Deleted || !f.rolloutDecoded(c.Item) {
-			f.rollouts.book.Withdraw(c.Name, now)
+			f.rollouts.registry.Withdraw(c.Name, now)
 			continue
 		}
-		f.rollouts.book.Put(c.Value.value, now)
+		f.rollouts.registry.Put(c.Value.value, now)
 	}
-	f.rollouts.book.Advance(revision)
+	f.rollouts.registry.Advance(revision)
 	f.announceRollouts()
 }
 
@@ -330,7 +330,7 @@
 
 // mergeRollouts takes over what another VM knows of the roll-outs.
 func (f *Front) mergeRollouts(s *gladedecider.States) {
-	if f.rollouts != nil && s != nil && f.rollouts.book.Merge(*s, bootTime()) {
+	if f.rollouts != nil && s != nil && f.rollouts.registry.Merge(*s, bootTime()) {
 		f.applyRollouts("peer")
 	}
 }
@@ -340,7 +340,7 @@
 	if f.rollouts == nil || !f.rolloutsKnown() {
 		return nil
 	}
-	s := f.rollouts.book.States(bootTime())
+	s := f.rollouts.registry.States(bootTime())
 	s.Current = f.reachesStore()
 	return &s
 }
@@ -360,7 +360,7 @@
 	if full {
 		return f.rolloutStates()
 	}
-	s := x.book.Recent(now)
+	s := x.registry.Recent(now)
 	s.Current = f.reachesStore()
 	return &s
 }
@@ -368,13 +368,13 @@
 // applyRollouts puts the known roll-outs in force and logs those that have changed.
 func (f *Front) applyRollouts(from string) {
 	x := f.rollouts
-	revision, known := x.book.Revision()
+	revision, known := x.registry.Revision()
 	if !known {
 		return
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	all, current := x.book.Rollouts(bootTime())
+	all, current := x.registry.Rollouts(bootTime())
 	x.selector.Set(all, current)
 	f.fleet.RolloutsKnown(revision)
 	pending := false
@@ -400,7 +400,7 @@
 // writeRollout writes the status of an order.
 func (f *Front) writeRollout(ctx context.Context, service string, revision int64, s gladerollout.Status) (gladerollout.Rollout, error) {
 	f.countCall("store.write." + gladeplatform.KindRollouts)
-	known, _, _ := f.rollouts.book.Get(service, bootTime())
+	known, _, _ := f.rollouts.registry.Get(service, bootTime())
 	o, err := f.store.PutStatus(ctx, gladeplatform.KindRollouts, service, revision, s)
 	conflict, isConflict := errors.AsType[*gladeplatform.ConflictError](err)
 	switch {
--- a/internal/proxy/gladefront/rollouts_test.go
+++ b/internal/proxy/gladefront/rollouts_test.go
@@ -156,7 +156,7 @@
 	f.Assert(f.calls() <= 4, qt.IsTrue, qt.Commentf("%d calls", f.calls()))
 	f.store.set(func() { f.store.unknownKinds = nil })
 	f.order("v2", "")
-	f.eventually("order known", func() bool { _, _, ok := front.rollouts.book.Get("app", bootTime()); return ok })
+	f.eventually("order known", func() bool { _, _, ok := front.rollouts.registry.Get("app", bootTime()); return ok })
 }
 
 // Guards against requests to servers of a version whose order this VM has not heard of, and against a hold without end.
@@ -176,7 +176,7 @@
 	f.callAll(2, 10)
 	f.Assert(f.requests("v2"), qt.Equals, 0)
 	f.Assert(f.calls() > calls, qt.IsTrue)
-	r, _, ok := second.rollouts.book.Get("app", bootTime())
+	r, _, ok := second.rollouts.registry.Get("app", bootTime())
 	f.Assert(ok, qt.IsTrue)
 	f.Assert(r.Target, qt.Equals, "v2")
 }
@@ -216,7 +216,7 @@
 			f.eventually("ready", front.Ready)
 			f.eventually("target is used", func() bool { f.callAll(1, 4); return f.requests("v2") > 0 })
 			f.store.set(func() { f.store.rejects[1] = true })
-			f.eventually("not current", func() bool { return !front.rollouts.book.Current(bootTime()) })
+			f.eventually("not current", func() bool { return !front.rollouts.registry.Current(bootTime()) })
 			time.Sleep(2 * rolloutCheckInterval)
 			v1, v2 := f.requests("v1"), f.requests("v2")
 			f.callAll(1, 10)
--- a/internal/state/gladedecider/bench_test.go
+++ b/internal/state/gladedecider/bench_test.go
@@ -31,14 +31,14 @@
 func BenchmarkDecider(b *testing.B) {
 	const vms = 320
 	now := time.Now()
-	book := NewBook(time.Second)
-	book.Put(rollout("v2", 5, gladerollout.InProgress), now)
+	registry := NewRegistry(time.Second)
+	registry.Put(rollout("v2", 5, gladerollout.InProgress), now)
 	d := &Decider{orders: map[string]*order{}, config: Config{
-		VM: "vm-a", Book: book, CanaryShare: 0.1, CanarySlack: 50, Decide: gladerollout.Decide, Log: hclog.NewNullLogger(),
+		VM: "vm-a", Registry: registry, CanaryShare: 0.1, CanarySlack: 50, Decide: gladerollout.Decide, Log: hclog.NewNullLogger(),
 		Metrics: metrics.NewRegistry(), Now: time.Now, Reached: func() bool { return true },
 		Servers: func(string, string) (int, int) { return 20, 20 },
 	}}
-	r, _, _ := book.Get(service, now)
+	r, _, _ := registry.Get(service, now)
 	o := d.order(r, now)
 	raw, err := json.Marshal(benchReport(1, now))
 	if err != nil {
--- a/internal/state/gladedecider/decider.go
+++ b/internal/state/gladedecider/decider.go
@@ -21,9 +21,9 @@
 const (
 	// decideInterval is how often the evidence is judged.
 	decideInterval = 200 * time.Millisecond
-	// beatInterval is how often a decider tells the other candidates that it acts.
-	beatInterval = 500 * time.Millisecond
-	// silenceLimit is the silence of a decider after which another candidate takes over. It covers two lost beats.
+	// heartbeatInterval is how often a decider tells the other candidates that it acts.
+	heartbeatInterval = 500 * time.Millisecond
+	// silenceLimit is the silence of a decider after which another candidate takes over. It covers two lost heartbeats.
 	silenceLimit = 1500 * time.Millisecond
 	// candidateStagger is the additional wait of each further candidate, so that only one writes. It is longer than a write and
 	// its distribution.
@@ -35,7 +35,7 @@
 	// after 0.3 s and reports every 0.5 s.
 	settleTime = time.Second
 	// pauseLimit is the time between two steps from which on this VM was paused: others may have decided since. It is shorter than
-	// silenceLimit less the time since the last beat.
+	// silenceLimit less the time since the last heartbeat.
 	pauseLimit = 800 * time.Millisecond
 	// callTimeout bounds a call to the store.
 	callTimeout = 700 * time.Millisecond
@@ -56,8 +56,8 @@
 	Reason    string  `json:"reason"`
 }
 
-// Beat tells the other candidates that a decider acts.
-type Beat struct {
+// Heartbeat tells the other candidates that a decider acts.
+type Heartbeat struct {
 	VM      string `json:"vm"`
 	Service string `json:"service"`
 	Term    int64  `json:"term"`
@@ -72,8 +72,8 @@
 // Config configures a Decider.
 type Config struct {
 	// VM is the name of this VM.
-	VM   string
-	Book *Book
+	VM       string
+	Registry *Registry
 	// CanaryShare and CanarySlack bound the requests at a bad version.
 	CanaryShare, CanarySlack float64
 	// Candidates returns the names of the VMs that may decide, this one only if it may.
@@ -83,15 +83,15 @@
 	// Write writes the status of a service's order if the order still has a revision, and returns it as the store has it then. On
 	// ErrConflict it returns the order as the store has it. After other errors the write may have been or may be carried out.
 	Write func(ctx context.Context, service string, revision int64, s gladerollout.Status) (gladerollout.Rollout, error)
-	// Read reads all orders from the store into the book.
+	// Read reads all orders from the store into the registry.
 	Read func(context.Context) error
 	// Servers returns the numbers of servers of a service that may get requests, of the target and of other versions.
 	Servers func(service, target string) (targets, others int)
 	// Stop tells all VMs, this one included, to stop the use of a version.
 	Stop func(Stop)
-	// Beat sends a beat to the other candidates.
-	Beat func(Beat)
-	// OnChange is called after the decider has changed the book.
+	// Heartbeat sends a heartbeat to the other candidates.
+	Heartbeat func(Heartbeat)
+	// OnChange is called after the decider has changed the registry.
 	OnChange func()
 	// Decide decides on an order; nil means gladerollout.Decide.
 	Decide func(gladerollout.Input) gladerollout.Decision
@@ -127,9 +127,9 @@
 	settledAt time.Time
 	// heardAt is when the decider was last heard, or another one claimed the order.
 	heardAt time.Time
-	// heardTerm is the term seen last. beatHeard reports that its decider's beats reach this VM, and resigned that it has resigned.
-	heardTerm           int64
-	beatHeard, resigned bool
+	// heardTerm is the term seen last. heartbeatHeard reports that its decider's heartbeats reach this VM, and resigned that it has resigned.
+	heardTerm                int64
+	heartbeatHeard, resigned bool
 	// owned reports that this process has decided on the order.
 	owned bool
 	// losses counts how often this VM was replaced as decider.
@@ -143,11 +143,11 @@
 	// stopped holds the decision to stop the target; it holds until the end of the order is written.
 	stopped *gladerollout.Decision
 	// notice is the reason of another decider's notice to stop the target.
-	notice  string
-	stopAt  time.Time
-	stops   int
-	beatAt  time.Time
-	reports map[string]received
+	notice      string
+	stopAt      time.Time
+	stops       int
+	heartbeatAt time.Time
+	reports     map[string]received
 	// reason is that of the last step, and input what the last decision depended on.
 	reason string
 	input  gladerollout.Input
@@ -187,7 +187,7 @@
 
 // step judges all pending orders once.
 func (d *Decider) step() {
-	known := d.config.Book.States(d.config.Now()).Known
+	known := d.config.Registry.States(d.config.Now()).Known
 	pending := slices.DeleteFunc(known, func(k Known) bool { return !k.Rollout.Pending() })
 	var candidates []string
 	if len(pending) > 0 {
@@ -280,7 +280,7 @@
 	case owns && d.candidateSince.IsZero():
 		d.resign(o, r)
 	case owns:
-		d.beat(o, now)
+		d.heartbeat(o, now)
 		d.decide(o, k, now)
 	case !o.unsure && !d.candidateSince.IsZero() && d.mayClaim(o, r, candidates, now):
 		d.claim(o, k, now)
@@ -289,7 +289,7 @@
 
 // hear records that a term has begun.
 func (o *order) hear(term int64, now time.Time) {
-	o.heardTerm, o.heardAt, o.beatHeard, o.resigned = term, now, false, false
+	o.heardTerm, o.heardAt, o.heartbeatHeard, o.resigned = term, now, false, false
 }
 
 // fenced records that another VM decides. The caller holds d.mu.
@@ -304,7 +304,7 @@
 // resign gives an order up because this VM is no candidate any longer; another one takes over at once. The caller holds d.mu.
 func (d *Decider) resign(o *order, r gladerollout.Rollout) {
 	d.config.Log.Info("This VM no longer decides on the order.", "service", o.service, "term", r.Status.Term)
-	d.config.Beat(Beat{VM: d.config.VM, Service: o.service, Term: r.Status.Term, Resigned: true})
+	d.config.Heartbeat(Heartbeat{VM: d.config.VM, Service: o.service, Term: r.Status.Term, Resigned: true})
 	o.term, o.owned = 0, false
 }
 
@@ -328,7 +328,7 @@
 		return false
 	}
 	wait += silenceLimit << o.losses
-	if o.beatHeard {
+	if o.heartbeatHeard {
 		return now.Sub(o.heardAt) >= wait
 	}
 	return now.Sub(later(o.heardAt, d.candidateSince)) >= wait
@@ -342,8 +342,8 @@
 	return b
 }
 
-// HandleBeat records a beat of another candidate.
-func (d *Decider) HandleBeat(b Beat) {
+// HandleHeartbeat records a heartbeat of another candidate.
+func (d *Decider) HandleHeartbeat(b Heartbeat) {
 	now := d.config.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -358,7 +358,7 @@
 	case b.Resigned:
 		o.resigned, o.heardAt = true, now
 	case b.Acting:
-		o.heardAt, o.beatHeard = now, true
+		o.heardAt, o.heartbeatHeard = now, true
 	}
 	o.reason = cmp.Or(b.Reason, o.reason)
 }
@@ -374,13 +374,13 @@
 	}
 }
 
-// beat tells the other candidates that this VM decides. The caller holds d.mu.
-func (d *Decider) beat(o *order, now time.Time) {
-	if now.Sub(o.beatAt) < beatInterval {
+// heartbeat tells the other candidates that this VM decides. The caller holds d.mu.
+func (d *Decider) heartbeat(o *order, now time.Time) {
+	if now.Sub(o.heartbeatAt) < heartbeatInterval {
 		return
 	}
-	o.beatAt = now
-	d.config.Beat(Beat{
+	o.heartbeatAt = now
+	d.config.Heartbeat(Heartbeat{
 		VM: d.config.VM, Service: o.service, Term: o.term, Acting: d.config.Reached() && !o.unsure, Reason: o.reason,
 	})
 }
--- a/internal/state/gladedecider/decider_test.go
+++ b/internal/state/gladedecider/decider_test.go
@@ -97,7 +97,7 @@
 		v := w.decidingVM()
 		v.kill()
 		again := w.startVM(v.name)
-		w.set(func() { again.book.List([]gladerollout.Rollout{w.order}, w.order.Revision, time.Now()) })
+		w.set(func() { again.registry.List([]gladerollout.Rollout{w.order}, w.order.Revision, time.Now()) })
 		advance(5 * time.Second)
 		w.Assert(w.last().Term, qt.Equals, int64(2))
 	})
--- a/internal/state/gladedecider/book.go
+++ b/internal/state/gladedecider/registry.go
@@ -30,8 +30,8 @@
 // recentTime is how long an order that has ended is told with the pending ones, for VMs that lost a datagram.
 const recentTime = 1200 * time.Millisecond
 
-// Book holds the roll-outs that this VM knows. Its methods may be called concurrently.
-type Book struct {
+// Registry holds the roll-outs that this VM knows. Its methods may be called concurrently.
+type Registry struct {
 	// currentFor is how long a confirmation holds.
 	currentFor time.Duration
 
@@ -48,13 +48,13 @@
 	firstSeen, changedAt time.Time
 }
 
-// NewBook returns an empty book, in which a confirmation of the roll-outs holds for some time.
-func NewBook(currentFor time.Duration) *Book {
-	return &Book{currentFor: currentFor, records: map[string]*record{}}
+// NewRegistry returns an empty registry, in which a confirmation of the roll-outs holds for some time.
+func NewRegistry(currentFor time.Duration) *Registry {
+	return &Registry{currentFor: currentFor, records: map[string]*record{}}
 }
 
 // List records all roll-outs that the store lists at a revision, and reports whether that changed anything.
-func (b *Book) List(rollouts []gladerollout.Rollout, revision int64, now time.Time) bool {
+func (b *Registry) List(rollouts []gladerollout.Rollout, revision int64, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	changed := !b.known || revision > b.revision
@@ -77,14 +77,14 @@
 }
 
 // Put records a roll-out as the store has it, and reports whether that is new.
-func (b *Book) Put(r gladerollout.Rollout, now time.Time) bool {
+func (b *Registry) Put(r gladerollout.Rollout, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.put(r, 0, now)
 }
 
 // Withdraw records that the store no longer lists the order of a service. Its target gets no requests if it was on trial.
-func (b *Book) Withdraw(service string, now time.Time) bool {
+func (b *Registry) Withdraw(service string, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	x := b.records[service]
@@ -92,14 +92,14 @@
 }
 
 // Advance records that all roll-outs are known up to a revision.
-func (b *Book) Advance(revision int64) {
+func (b *Registry) Advance(revision int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.revision = max(b.revision, revision)
 }
 
 // Merge records what another VM knows, and reports whether that changed anything.
-func (b *Book) Merge(s States, now time.Time) bool {
+func (b *Registry) Merge(s States, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	changed := !b.known || s.Revision > b.revision
@@ -118,7 +118,7 @@
 
 // coveredBy reports whether another VM knows the pending orders as well as this one. It may have heard of no change since, so that its
 // revision says nothing. The caller holds b.mu.
-func (b *Book) coveredBy(s States) bool {
+func (b *Registry) coveredBy(s States) bool {
 	newest := map[string]int64{}
 	for _, k := range s.Known {
 		newest[k.Rollout.Service] = k.Rollout.Revision
@@ -132,7 +132,7 @@
 }
 
 // put records a roll-out unless a later state of it is known. The caller holds b.mu.
-func (b *Book) put(r gladerollout.Rollout, elapsed time.Duration, now time.Time) bool {
+func (b *Registry) put(r gladerollout.Rollout, elapsed time.Duration, now time.Time) bool {
 	seen := now.Add(-elapsed)
 	x := b.records[r.Service]
 	switch {
@@ -173,7 +173,7 @@
 }
 
 // Confirm records that the store would have told this VM of later roll-outs.
-func (b *Book) Confirm(now time.Time) {
+func (b *Registry) Confirm(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.known {
@@ -182,25 +182,25 @@
 }
 
 // Current reports whether the roll-outs were confirmed recently.
-func (b *Book) Current(now time.Time) bool {
+func (b *Registry) Current(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.current(now)
 }
 
-func (b *Book) current(now time.Time) bool {
+func (b *Registry) current(now time.Time) bool {
 	return !b.confirmedAt.IsZero() && now.Sub(b.confirmedAt) <= b.currentFor
 }
 
 // Revision returns the store's revision up to which the roll-outs are known, and false if none are known yet.
-func (b *Book) Revision() (int64, bool) {
+func (b *Registry) Revision() (int64, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.revision, b.known
 }
 
 // Newest returns the revision of the roll-out that changed last, zero for none.
-func (b *Book) Newest() int64 {
+func (b *Registry) Newest() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	newest := int64(0)
@@ -211,7 +211,7 @@
 }
 
 // Get returns the roll-out of a service and the time since its order was first seen.
-func (b *Book) Get(service string, now time.Time) (r gladerollout.Rollout, elapsed time.Duration, ok bool) {
+func (b *Registry) Get(service string, now time.Time) (r gladerollout.Rollout, elapsed time.Duration, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	x := b.records[service]
@@ -222,7 +222,7 @@
 }
 
 // States returns the roll-outs for other VMs, ordered by service. Current is left to the caller.
-func (b *Book) States(now time.Time) States {
+func (b *Registry) States(now time.Time) States {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := States{Revision: b.revision}
@@ -238,7 +238,7 @@
 }
 
 // Recent returns the roll-outs that are pending or have changed lately. They are few, also where many have ended.
-func (b *Book) Recent(now time.Time) States {
+func (b *Registry) Recent(now time.Time) States {
 	s := b.States(now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -251,7 +251,7 @@
 }
 
 // Rollouts returns the roll-outs, ordered by service, and whether they were confirmed recently.
-func (b *Book) Rollouts(now time.Time) ([]gladerollout.Rollout, bool) {
+func (b *Registry) Rollouts(now time.Time) ([]gladerollout.Rollout, bool) {
 	s := b.States(now)
 	rollouts := make([]gladerollout.Rollout, len(s.Known))
 	for i, k := range s.Known {
--- a/internal/state/gladedecider/book_test.go
+++ b/internal/state/gladedecider/registry_test.go
@@ -25,7 +25,7 @@
 // Guards against an older state of a roll-out that replaces a newer one: datagrams and lists come in any order.
 func TestBookKeepsNewestState(t *testing.T) {
 	c := qt.New(t)
-	b := NewBook(2500 * time.Millisecond)
+	b := NewRegistry(2500 * time.Millisecond)
 	_, known := b.Revision()
 	c.Assert(known, qt.IsFalse)
 	c.Assert(b.List(nil, 3, at(0)), qt.IsTrue)
@@ -45,7 +45,7 @@
 // Guards against VMs that do not agree on the time limit of an order because they heard of it at different times.
 func TestBookAgreesOnElapsedTime(t *testing.T) {
 	c := qt.New(t)
-	early, late := NewBook(time.Second), NewBook(time.Second)
+	early, late := NewRegistry(time.Second), NewRegistry(time.Second)
 	early.Put(rollout("v2", 5, ""), at(0))
 	late.Put(rollout("v2", 5, ""), at(3))
 	late.Merge(early.States(at(4)), at(4))
@@ -67,13 +67,13 @@
 // Guards against a withdrawn order whose target goes on to get requests, at this VM and at those that hear of it.
 func TestWithdrawnOrderCountsAsReverted(t *testing.T) {
 	c := qt.New(t)
-	reader, other := NewBook(time.Second), NewBook(time.Second)
+	reader, other := NewRegistry(time.Second), NewRegistry(time.Second)
 	reader.Put(rollout("v2", 5, gladerollout.InProgress), at(0))
 	other.Merge(reader.States(at(0)), at(0))
 	c.Assert(reader.Withdraw(service, at(1)), qt.IsTrue)
 	c.Assert(reader.Withdraw(service, at(1)), qt.IsFalse)
 	c.Assert(other.Merge(reader.States(at(1)), at(1)), qt.IsTrue)
-	for _, b := range []*Book{reader, other} {
+	for _, b := range []*Registry{reader, other} {
 		r, _, _ := b.Get(service, at(1))
 		c.Assert(r.Status.State, qt.Equals, gladerollout.Reverted)
 		c.Assert(r.Pending(), qt.IsFalse)
@@ -88,7 +88,7 @@
 // Guards against a state that counts as current although nobody who reaches the store has confirmed it.
 func TestBookIsCurrentForLimitedTime(t *testing.T) {
 	c := qt.New(t)
-	b := NewBook(2500 * time.Millisecond)
+	b := NewRegistry(2500 * time.Millisecond)
 	b.Confirm(at(0)) // before anything is known
 	c.Assert(b.Current(at(0)), qt.IsFalse)
 	b.List([]gladerollout.Rollout{rollout("v2", 5, "")}, 6, at(0))
@@ -110,7 +110,7 @@
 // Guards against updates that grow with the orders of the past, and against a VM that takes a part for all.
 func TestRecentStatesLeaveOutOldEnds(t *testing.T) {
 	c := qt.New(t)
-	b, starting := NewBook(time.Second), NewBook(time.Second)
+	b, starting := NewRegistry(time.Second), NewRegistry(time.Second)
 	b.List([]gladerollout.Rollout{rollout("v2", 5, gladerollout.Reverted)}, 6, at(0))
 	c.Assert(b.Recent(at(1)).Known, qt.HasLen, 1)
 	c.Assert(b.Recent(at(1)).Partial, qt.IsFalse)
--- a/internal/state/gladedecider/report.go
+++ b/internal/state/gladedecider/report.go
@@ -105,7 +105,7 @@
 
 // Statuses returns what this VM knows of the pending orders, by service.
 func (d *Decider) Statuses() map[string]Status {
-	rollouts, _ := d.config.Book.Rollouts(d.config.Now())
+	rollouts, _ := d.config.Registry.Rollouts(d.config.Now())
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	all := map[string]Status{}
@@ -125,9 +125,9 @@
 
 // ReporterConfig configures a Reporter.
 type ReporterConfig struct {
-	VM    string
-	Start int64
-	Book  *Book
+	VM       string
+	Start    int64
+	Registry *Registry
 	// Evidence returns what this VM has seen of a service.
 	Evidence func(service string) gladerollout.Evidence
 	// Runs returns the numbers of this VM's runs on servers of other versions than a target, and of those without a copy on one
@@ -173,7 +173,7 @@
 // report sends the evidence that has changed.
 func (c *ReporterConfig) report(sent map[string]*sentReport, sequence *int64) {
 	now := c.Now()
-	known := c.Book.States(now).Known
+	known := c.Registry.States(now).Known
 	for _, k := range known {
 		r := k.Rollout
 		if !r.Pending() || vacant(r) {
--- a/internal/state/gladedecider/report_test.go
+++ b/internal/state/gladedecider/report_test.go
@@ -22,7 +22,7 @@
 func TestReportsGoToDeciderWhileTheyChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		book := NewBook(time.Second)
+		registry := NewRegistry(time.Second)
 		recorder := gladerollout.NewRecorder("vm-x", 1)
 		var mu sync.Mutex
 		var sent []sentTo
@@ -35,7 +35,7 @@
 			return s
 		}
 		stop := StartReporter(ReporterConfig{
-			VM: "vm-x", Start: 1, Book: book, Log: hclog.NewNullLogger(), Now: time.Now,
+			VM: "vm-x", Start: 1, Registry: registry, Log: hclog.NewNullLogger(), Now: time.Now,
 			Evidence: func(service string) gladerollout.Evidence { return recorder.Evidence(service, time.Now()) },
 			Runs: func(string, string) (int, int) {
 				mu.Lock()
@@ -49,10 +49,10 @@
 			},
 		})
 		defer stop()
-		book.Put(rollout("v2", 1, ""), time.Now())
+		registry.Put(rollout("v2", 1, ""), time.Now())
 		advance(3 * time.Second)
 		c.Assert(take(), qt.HasLen, 0) // nobody decides yet
-		book.Put(rollout("v2", 2, gladerollout.InProgress), time.Now())
+		registry.Put(rollout("v2", 2, gladerollout.InProgress), time.Now())
 		advance(5 * time.Second)
 		first := take()
 		c.Assert(first, qt.HasLen, 1+reportRepeats)
@@ -62,7 +62,7 @@
 		}
 		next := rollout("v2", 3, gladerollout.InProgress)
 		next.Status.Decider = "vm-b"
-		book.Put(next, time.Now())
+		registry.Put(next, time.Now())
 		advance(reportInterval)
 		c.Assert(take()[0].vm, qt.Equals, "vm-b")
 		advance(5 * time.Second)
@@ -72,7 +72,7 @@
 		mu.Unlock()
 		advance(5 * time.Second)
 		c.Assert(len(take()) >= 9, qt.IsTrue)
-		book.Put(rollout("v2", 4, gladerollout.Complete), time.Now())
+		registry.Put(rollout("v2", 4, gladerollout.Complete), time.Now())
 		advance(5 * time.Second)
 		c.Assert(take(), qt.HasLen, 0)
 	})
--- a/internal/state/gladedecider/world_test.go
+++ b/internal/state/gladedecider/world_test.go
@@ -50,12 +50,12 @@
 // testVM is a VM that may decide.
 type testVM struct {
 	*world
-	name    string
-	book    *Book
-	decider *Decider
-	close   func()
+	name     string
+	registry *Registry
+	decider  *Decider
+	close    func()
 
-	// cut makes the VM lose the store, isolated its beats; both are protected by world.mu, as is all that follows.
+	// cut makes the VM lose the store, isolated its heartbeats; both are protected by world.mu, as is all that follows.
 	cut, isolated bool
 	// demoted makes it no candidate, and alone makes it see no other one.
 	demoted, alone bool
@@ -103,17 +103,17 @@
 }
 
 func (w *world) startVM(name string) *testVM {
-	v := &testVM{world: w, name: name, book: NewBook(2500 * time.Millisecond)}
+	v := &testVM{world: w, name: name, registry: NewRegistry(2500 * time.Millisecond)}
 	w.mu.Lock()
 	w.vms = append(w.vms, v)
 	w.mu.Unlock()
-	v.book.List(nil, 1, time.Now())
+	v.registry.List(nil, 1, time.Now())
 	v.decider, v.close = New(Config{
-		VM: name, Book: v.book, CanaryShare: 0.1, CanarySlack: 50, Candidates: v.candidates,
+		VM: name, Registry: v.registry, CanaryShare: 0.1, CanarySlack: 50, Candidates: v.candidates,
 		Reached: func() bool { w.mu.Lock(); defer w.mu.Unlock(); return !v.cut && !w.down },
 		Write:   v.write, Read: v.read, Servers: func(string, string) (int, int) { return 2, 2 },
-		Stop: func(s Stop) { w.mu.Lock(); defer w.mu.Unlock(); v.calls.stops = append(v.calls.stops, s) },
-		Beat: v.beat, OnChange: func() {}, Decide: func(in gladerollout.Input) gladerollout.Decision {
+		Stop:      func(s Stop) { w.mu.Lock(); defer w.mu.Unlock(); v.calls.stops = append(v.calls.stops, s) },
+		Heartbeat: v.heartbeat, OnChange: func() {}, Decide: func(in gladerollout.Input) gladerollout.Decision {
 			w.mu.Lock()
 			decide := w.decide
 			w.mu.Unlock()
@@ -168,13 +168,13 @@
 	v.vms = slices.DeleteFunc(v.vms, func(o *testVM) bool { return o == v })
 }
 
-func (v *testVM) beat(b Beat) {
+func (v *testVM) heartbeat(b Heartbeat) {
 	v.mu.Lock()
 	vms, isolated := slices.Clone(v.vms), v.isolated
 	v.mu.Unlock()
 	for _, o := range vms {
 		if o != v && !isolated {
-			go o.decider.HandleBeat(b)
+			go o.decider.HandleHeartbeat(b)
 		}
 	}
 }
@@ -193,7 +193,7 @@
 	order := w.order
 	for _, v := range w.vms {
 		if !v.cut && v.frozen == nil && !w.down {
-			time.AfterFunc(watchDelay, func() { v.book.Put(order, time.Now()) })
+			time.AfterFunc(watchDelay, func() { v.registry.Put(order, time.Now()) })
 		}
 	}
 }
@@ -241,7 +241,7 @@
 	if v.down || v.cut {
 		return errDown
 	}
-	v.book.List([]gladerollout.Rollout{v.order}, v.order.Revision, time.Now())
+	v.registry.List([]gladerollout.Rollout{v.order}, v.order.Revision, time.Now())
 	return nil
 }
 
--- a/internal/state/gladedecider/write.go
+++ b/internal/state/gladedecider/write.go
@@ -102,7 +102,7 @@
 	now := d.config.Now()
 	conflict := errors.Is(err, ErrConflict)
 	if err == nil || conflict {
-		d.config.Book.Put(written, now)
+		d.config.Registry.Put(written, now)
 	}
 	d.mu.Lock()
 	o.calling = false
