Roll-outs: an order's time counts from the last list that did not show it

Cause: a restarted VM reads the store once and follows it 1.2 s later, so that many VMs that restart together do not each repeat the reads of their failure domain's reader.

Change: the registry keeps when all orders were known last, by a list, an empty watch or a current peer. An order that a list shows for the first time counts from then, 2.5 s back at most. An order with a status is at least as old as its last step, so that its time does not start anew when all VMs restart. Since an order may now be older than its first status, shares rise 1.2 s after that status at the earliest: the rate of requests in the first reports is too low.

The calls to the store are unchanged at any restart.

Ruled out: following the store earlier, at a VM that has heard of no other one (in a mass restart that is every VM for the first second), and a watch of the orders only (one list and watch for each VM).

--- a/internal/fleet/gladerollout/decide.go
+++ b/internal/fleet/gladerollout/decide.go
@@ -16,6 +16,9 @@
 	// ratesKnown is the time since the order after which the reports of all VMs have arrived. Until then the share is
 	// one that does not depend on the number of requests.
 	ratesKnown = 1500 * time.Millisecond
+	// reportsKnown is the same from the first status on, which VMs know after 0.3 s and report on every 0.5 s. An order may be
+	// older when it is first seen.
+	reportsKnown = 1200 * time.Millisecond
 	// minAnswers is the number of answers on each route that a step up requires, and blockingRate the number of requests
 	// per second below which a route's lack of answers does not count.
 	minAnswers, blockingRate = 8, 0.5
@@ -266,7 +269,7 @@
 // adjust sets the shares of the first stage.
 func (d *decision) adjust(reason string) Decision {
 	old := d.Rollout.Status
-	if old.Share < halfShare && d.Elapsed < ratesKnown {
+	if old.Share < halfShare && (d.Elapsed < ratesKnown || old.Rate == 0 && d.sinceStep() < reportsKnown) {
 		return d.keep()
 	}
 	k := d.sums.canary(d.Input)
--- a/internal/fleet/gladerollout/rollout_test.go
+++ b/internal/fleet/gladerollout/rollout_test.go
@@ -147,6 +147,21 @@
 	}
 }
 
+// An order may be some seconds old when it is first seen. Its shares must not rise before the reports of all VMs are there: the rate of
+// requests in the first of them is too low, and the share would be too high.
+func TestSharesWaitForReports(t *testing.T) {
+	c, in := qt.New(t), baseInput()
+	r := NewRecorder("a", 1)
+	for i := range 40 {
+		r.Begin("s", "v1", "route", "i", origin.Add(time.Duration(i)*100*time.Millisecond))
+	}
+	in.Evidence = []Evidence{r.Evidence("s", origin.Add(4*time.Second))}
+	in.Elapsed, in.Rollout.Status.StepS, in.Rollout.Status.From = 3*time.Second, 2, "v1"
+	c.Assert(Decide(in).Reason, qt.Equals, "")
+	in.Rollout.Status.StepS = 1.8
+	c.Assert(Decide(in).Reason, qt.Equals, "budget")
+}
+
 // Several hundred reports per second reach one VM, so the report of a VM with two routes must stay under 1,200 bytes, and
 // must survive its encoding.
 func TestEvidenceIsCompact(t *testing.T) {
--- a/internal/proxy/gladefront/rollouts.go
+++ b/internal/proxy/gladefront/rollouts.go
@@ -108,7 +108,7 @@
 			return nil, revision, gladeview.ErrHistoryGone
 		}
 		if err == nil && len(changes) == 0 { // Follow reports only changes
-			f.rollouts.registry.Advance(next)
+			f.rollouts.registry.Advance(next, bootTime())
 		}
 		return changes, next, err
 	}
@@ -305,7 +305,7 @@
 		}
 		f.rollouts.registry.Put(c.Value.value, now)
 	}
-	f.rollouts.registry.Advance(revision)
+	f.rollouts.registry.Advance(revision, now)
 	f.announceRollouts()
 }
 
--- a/internal/state/gladedecider/registry.go
+++ b/internal/state/gladedecider/registry.go
@@ -30,6 +30,11 @@
 // recentTime is how long an order that has ended is told with the pending ones, for VMs that lost a datagram.
 const recentTime = 1200 * time.Millisecond
 
+// maxUnseen bounds the age that an order is taken to have when a list shows it for the first time. It covers the 1.2 s between the two
+// lists of a restarted VM and the 2 s between lists of a kind that the store does not know. After a longer gap, counting from its start
+// would leave a good version too little time.
+const maxUnseen = 2500 * time.Millisecond
+
 // Registry holds the roll-outs that this VM knows. Its methods may be called concurrently.
 type Registry struct {
 	// currentFor is how long a confirmation holds.
@@ -40,6 +45,8 @@
 	revision    int64
 	records     map[string]*record
 	confirmedAt time.Time
+	// completeAt is when all orders in the store were known last.
+	completeAt time.Time
 }
 
 // record is a roll-out, when its order was first seen and when it last changed here.
@@ -53,13 +60,22 @@
 	return &Registry{currentFor: currentFor, records: map[string]*record{}}
 }
 
-// List records all roll-outs that the store lists at a revision, and reports whether that changed anything.
+// List records all roll-outs that the store lists at a revision, and reports whether that changed anything. An order that is listed for the
+// first time may be as old as the time since the orders were last known: its time counts from then, so that it ends within its limit.
 func (b *Registry) List(rollouts []gladerollout.Rollout, revision int64, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	changed := !b.known || revision > b.revision
+	unseen := time.Duration(0)
+	if !b.completeAt.IsZero() {
+		unseen = min(now.Sub(b.completeAt), maxUnseen)
+	}
 	for _, r := range rollouts {
-		changed = b.put(r, 0, now) || changed
+		elapsed := time.Duration(0)
+		if x := b.records[r.Service]; x == nil || x.replacedBy(r) {
+			elapsed = unseen
+		}
+		changed = b.put(r, elapsed, now) || changed
 	}
 	if revision >= b.revision {
 		listed := map[string]bool{}
@@ -72,7 +88,7 @@
 			}
 		}
 	}
-	b.known, b.revision = true, max(b.revision, revision)
+	b.known, b.revision, b.completeAt = true, max(b.revision, revision), now
 	return changed
 }
 
@@ -91,11 +107,11 @@
 	return x != nil && x.withdraw(now)
 }
 
-// Advance records that all roll-outs are known up to a revision.
-func (b *Registry) Advance(revision int64) {
+// Advance records that all roll-outs are known up to a revision, the newest one.
+func (b *Registry) Advance(revision int64, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.revision = max(b.revision, revision)
+	b.revision, b.completeAt = max(b.revision, revision), now
 }
 
 // Merge records what another VM knows, and reports whether that changed anything.
@@ -111,7 +127,7 @@
 	}
 	b.known, b.revision = true, max(b.revision, s.Revision)
 	if s.Current && b.coveredBy(s) {
-		b.confirmedAt = now
+		b.confirmedAt, b.completeAt = now, now
 	}
 	return changed
 }
@@ -133,6 +149,9 @@
 
 // put records a roll-out unless a later state of it is known. The caller holds b.mu.
 func (b *Registry) put(r gladerollout.Rollout, elapsed time.Duration, now time.Time) bool {
+	if r.Pending() && !vacant(r) { // the last step was that long after the order, also if all VMs have restarted since
+		elapsed = max(elapsed, time.Duration(r.Status.StepS*float64(time.Second)))
+	}
 	seen := now.Add(-elapsed)
 	x := b.records[r.Service]
 	switch {
@@ -151,7 +170,7 @@
 		}
 		return false
 	}
-	if r.Target != x.rollout.Target || r.Duration != x.rollout.Duration || !x.rollout.Pending() && r.Pending() {
+	if x.replacedBy(r) {
 		x.firstSeen = seen
 	} else if seen.Before(x.firstSeen) {
 		x.firstSeen = seen
@@ -160,6 +179,11 @@
 	return true
 }
 
+// replacedBy reports whether a later state of the same object is another order.
+func (x *record) replacedBy(r gladerollout.Rollout) bool {
+	return r.Target != x.rollout.Target || r.Duration != x.rollout.Duration || !x.rollout.Pending() && r.Pending()
+}
+
 // withdraw ends an order that is no longer listed, and reports whether that changes anything.
 func (x *record) withdraw(now time.Time) bool {
 	if !x.rollout.Pending() {
--- a/internal/state/gladedecider/registry_test.go
+++ b/internal/state/gladedecider/registry_test.go
@@ -125,3 +125,50 @@
 	c.Assert(b.Recent(at(30)).Known, qt.HasLen, 1)
 	c.Assert(b.Recent(at(30)).Partial, qt.IsFalse)
 }
+
+// Guards against an order that is decided after its time limit because the VM that lists it knew of no reader for a while after its start,
+// and against a later list or a long gap that takes the time of an order away.
+func TestListedOrderCountsFromLastKnownState(t *testing.T) {
+	c := qt.New(t)
+	elapsed := func(b *Registry, seconds float64) time.Duration {
+		_, d, ok := b.Get(service, at(seconds))
+		c.Assert(ok, qt.IsTrue)
+		return d
+	}
+	b := NewRegistry(time.Second)
+	b.List(nil, 3, at(0))
+	b.List([]gladerollout.Rollout{rollout("v2", 5, "")}, 5, at(1.2))
+	c.Assert(elapsed(b, 1.2), qt.Equals, 1200*time.Millisecond)
+	b.List([]gladerollout.Rollout{rollout("v2", 6, gladerollout.InProgress)}, 6, at(3))
+	c.Assert(elapsed(b, 3), qt.Equals, 3*time.Second)
+	// The watch says nothing new up to 7 s; the order that follows is listed after the history was lost.
+	b.Advance(6, at(7))
+	b.List([]gladerollout.Rollout{rollout("v3", 8, "")}, 8, at(7.5))
+	c.Assert(elapsed(b, 7.5), qt.Equals, 500*time.Millisecond)
+	// Another VM knew all orders up to 9 s.
+	b.Merge(States{Revision: 8, Current: true, Known: []Known{{Rollout: rollout("v3", 8, "")}}}, at(9))
+	b.List([]gladerollout.Rollout{rollout("v4", 9, "")}, 9, at(10))
+	c.Assert(elapsed(b, 10), qt.Equals, time.Second)
+	b.List([]gladerollout.Rollout{rollout("v5", 10, "")}, 10, at(60))
+	c.Assert(elapsed(b, 60), qt.Equals, maxUnseen)
+	// The first list of a process says nothing about the age of an order that nobody has decided on.
+	first := NewRegistry(time.Second)
+	first.List([]gladerollout.Rollout{rollout("v2", 5, "")}, 5, at(5))
+	c.Assert(elapsed(first, 5), qt.Equals, time.Duration(0))
+}
+
+// Guards against an order whose time starts anew when all VMs restart.
+func TestOrderIsAsOldAsItsLastStep(t *testing.T) {
+	c := qt.New(t)
+	r := rollout("v2", 5, gladerollout.InProgress)
+	r.Status.StepS = 4.5
+	b := NewRegistry(time.Second)
+	b.List([]gladerollout.Rollout{r}, 5, at(0))
+	_, elapsed, _ := b.Get(service, at(1))
+	c.Assert(elapsed, qt.Equals, 5500*time.Millisecond)
+	// The status of an earlier order says nothing about the next.
+	r.Target, r.Revision = "v3", 6
+	b.Put(r, at(2))
+	_, elapsed, _ = b.Get(service, at(3))
+	c.Assert(elapsed, qt.Equals, time.Second)
+}
