gladerollout: withdrawn versions are no reference for the target

Cause: every version but the target counted as old. The failures and times of a version reverted within the last 24 s raised the rates that the next target is compared with, and kept the old version from being named while two others were seen. Found by review, for a third order after two that were reverted.

Change: the target is compared with the only old version if the status names it and it has requests, else with all that the status does not name as withdrawn. Requests to others count as traffic, for rates and the bound.

Figures: a target of which 10 of 20 requests failed was not reverted after an order whose version had failed 40 of 60, and is now (TestWithdrawnVersionsAreNoReference, three cases, all failed before).

--- a/internal/fleet/gladerollout/decide.go
+++ b/internal/fleet/gladerollout/decide.go
@@ -88,7 +88,7 @@
 	if !in.Rollout.statusApplies() || in.Rollout.Status.State != InProgress {
 		return begin(in)
 	}
-	d := &decision{Input: in, sums: sum(in.Evidence, in.Rollout.Target)}
+	d := &decision{Input: in, sums: sum(in.Evidence, in.Rollout)}
 	d.SinceAnswer = max(in.SinceAnswer, d.sums.sinceAnswer(in.Elapsed))
 	d.answered = d.sums.answered(in.Elapsed)
 	d.verdict = d.sums.judge(in.Elapsed, d.sinceStep())
--- a/internal/fleet/gladerollout/selector_orders_test.go
+++ b/internal/fleet/gladerollout/selector_orders_test.go
@@ -1,6 +1,7 @@
 package gladerollout
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -93,3 +94,49 @@
 	in.Rollout.Status = d.Status
 	c.Assert(Decide(in).Reason, qt.Equals, "") // one write only
 }
+
+// Guards against a bad version that passes because the failures of versions withdrawn shortly before count as those of the old one.
+func TestWithdrawnVersionsAreNoReference(t *testing.T) {
+	for _, k := range []struct {
+		name, from, withdrawn string
+		earlier               []string
+	}{
+		{"after one order", "", "v2", []string{"v2"}},
+		{"after two orders", "v1", "v3", []string{"v2", "v3"}},
+		{"old version not seen lately", "v0", "v2", []string{"v2"}},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			c, now := qt.New(t), origin.Add(20*time.Second)
+			r := NewRecorder("vm", 1)
+			send := func(version string, after time.Duration, requests, failed int) {
+				for i := range requests {
+					u := r.Begin("chat", version, "r", fmt.Sprint(version, "-", i%5), origin.Add(after))
+					if i < failed {
+						u.End(Failed, 0, origin.Add(after+100*time.Millisecond))
+					} else {
+						u.End(Succeeded, 0, origin.Add(after+100*time.Millisecond))
+					}
+				}
+			}
+			for i, version := range k.earlier {
+				send(version, time.Duration(i)*4*time.Second, 60, 40)
+			}
+			send("v1", 6*time.Second, 40, 0)
+			send("v1", 17*time.Second, 8, 0)
+			send("v4", 17*time.Second, 20, 10)
+			in := Input{
+				Rollout: orderOf("v4", 3, Status{
+					State: InProgress, Target: "v4", DurationS: 12, Share: 0.08, From: k.from, Withdrawn: k.withdrawn,
+				}),
+				Evidence: []Evidence{r.Evidence("chat", now)}, Elapsed: 5 * time.Second, TargetServers: 5, OldServers: 5, StoreCurrent: true,
+				CanaryShare: 0.1, CanarySlack: 50,
+			}
+			d := Decide(in)
+			c.Assert(d.Status.State, qt.Equals, Reverted, qt.Commentf("%+v", d))
+			s := sum(in.Evidence, in.Rollout)
+			c.Assert(s.from, qt.Equals, "v1")
+			_, all := s.exposure(window)
+			c.Assert(all, qt.Equals, 60*len(k.earlier)+68)
+		})
+	}
+}
--- a/internal/fleet/gladerollout/sums.go
+++ b/internal/fleet/gladerollout/sums.go
@@ -21,22 +21,22 @@
 // classes is the number of classes of age.
 const classes = 12
 
-// sum adds up the reports. Of a VM's earlier incarnations, the runs in progress ended with it.
-func sum(evidence []Evidence, target string) *sums {
-	s := &sums{routes: map[string]*routeSums{}}
+// sum adds up the reports on an order. Of a VM's earlier incarnations, the runs in progress ended with it. Targets of earlier orders that
+// were withdrawn are nothing to compare with: their requests count as traffic only.
+func sum(evidence []Evidence, r Rollout) *sums {
+	s, target := &sums{routes: map[string]*routeSums{}}, r.Target
 	latest := map[string]int64{}
 	for _, e := range evidence {
 		latest[e.VM] = max(latest[e.VM], e.Start)
 	}
 	servers := serverCounts{}
-	old := map[string]bool{}
+	old := references(evidence, r)
 	for _, e := range evidence {
 		for version, v := range e.Versions {
 			for route, a := range v.Routes {
-				s.add(route, a, e.Age, version == target, e.Start == latest[e.VM])
+				s.add(route, a, part{e.Age, version == target, e.Start == latest[e.VM], old[version]})
 			}
 			if version != target {
-				old[version] = true
 				continue
 			}
 			for hash, k := range v.Servers {
@@ -44,11 +44,10 @@
 			}
 		}
 	}
-	for version := range old {
-		s.from = version
-	}
-	if len(old) > 1 {
-		s.from = ""
+	if len(old) == 1 {
+		for version := range old {
+			s.from = version
+		}
 	}
 	for _, k := range servers {
 		s.used++
@@ -59,24 +58,50 @@
 	return s
 }
 
+// references returns the versions with which the target is compared: the only old one if the status names it and it has requests, else
+// those that are not known to have been withdrawn.
+func references(evidence []Evidence, r Rollout) map[string]bool {
+	versions := map[string]bool{}
+	for _, e := range evidence {
+		for version := range e.Versions {
+			versions[version] = version != r.Target && version != r.Status.Withdrawn
+		}
+	}
+	if from := r.Status.From; versions[from] {
+		return map[string]bool{from: true}
+	}
+	maps.DeleteFunc(versions, func(_ string, compared bool) bool { return !compared })
+	return versions
+}
+
+// part describes the requests of one version in a report: the age of the report, whether the version is the target, whether the report is
+// of the VM's latest incarnation, and whether the target is compared with the version.
+type part struct {
+	age                      time.Duration
+	target, latest, compared bool
+}
+
 // add adds the requests of one report on a route. The report's own age moves them to older classes.
-func (s *sums) add(route string, a ageCounts, age time.Duration, target, latest bool) {
+func (s *sums) add(route string, a ageCounts, p part) {
 	r := s.routes[route]
 	if r == nil {
 		r = &routeSums{}
 		s.routes[route] = r
 	}
 	for class, k := range a {
-		at := ageBounds[class] + age
+		at := ageBounds[class] + p.age
 		if at >= window {
 			continue
 		}
 		sum := &r.old[ageClass(at)]
-		if target {
+		if p.target {
 			sum = &r.target[ageClass(at)]
 		}
 		k := *k
-		if !latest {
+		if !p.target && !p.compared {
+			k = counts{begun: k.begun, inconclusive: k.begun}
+		}
+		if !p.latest {
 			k.inconclusive += k.open.total()
 			k.open = histogram{}
 		}
