gladefront: a new reader confirms roll-outs only after its list

Cause: a VM confirmed its roll-outs as the newest while it read the store and any kind had been answered lately. A new reader's list of the orders may be up to 0.7 s later than that of the release, and a read at the start counted too. The decider's first step could also come before the socket for its messages was set. Found by review.

Change: roll-outs are confirmed, and told as current, once the orders have been listed since this VM began to read. The socket is set before the decider starts, and a message without one is dropped.

TestMessageBeforeSocketIsDropped panicked before.

--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -155,6 +155,9 @@
 	defer f.mu.Unlock()
 	f.reading, f.storeRefused = reading, false
 	clear(f.unreachable)
+	if f.rollouts != nil {
+		f.rollouts.followed.Store(false)
+	}
 }
 
 func (f *Front) setUnreachable(kind string, unreachable bool) {
--- a/internal/proxy/gladefront/rollout_peers.go
+++ b/internal/proxy/gladefront/rollout_peers.go
@@ -97,6 +97,9 @@
 	f.rollouts.mu.Lock()
 	socket := f.rollouts.socket
 	f.rollouts.mu.Unlock()
+	if socket == nil { // this VM is starting; what is sent here is sent again
+		return
+	}
 	if err := socket.Send(m, addresses); err != nil {
 		f.log.Warn("Evidence on a roll-out not sent.", "to", vms, "reason", err)
 	}
--- a/internal/proxy/gladefront/rollouts.go
+++ b/internal/proxy/gladefront/rollouts.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -55,6 +56,8 @@
 	socket   *gladedatagram.Socket[rolloutMessage]
 	// follow reads the orders from the store.
 	follow gladeview.FollowConfig[entry[gladerollout.Rollout]]
+	// followed reports that this VM has listed the orders since it began to read the store for its failure domain.
+	followed atomic.Bool
 	// start distinguishes the incarnations of this VM.
 	start int64
 	// heard is closed once the roll-outs are known.
@@ -89,7 +92,11 @@
 
 // followRollouts returns the configuration of a Follow of the orders. A store that has never had one may not know their kind.
 func followRollouts(f *Front) gladeview.FollowConfig[entry[gladerollout.Rollout]] {
-	c := followConfig(f, gladeplatform.KindRollouts, rolloutWatchWait, gladeplatform.DecodeRollout, f.onRollouts, f.onRolloutChanges, f.confirmRollouts)
+	onList := func(items []gladeview.Item[entry[gladerollout.Rollout]], revision int64) {
+		f.rollouts.followed.Store(true)
+		f.onRollouts(items, revision)
+	}
+	c := followConfig(f, gladeplatform.KindRollouts, rolloutWatchWait, gladeplatform.DecodeRollout, onList, f.onRolloutChanges, f.confirmRollouts)
 	list, watch := c.List, c.Watch
 	c.List = func(ctx context.Context) ([]gladeview.Item[entry[gladerollout.Rollout]], int64, error) {
 		items, revision, err := list(ctx)
@@ -128,15 +135,18 @@
 	if err != nil {
 		return eris.Wrap(err, "opening the socket for evidence on roll-outs")
 	}
+	x.mu.Lock()
+	x.socket = socket // before the decider, whose first step may send
+	x.mu.Unlock()
 	decider, closeDecider := gladedecider.New(gladedecider.Config{
 		VM: s.VM, Registry: x.registry, CanaryShare: cmp.Or(s.CanaryShare, defaultCanaryShare), CanarySlack: cmp.Or(s.CanarySlack, defaultCanarySlack),
-		Candidates: f.rolloutCandidates, Reached: f.reachesStore, Write: f.writeRollout, Read: f.readRollouts,
+		Candidates: f.rolloutCandidates, Reached: f.followsRollouts, Write: f.writeRollout, Read: f.readRollouts,
 		Servers: func(service, target string) (int, int) { return f.fleet.VersionCounts(service, target, time.Now()) },
 		Stop:    f.sendRolloutStop, Heartbeat: f.sendHeartbeat, OnChange: f.announceRollouts,
 		Now: bootTime, Log: f.log.Named("rollouts"), Metrics: f.metrics,
 	})
 	x.mu.Lock()
-	x.socket, x.decider = socket, decider
+	x.decider = decider
 	x.mu.Unlock()
 	gladepeer.HandleNotice(f.node, rolloutStopNotice, func(_ string, n gladedecider.Stop) {
 		f.onRolloutStop(n)
@@ -235,9 +245,13 @@
 	return f.reading && !f.storeRefused && bootTime().Sub(f.confirmedAt) <= f.watchWait()+watchSlack
 }
 
-// confirmRollouts records that this VM knows the newest roll-outs if it reads the store: its watch of them would have ended.
+// followsRollouts reports whether the store would tell this VM of a change of the roll-outs. A new reader may know of a change of the
+// release before it has listed the orders.
+func (f *Front) followsRollouts() bool { return f.rollouts.followed.Load() && f.reachesStore() }
+
+// confirmRollouts records that this VM knows the newest roll-outs if it follows them: its watch of them would have ended.
 func (f *Front) confirmRollouts() {
-	if f.reachesStore() {
+	if f.followsRollouts() {
 		f.rollouts.registry.Confirm(bootTime())
 	}
 }
@@ -341,7 +355,7 @@
 		return nil
 	}
 	s := f.rollouts.registry.States(bootTime())
-	s.Current = f.reachesStore()
+	s.Current = f.followsRollouts()
 	return &s
 }
 
@@ -361,7 +375,7 @@
 		return f.rolloutStates()
 	}
 	s := x.registry.Recent(now)
-	s.Current = f.reachesStore()
+	s.Current = f.followsRollouts()
 	return &s
 }
 
--- a/internal/proxy/gladefront/rollouts_test.go
+++ b/internal/proxy/gladefront/rollouts_test.go
@@ -272,3 +272,34 @@
 		f.Assert(strings.Contains(text, name), qt.IsTrue, qt.Commentf("%s", name))
 	}
 }
+
+// Guards against a new reader that takes its roll-outs for the newest before it has listed them: it knows the store to answer from the
+// release or the servers.
+func TestNewReaderConfirmsNothingBeforeItsList(t *testing.T) {
+	f := newRolloutFleet(t)
+	f.order("v2", `{"state":"in_progress","target":"v2","share":0.5,"durationS":12,"decider":"vm-9","term":1}`)
+	front, _ := f.startVM(1)
+	f.eventually("ready", front.Ready)
+	f.store.set(func() { f.store.silentKinds = []string{gladeplatform.KindRollouts} })
+	f.eventually("reading", front.isReading)
+	for began := time.Now(); time.Since(began) < 3*rolloutCheckInterval; time.Sleep(10 * time.Millisecond) {
+		f.Assert(front.rollouts.registry.Current(bootTime()), qt.IsFalse)
+		f.Assert(front.rolloutStates().Current, qt.IsFalse)
+	}
+	f.store.set(func() { f.store.silentKinds = nil })
+	f.eventually("current", func() bool { return front.rollouts.registry.Current(bootTime()) })
+}
+
+// Guards against a decider that stops the process because it decides before the socket for its messages is open.
+func TestMessageBeforeSocketIsDropped(t *testing.T) {
+	f := newRolloutFleet(t)
+	front, _ := f.startVM(1)
+	front.rollouts.mu.Lock()
+	socket := front.rollouts.socket
+	front.rollouts.socket = nil
+	front.rollouts.mu.Unlock()
+	front.sendHeartbeat(gladedecider.Heartbeat{VM: "vm-1", Service: "app", Term: 1})
+	front.rollouts.mu.Lock()
+	front.rollouts.socket = socket
+	front.rollouts.mu.Unlock()
+}
--- a/internal/proxy/gladefront/store_test.go
+++ b/internal/proxy/gladefront/store_test.go
@@ -25,6 +25,8 @@
 	hung       map[int]int
 	// rejectedKinds are the kinds of which all calls are rejected.
 	rejectedKinds []string
+	// silentKinds are the kinds of which lists are not answered.
+	silentKinds []string
 	// unknownKinds are answered with 404.
 	unknownKinds []string
 	// calls counts the calls of all VMs by method and kind.
@@ -142,6 +144,12 @@
 		s.mu.Lock()
 		return
 	}
+	if watch == "" && slices.Contains(s.silentKinds, kind) {
+		s.mu.Unlock()
+		<-r.Context().Done()
+		s.mu.Lock()
+		return
+	}
 	if watch == "" {
 		items := []any{}
 		for name := range s.objects[kind] {
