gladefront: a VM that was suspended uses no stale share

Cause: whether the roll-outs were confirmed lately is checked every 0.25 s by a timer. Timers of a suspended machine count on from where they stopped, so that requests of the first 0.25 s after it resumed went to a target that may have been stopped. Found by review.

Change: a request puts the known roll-outs in force first if that is overdue by a clock that counts the suspension.

Figures: TestSuspendedVMUsesNoStaleShare, which fails without the check. A request reads that clock once more (one system call).

--- a/internal/proxy/gladefront/rollouts.go
+++ b/internal/proxy/gladefront/rollouts.go
@@ -58,6 +58,8 @@
 	follow gladeview.FollowConfig[entry[gladerollout.Rollout]]
 	// followed reports that this VM has listed the orders since it began to read the store for its failure domain.
 	followed atomic.Bool
+	// appliedAt is when the roll-outs were put in force last, in nanoseconds of bootTime.
+	appliedAt atomic.Int64
 	// start distinguishes the incarnations of this VM.
 	start int64
 	// heard is closed once the roll-outs are known.
@@ -190,6 +192,14 @@
 	}
 }
 
+// refreshRollouts puts the known roll-outs in force if the periodic check is overdue: a VM that was suspended may use a share that has been
+// withdrawn since.
+func (f *Front) refreshRollouts() {
+	if bootTime().UnixNano()-f.rollouts.appliedAt.Load() > (2 * rolloutCheckInterval).Nanoseconds() {
+		f.applyRollouts("")
+	}
+}
+
 // rolloutsKnown reports whether this VM knows the roll-outs, if there are any on this platform.
 func (f *Front) rolloutsKnown() bool {
 	if f.rollouts == nil {
@@ -202,7 +212,15 @@
 // useRollouts makes a forwarder choose versions by the roll-outs and record what it sees of them.
 func (f *Front) useRollouts(c *gladeforward.Config) {
 	s := f.rollouts.selector
-	c.Versions, c.PeekVersions, c.UsesVersion = s.Choose, s.Peek, s.Uses
+	c.Versions = func(service, route string, repeat bool) gladefleet.VersionRule {
+		f.refreshRollouts()
+		return s.Choose(service, route, repeat)
+	}
+	c.UsesVersion = func(service, route, version string) bool {
+		f.refreshRollouts()
+		return s.Uses(service, route, version)
+	}
+	c.PeekVersions = s.Peek
 	c.Recorder, c.Release = f.rollouts.recorder, f.usableRelease
 }
 
@@ -388,8 +406,10 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	all, current := x.registry.Rollouts(bootTime())
+	now := bootTime()
+	all, current := x.registry.Rollouts(now)
 	x.selector.Set(all, current)
+	x.appliedAt.Store(now.UnixNano())
 	f.fleet.RolloutsKnown(revision)
 	pending := false
 	for _, r := range all {
--- a/internal/proxy/gladefront/rollouts_test.go
+++ b/internal/proxy/gladefront/rollouts_test.go
@@ -10,8 +10,12 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
 
+	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladerollout"
+	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladeforward"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladedecider"
 	gladeplatform "github.com/eelgrassglade/eelgrassglade/platform"
 )
@@ -303,3 +307,30 @@
 	front.rollouts.socket = socket
 	front.rollouts.mu.Unlock()
 }
+
+// Guards against a VM that was suspended and uses a share of before for the first requests after it resumes: its timers count on from
+// where they stopped.
+func TestSuspendedVMUsesNoStaleShare(t *testing.T) {
+	c := qt.New(t)
+	f := &Front{log: hclog.NewNullLogger(), metrics: metrics.NewRegistry(), fleet: gladefleet.New(gladefleet.Config{})}
+	f.rollouts = newRollouts(f)
+	var config gladeforward.Config
+	f.useRollouts(&config)
+	order := gladerollout.Rollout{Service: "app", Target: "v2", Duration: 12 * time.Second, Revision: 1}
+	order.Status = gladerollout.Status{State: gladerollout.InProgress, Target: "v2", DurationS: 12, Share: 0.5, Decider: "vm-9", Term: 1}
+	known := gladedecider.States{Revision: 1, Current: true, Known: []gladedecider.Known{{Rollout: order}}}
+	before := bootTime().Add(-defaultRollbackBound)
+	f.rollouts.registry.Merge(known, before)
+	f.rollouts.selector.Set([]gladerollout.Rollout{order}, true)
+	f.rollouts.appliedAt.Store(before.UnixNano())
+	c.Assert(config.UsesVersion("app", "r", "v2"), qt.IsFalse)
+	f.rollouts.selector.Set([]gladerollout.Rollout{order}, true)
+	f.rollouts.appliedAt.Store(before.UnixNano())
+	for range 4 {
+		c.Assert(config.Versions("app", "r", false), qt.Equals, gladefleet.VersionRule{Except: "v2"})
+	}
+	// A state that is still confirmed is used as before.
+	f.rollouts.registry.Merge(known, bootTime())
+	f.applyRollouts("")
+	c.Assert(config.UsesVersion("app", "r", "v2"), qt.IsTrue)
+}
