--- a/internal/proxy/gladefront/rollouts_test.go
+++ b/internal/proxy/gladefront/rollouts_test.go
@@ -152,15 +152,19 @@
 // Guards against VMs that are never ready because the store knows no kind of which there has been no object, and against calls
 // without a pause.
 func TestStoreWithoutOrders(t *testing.T) {
-	f := newRolloutFleet(t)
-	f.store.set(func() { f.store.unknownKinds = []string{gladeplatform.KindRollouts} })
-	front, _ := f.startVM(1)
-	f.eventually("ready", front.Ready)
-	time.Sleep(time.Second)
-	f.Assert(f.calls() <= 4, qt.IsTrue, qt.Commentf("%d calls", f.calls()))
-	f.store.set(func() { f.store.unknownKinds = nil })
-	f.order("v2", "")
-	f.eventually("order known", func() bool { _, _, ok := front.rollouts.registry.Get("app", bootTime()); return ok })
+	for _, status := range []int{http.StatusNotFound, http.StatusBadRequest, http.StatusMethodNotAllowed, http.StatusNotImplemented} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			f := newRolloutFleet(t)
+			f.store.set(func() { f.store.unknownKinds, f.store.unknownStatus = []string{gladeplatform.KindRollouts}, status })
+			front, _ := f.startVM(1)
+			f.eventually("ready", front.Ready)
+			time.Sleep(time.Second)
+			f.Assert(f.calls() <= 4, qt.IsTrue, qt.Commentf("%d calls", f.calls()))
+			f.store.set(func() { f.store.unknownKinds = nil })
+			f.order("v2", "")
+			f.eventually("order known", func() bool { _, _, ok := front.rollouts.registry.Get("app", bootTime()); return ok })
+		})
+	}
 }
 
 // Guards against requests to servers of a version whose order this VM has not heard of, and against a hold without end.
--- a/internal/proxy/gladefront/store_test.go
+++ b/internal/proxy/gladefront/store_test.go
@@ -1,6 +1,7 @@
 package gladefront
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -27,8 +28,9 @@
 	rejectedKinds []string
 	// silentKinds are the kinds of which lists are not answered.
 	silentKinds []string
-	// unknownKinds are answered with 404.
-	unknownKinds []string
+	// unknownKinds are answered with unknownStatus, 404 if that is zero.
+	unknownKinds  []string
+	unknownStatus int
 	// calls counts the calls of all VMs by method and kind.
 	calls map[string]int
 }
@@ -129,7 +131,7 @@
 	}
 	s.calls[r.Method+" "+kind]++
 	if slices.Contains(s.unknownKinds, kind) {
-		w.WriteHeader(http.StatusNotFound)
+		w.WriteHeader(cmp.Or(s.unknownStatus, http.StatusNotFound))
 		return
 	}
 	if r.Method == http.MethodPut {
