Roll-outs: an order for the version in use rejects no requests

Cause: until the first status names a share of 1, a VM excludes the target of an order from all requests. Where the target was the only version, all were rejected for about a second. Found by review.

Change: when a VM sees a service's first order, before any status, it records the version of all servers that it knows, gone ones included, if that is one. An order for that version is no trial. Servers of the target listed later change nothing.

Ruled out: a fallback to the target whenever no other server is left. A crash of the old version's servers would give a bad target all requests.

--- a/internal/fleet/gladerollout/selector.go
+++ b/internal/fleet/gladerollout/selector.go
@@ -12,6 +12,7 @@
 
 	mu     sync.Mutex
 	orders map[string]*order // by service
+	inUse  map[string]string // the version in use, by service
 	phases map[phaseKey]float64
 }
 
@@ -33,7 +34,7 @@
 
 // NewSelector returns a selector without roll-outs. The random numbers, from 0 to 1, are the initial phases.
 func NewSelector(random func() float64) *Selector {
-	return &Selector{random: random, orders: map[string]*order{}, phases: map[phaseKey]float64{}}
+	return &Selector{random: random, orders: map[string]*order{}, inUse: map[string]string{}, phases: map[phaseKey]float64{}}
 }
 
 // Set replaces the known roll-outs. Current reports that they were confirmed recently. A roll-out that is older than the
@@ -47,7 +48,7 @@
 		if known != nil && r.Revision < known.Revision {
 			r = known.Rollout
 		}
-		orders[r.Service] = nextOrder(known, r, current)
+		orders[r.Service] = nextOrder(known, r, current, s.inUse[r.Service])
 	}
 	s.orders = orders
 	for k := range s.phases {
@@ -57,8 +58,16 @@
 	}
 }
 
-// nextOrder returns what is known of a service's order after a roll-out was read.
-func nextOrder(known *order, r Rollout, current bool) *order {
+// SetInUse records the version of all servers of a service at the time when its first order was seen. An order for that version is no
+// trial: no other version could take the requests.
+func (s *Selector) SetInUse(service, version string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inUse[service] = version
+}
+
+// nextOrder returns what is known of a service's order after a roll-out was read. The version in use may be empty.
+func nextOrder(known *order, r Rollout, current bool, inUse string) *order {
 	o := &order{Rollout: r, current: current}
 	if known != nil {
 		o.completed, o.from, o.withdrawn = known.completed, known.from, known.withdrawn
@@ -67,8 +76,11 @@
 		}
 		o.stopped = known.stopped && known.Target == r.Target && known.Duration == r.Duration && r.Pending()
 	}
-	if r.Status.From != "" {
+	switch {
+	case r.Status.From != "":
 		o.from = r.Status.From
+	case o.from == "" && r.Status.Target == "":
+		o.from = inUse
 	}
 	switch r.Status.State {
 	case Complete:
--- a/internal/fleet/gladerollout/selector_orders_test.go
+++ b/internal/fleet/gladerollout/selector_orders_test.go
@@ -140,3 +140,26 @@
 		})
 	}
 }
+
+// Guards against a target on trial that gets all requests because it was taken for the version in use.
+func TestVersionInUse(t *testing.T) {
+	for _, k := range []struct {
+		name, inUse string
+		order       Rollout
+		want        gladefleet.VersionRule
+	}{
+		{"the target", "v2", orderOf("v2", 1, Status{}), gladefleet.VersionRule{Only: "v2", Fallback: true}},
+		{"the target, claimed", "v2", orderOf("v2", 1, Status{State: InProgress, Target: "v2", DurationS: 12}), gladefleet.VersionRule{Except: "v2"}},
+		{"another one", "v1", orderOf("v2", 1, Status{}), gladefleet.VersionRule{Except: "v2"}},
+		{"not known", "", orderOf("v2", 1, Status{}), gladefleet.VersionRule{Except: "v2"}},
+		{"named by the status", "v2", orderOf("v2", 1, Status{State: Reverted, Target: "v3", DurationS: 12, From: "v1"}), gladefleet.VersionRule{Only: "v1"}},
+		{"withdrawn before", "v2", orderOf("v2", 1, Status{State: Reverted, Target: "v2", DurationS: 9}), gladefleet.VersionRule{Except: "v2"}},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			s := NewSelector(func() float64 { return 0 })
+			s.SetInUse("chat", k.inUse)
+			s.Set([]Rollout{k.order}, true)
+			qt.Assert(t, s.Choose("chat", "r", true), qt.Equals, k.want)
+		})
+	}
+}
--- a/internal/proxy/gladefront/rollouts.go
+++ b/internal/proxy/gladefront/rollouts.go
@@ -408,6 +408,11 @@
 	defer x.mu.Unlock()
 	now := bootTime()
 	all, current := x.registry.Rollouts(now)
+	for _, r := range all {
+		if x.logged[r.Service] == 0 && r.Status.Target == "" {
+			x.selector.SetInUse(r.Service, f.onlyVersion(r.Service))
+		}
+	}
 	x.selector.Set(all, current)
 	x.appliedAt.Store(now.UnixNano())
 	f.fleet.RolloutsKnown(revision)
@@ -431,6 +436,21 @@
 	x.closeOnce.Do(func() { close(x.heard) })
 }
 
+// onlyVersion returns the version of all servers of a service that this VM knows, gone ones included, empty if they differ.
+func (f *Front) onlyVersion(service string) string {
+	version, found := "", false
+	for _, s := range f.fleet.Statuses() {
+		switch {
+		case s.Service != service:
+		case found && s.Version != version:
+			return ""
+		default:
+			version, found = s.Version, true
+		}
+	}
+	return version
+}
+
 // writeRollout writes the status of an order.
 func (f *Front) writeRollout(ctx context.Context, service string, revision int64, s gladerollout.Status) (gladerollout.Rollout, error) {
 	f.countCall("store.write." + gladeplatform.KindRollouts)
--- a/internal/proxy/gladefront/rollouts_test.go
+++ b/internal/proxy/gladefront/rollouts_test.go
@@ -338,3 +338,19 @@
 	f.applyRollouts("")
 	c.Assert(config.UsesVersion("app", "r", "v2"), qt.IsTrue)
 }
+
+// Guards against requests that are rejected for about a second because the only version that there is has been ordered.
+func TestOrderForVersionInUseRejectsNothing(t *testing.T) {
+	f := newRolloutFleet(t)
+	front, _ := f.startVM(1)
+	f.eventually("reading", func() bool { return front.Ready() && front.followsRollouts() })
+	f.order("v1", "")
+	sent := 0
+	f.eventually("share 1", func() bool {
+		status, _, _ := f.get(1, 8000, "/a/x")
+		f.Assert(status, qt.Equals, http.StatusOK)
+		sent++
+		return f.status().Share == 1
+	})
+	f.Assert(f.requests("v1"), qt.Equals, sent)
+}
