gladeline: waiting generations are ordered by the time left until their targets

Cause: a queue orders by priority, organisation and arrival. Where the routes of a service differ in priority and target, the request that is due first may be served last, and a less urgent route gets nothing while the urgent one uses all places.

Change: where routes differ in priority, requests of one priority are ordered by the time left in which a place lets them meet their targets, in steps of 0.5 s, then by organisation and arrival. One that has waited for half of its maximum wait is raised by one priority; if its priority and those below got less than a ninth of the places of the last 2 s, it precedes more urgent ones.

Not measured on a deployment.

Ruled out: raising by more than one priority. In a long burst each request at the head of the queue is an old one, and the urgent route would wait behind all of them.

--- a/internal/admit/gladeline/line.go
+++ b/internal/admit/gladeline/line.go
@@ -17,6 +17,8 @@
 	Organisation string
 	// Cost is what serving the request counts for its organisation, in tokens.
 	Cost int
+	// Times are set where the order is by the time left until the target.
+	Times Times
 }
 
 // Waiter is a request in a queue.
@@ -39,6 +41,8 @@
 	busySince time.Time
 	// servedAt holds the times at which requests were served within the last rateWindow.
 	servedAt []time.Time
+	// placements are the latest places, where the order is by time; older ones than rateWindow do not count.
+	placements []placement
 }
 
 // New returns an empty queue.
@@ -50,13 +54,18 @@
 func (l *Queue) Enqueue(r Request, now time.Time) *Waiter {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	w := &Waiter{Request: r, queue: l}
+	l.enqueue(w, now)
+	return w
+}
+
+func (l *Queue) enqueue(w *Waiter, now time.Time) {
 	if len(l.waiting) == 0 {
 		l.busySince = now
 	}
 	l.lastSequence++
-	w := &Waiter{Request: r, queue: l, sequence: l.lastSequence}
+	w.sequence = l.lastSequence
 	l.waiting = append(l.waiting, w)
-	return w
 }
 
 // Empty reports whether no request waits.
@@ -78,6 +87,10 @@
 func (l *Queue) ExceedsWait(r Request, wait time.Duration, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if r.Times != (Times{}) {
+		expected, known := l.expectedWait(&r, now)
+		return known && expected > wait
+	}
 	l.trimServed(now)
 	if len(l.waiting) == 0 || now.Sub(l.busySince) < rateWindow {
 		return false // the rate is not known yet
@@ -95,22 +108,33 @@
 func (l *Queue) Ahead(r Request) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	last, ahead := &Waiter{Request: r, sequence: l.lastSequence + 1}, 0
+	ahead, _ := l.ahead(&r, r.Times.At)
+	return ahead
+}
+
+// ahead returns the number of waiting requests that would precede a request, and how many of them are not more urgent by their own
+// priority.
+func (l *Queue) ahead(r *Request, now time.Time) (all, own int) {
+	last := &Waiter{Request: *r, sequence: l.lastSequence + 1}
 	for _, w := range l.waiting {
-		if l.precedes(w, last) {
-			ahead++
+		if !l.precedes(w, last, now) {
+			continue
+		}
+		all++
+		if priority(w.Rank) >= priority(r.Rank) {
+			own++
 		}
 	}
-	return ahead
+	return all, own
 }
 
 // IsNext reports whether the request is the next to be served.
-func (w *Waiter) IsNext() bool {
+func (w *Waiter) IsNext(now time.Time) bool {
 	l := w.queue
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, o := range l.waiting {
-		if o != w && l.precedes(o, w) {
+		if o != w && l.precedes(o, w, now) {
 			return false
 		}
 	}
@@ -118,9 +142,9 @@
 }
 
 // precedes reports whether request a is served before request b.
-func (l *Queue) precedes(a, b *Waiter) bool {
-	if a.Rank != b.Rank {
-		return a.Rank < b.Rank
+func (l *Queue) precedes(a, b *Waiter, now time.Time) bool {
+	if p, o := l.position(&a.Request, now), l.position(&b.Request, now); p != o {
+		return p.less(o)
 	}
 	if x, y := l.virtualTime(a.Organisation), l.virtualTime(b.Organisation); a.Organisation != b.Organisation && x != y {
 		return x < y
--- a/internal/admit/gladeline/line_test.go
+++ b/internal/admit/gladeline/line_test.go
@@ -12,7 +12,7 @@
 // serveNext removes the next request from the queue as served and returns it.
 func serveNext(c *qt.C, waiting *[]*Waiter, now time.Time) Request {
 	for i, w := range *waiting {
-		if w.IsNext() {
+		if w.IsNext(now) {
 			w.Remove(true, now)
 			*waiting = append((*waiting)[:i:i], (*waiting)[i+1:]...)
 			return w.Request
--- a/internal/proxy/gladeforward/room.go
+++ b/internal/proxy/gladeforward/room.go
@@ -73,6 +73,9 @@
 
 // waitForPlace reserves room for a run and its copy, and waits for it if there is none.
 func (s *stream) waitForPlace(need gladefleet.Requirements) (*gladefleet.Reservation, error) {
+	if s.ordersByTarget() {
+		return s.waitForTurn(need)
+	}
 	queue, now := s.queue(s.service), time.Now()
 	need.Waiting = true
 	r := s.queueRequest(need)
@@ -101,7 +104,7 @@
 			return nil, s.ctx.Err()
 		case <-tick.C:
 		}
-		if w.IsNext() {
+		if w.IsNext(time.Now()) {
 			if place, err := s.choose(need, true); !s.hasRoomSoon(err) {
 				served = err == nil
 				return place, err
@@ -120,6 +123,9 @@
 	if s.mayHaveRun {
 		r.Rank--
 	}
+	if s.ordersByTarget() {
+		r.Times = s.times(time.Now())
+	}
 	return r
 }
 
@@ -202,12 +208,12 @@
 }
 
 // fullRetryAfter returns the Retry-After value for a request that is refused for lack of room.
-func (j *job) fullRetryAfter() time.Duration {
-	after := float64(j.meanFullRetryAfter()) * (0.5 + rand.Float64())
+func (s *stream) fullRetryAfter() time.Duration {
+	after := float64(s.meanFullRetryAfter()) * (0.5 + rand.Float64())
 	return time.Duration(after).Round(time.Millisecond)
 }
 
 // meanFullRetryAfter returns the mean of these values.
-func (j *job) meanFullRetryAfter() time.Duration {
-	return time.Duration(retryAfterShare * float64(j.route.Target))
+func (s *stream) meanFullRetryAfter() time.Duration {
+	return time.Duration(retryAfterShare * float64(s.route.Target))
 }
