gladeline: the starvation test counts after a warm-up

Cause: TestNoKindOfRequestStarves failed once (22 places of a bound of 22.5): its load starts with an empty queue, and no request has aged in the first seconds. At a minute of load that did not matter; when the load was cut to 30 s, it did.

Change: outcomes count after 6 s, the longest maximum wait, for 30 s.

--- a/internal/admit/gladeline/order_test.go
+++ b/internal/admit/gladeline/order_test.go
@@ -133,8 +133,12 @@
 
 func (o outcome) share() float64 { return float64(o.served) / float64(max(1, o.sent)) }
 
-// loadTime is the time for which a load is served.
-const loadTime = 30 * time.Second
+const (
+	// warmUp is the time before outcomes count: the longest maximum wait, after which requests have aged.
+	warmUp = 6 * time.Second
+	// loadTime is the time for which outcomes count.
+	loadTime = 30 * time.Second
+)
 
 // run serves the load for loadTime and returns the outcomes by kind: "urgent", "other" and, among the others, "large" (the largest
 // tenth) and "small" (organisations of few requests).
@@ -163,14 +167,16 @@
 			At: now, Target: due, Latest: due.Add(-timing.Prefill), Raise: now.Add(wait / 2),
 		}}
 		for _, k := range kinds {
-			got[k] = outcome{got[k].sent + 1, got[k].served}
+			if now.Sub(start) >= warmUp {
+				got[k] = outcome{got[k].sent + 1, got[k].served}
+			}
 		}
 		if !l.ExceedsWait(r, wait, now) {
 			waiting = append(waiting, pending{l.Enqueue(r, now), now.Add(wait), kinds})
 		}
 	}
 	perTick := float64(d.perSecond) * tick.Seconds()
-	for now := start; now.Before(start.Add(loadTime)); now = now.Add(tick) {
+	for now := start; now.Before(start.Add(warmUp + loadTime)); now = now.Add(tick) {
 		for range d.arrivals(d.urgent * perTick) {
 			arrive(now, 0, 4*time.Second, "urgent")
 		}
@@ -197,7 +203,9 @@
 			waiting = slices.Delete(waiting, next, next+1)
 			l.RecordPlacement(p.w.Rank, now)
 			for _, k := range p.kinds {
-				got[k] = outcome{got[k].sent, got[k].served + 1}
+				if now.Sub(start) >= warmUp {
+					got[k] = outcome{got[k].sent, got[k].served + 1}
+				}
 			}
 		}
 	}
