--- a/internal/proxy/gladeforward/room.go
+++ b/internal/proxy/gladeforward/room.go
@@ -12,7 +12,8 @@
 
 const (
 	// waitShare is the share of a route's target time for which a new generation waits for room.  The rest is needed to
-	// process its prompt, and for the caller to retry after a refusal.
+	// process its prompt, and for the caller to retry after a refusal.  Where the routes of a service differ in priority, it is the
+	// least maximum wait.
 	waitShare = 0.125
 	// resumedWaitShare is the same for a generation that has begun, which cannot be refused.
 	resumedWaitShare = 1.0
@@ -65,14 +66,20 @@
 // maxWait returns the maximum time that the stream waits for room.
 func (s *stream) maxWait() time.Duration {
 	share := waitShare
-	if s.mayHaveRun {
+	switch {
+	case s.mayHaveRun:
 		share = resumedWaitShare
+	case s.ordersByTarget():
+		return min(s.timing(time.Now()).MaxWait(), time.Until(s.deadline))
 	}
 	return min(time.Duration(share*float64(s.route.Target)), time.Until(s.deadline))
 }
 
 // waitForPlace reserves room for a run and its copy, and waits for it if there is none.
 func (s *stream) waitForPlace(need gladefleet.Requirements) (*gladefleet.Reservation, error) {
+	if s.ordersByTarget() {
+		return s.waitForTurn(need)
+	}
 	queue, now := s.queue(s.service), time.Now()
 	need.Waiting = true
 	r := s.queueRequest(need)
@@ -101,7 +108,7 @@
 			return nil, s.ctx.Err()
 		case <-tick.C:
 		}
-		if w.IsNext() {
+		if w.IsNext(time.Now()) {
 			if place, err := s.choose(need, true); !s.hasRoomSoon(err) {
 				served = err == nil
 				return place, err
@@ -120,6 +127,9 @@
 	if s.mayHaveRun {
 		r.Rank--
 	}
+	if s.ordersByTarget() {
+		r.Times = s.times(time.Now())
+	}
 	return r
 }
 
@@ -202,12 +212,18 @@
 }
 
 // fullRetryAfter returns the Retry-After value for a request that is refused for lack of room.
-func (j *job) fullRetryAfter() time.Duration {
-	after := float64(j.meanFullRetryAfter()) * (0.5 + rand.Float64())
+func (s *stream) fullRetryAfter() time.Duration {
+	if s.ordersByTarget() {
+		return s.timedRetryAfter(rand.Float64())
+	}
+	after := float64(s.meanFullRetryAfter()) * (0.5 + rand.Float64())
 	return time.Duration(after).Round(time.Millisecond)
 }
 
 // meanFullRetryAfter returns the mean of these values.
-func (j *job) meanFullRetryAfter() time.Duration {
-	return time.Duration(retryAfterShare * float64(j.route.Target))
+func (s *stream) meanFullRetryAfter() time.Duration {
+	if s.ordersByTarget() {
+		return s.timedRetryAfter(0.5)
+	}
+	return time.Duration(retryAfterShare * float64(s.route.Target))
 }
