gladefront: versions that a known order names are not held

Cause: a VM that starts takes a peer's list of servers, whose revision may be newer than that of the peer's roll-outs. All servers but those of the first version in the list were held for up to 2 s. If the first one was that of the target, only servers were left that the order excludes, and requests were rejected. Found by review.

Change: servers of the target or of the old version that the known order names are not held, since its state says what each gets. In a peer's list the targets come last.

Servers of versions that no order names are held as before (TestServersOfUnknownVersionAreHeld, TestHoldEnds).

--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -479,7 +479,7 @@
 
 // putServer adds a server that is listed at a revision to the table or updates it, and reports whether that changed anything.
 func (f *Front) putServer(s gladefleet.Server, revision int64, now time.Time) bool {
-	if f.rollouts == nil && !f.fleet.Put(s, now) || f.rollouts != nil && !f.fleet.PutAt(s, revision, now) {
+	if f.rollouts == nil && !f.fleet.Put(s, now) || f.rollouts != nil && !f.fleet.PutAt(s, f.holdRevision(s, revision), now) {
 		return false
 	}
 	f.log.Info("Backend server listed.", "server", s.ID, "service", s.Service, "address", s.Address, "domain", s.FailureDomain,
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -412,6 +412,7 @@
 		return
 	}
 	f.log.Info("Received backend servers from a peer.", "peer", from, "revision", s.Revision, "servers", len(s.Servers))
+	f.targetsLast(s.Servers)
 	f.replaceServers(s.Servers, s.Revision, time.Now())
 	f.mu.Lock()
 	f.revision, f.serversKnown = s.Revision, true
--- a/internal/proxy/gladefront/rollouts.go
+++ b/internal/proxy/gladefront/rollouts.go
@@ -274,39 +274,6 @@
 	}
 }
 
-// decodeServer decodes the entry of a backend server. Without roll-outs, versions do not matter.
-func (f *Front) decodeServer(o gladeplatform.Object) (gladefleet.Server, error) {
-	s, err := gladeplatform.DecodeServer(o)
-	if f.rollouts == nil {
-		s.Version = ""
-	}
-	return s, err
-}
-
-// listedServers returns the servers in changes that can be decoded.
-func (f *Front) listedServers(changes []gladeview.Change[entry[gladefleet.Server]]) []gladefleet.Server {
-	var servers []gladefleet.Server
-	for _, c := range changes {
-		if f.rollouts != nil && !c.Deleted && c.Value.err == nil {
-			servers = append(servers, c.Value.value)
-		}
-	}
-	return servers
-}
-
-// readRolloutsFor reads the roll-outs if one of the servers listed at a revision has a version new to its service: the version may
-// belong to an order that this VM does not know yet.
-func (f *Front) readRolloutsFor(servers []gladefleet.Server, revision int64) {
-	if f.rollouts == nil || !f.fleet.HasNewVersion(servers, revision, time.Now()) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), rolloutReadTimeout)
-	defer cancel()
-	if err := f.readRollouts(ctx); err != nil {
-		f.log.Warn("Roll-outs not read before servers of a new version are published; these are held.", "revision", revision, "reason", err)
-	}
-}
-
 // readRollouts reads the roll-outs from the store once.
 func (f *Front) readRollouts(ctx context.Context) error {
 	items, revision, err := f.rollouts.follow.List(ctx)
@@ -436,21 +403,6 @@
 	x.closeOnce.Do(func() { close(x.heard) })
 }
 
-// onlyVersion returns the version of all servers of a service that this VM knows, gone ones included, empty if they differ.
-func (f *Front) onlyVersion(service string) string {
-	version, found := "", false
-	for _, s := range f.fleet.Statuses() {
-		switch {
-		case s.Service != service:
-		case found && s.Version != version:
-			return ""
-		default:
-			version, found = s.Version, true
-		}
-	}
-	return version
-}
-
 // writeRollout writes the status of an order.
 func (f *Front) writeRollout(ctx context.Context, service string, revision int64, s gladerollout.Status) (gladerollout.Rollout, error) {
 	f.countCall("store.write." + gladeplatform.KindRollouts)
--- a/internal/proxy/gladefront/rollouts_test.go
+++ b/internal/proxy/gladefront/rollouts_test.go
@@ -354,3 +354,38 @@
 	})
 	f.Assert(f.requests("v1"), qt.Equals, sent)
 }
+
+// Guards against a VM that starts in the middle of an order and rejects requests: the list of servers that it gets from a peer is newer than
+// the peer's roll-outs, and each but the first version in it would be held.
+func TestStartDuringOrderHoldsNoServer(t *testing.T) {
+	for _, state := range []gladerollout.State{gladerollout.InProgress, gladerollout.Reverted} {
+		t.Run(string(state), func(t *testing.T) {
+			f := newRolloutFleet(t)
+			f.order("v2", fmt.Sprintf(`{"state":%q,"target":"v2","durationS":12,"decider":"vm-9","term":1}`, state))
+			front, _ := f.startVM(1)
+			// The watch of the roll-outs says nothing, so that their revision falls behind that of the servers.
+			f.store.set(func() { f.store.hangs[1] = []string{gladeplatform.KindRollouts} })
+			f.eventually("reading", func() bool { return front.Ready() && front.followsRollouts() })
+			// Its name makes this server the first one in lists.
+			f.store.put(gladeplatform.KindServers, "i-0", fmt.Sprintf(
+				`{"service":"app","addr":%q,"zone":"shubra","slots":6,"state":"ready","born":1,"version":"v2"}`, f.address(211, 8000)))
+			f.eventually("target listed", func() bool { _, ok := front.fleet.Server("i-0"); return ok })
+			f.list("v1")
+			f.eventually("servers newer than roll-outs", func() bool {
+				s := front.knownServers()
+				return len(s.Servers) == 2 && s.Revision > s.Rollouts.Revision
+			})
+			f.store.set(func() { f.store.rejects[2] = true })
+			second, _ := f.startVM(2)
+			f.eventually("second VM ready", second.Ready)
+			before := f.requests("v2")
+			for range 20 {
+				status, _, _ := f.get(2, 8000, "/a/x")
+				f.Assert(status, qt.Equals, http.StatusOK)
+			}
+			if state == gladerollout.Reverted {
+				f.Assert(f.requests("v2"), qt.Equals, before)
+			}
+		})
+	}
+}
