gladeforward: runs on servers without a version delay the end of a roll-out

Cause: a run on a server that states no version was not recorded at all, so that an order completed while such runs were left, whose servers may stop then. Found by review.

Change: they are counted among the runs on other versions. They are still no evidence.

Figures: TestRunsOnServersWithoutVersionCount, which saw no run before.

--- a/internal/proxy/gladeforward/versions.go
+++ b/internal/proxy/gladeforward/versions.go
@@ -42,7 +42,7 @@
 	return j.config.Versions(j.service, j.route.Name, true)
 }
 
-// versionRun is a run on a server whose version is known. A nil versionRun records nothing.
+// versionRun is a run on a server of a service that may have roll-outs. A nil versionRun records nothing.
 type versionRun struct {
 	*gladerollout.Run
 	forwarder *Forwarder
@@ -53,13 +53,14 @@
 	copyVersion string
 }
 
-// beginVersionRun records that a request is sent to a server. The times of a resumed run say nothing about the server's version.
+// beginVersionRun records that a request is sent to a server. The times of a resumed run say nothing about the server's version. A server
+// without a version gives no evidence, but its runs are among those that the end of a roll-out waits for.
 func (j *job) beginVersionRun(place *gladefleet.Reservation, resumed bool) *versionRun {
-	if j.config.Recorder == nil || place.Version == "" {
+	if j.config.Recorder == nil {
 		return nil
 	}
 	u := &versionRun{forwarder: j.Forwarder, service: j.service, server: place.Server, down: place.Down()}
-	if !resumed {
+	if !resumed && place.Version != "" {
 		u.Run = j.config.Recorder.Begin(j.service, place.Version, j.route.Name, place.ID, time.Now())
 	}
 	j.mu.Lock()
--- a/internal/proxy/gladeforward/versions_test.go
+++ b/internal/proxy/gladeforward/versions_test.go
@@ -253,6 +253,23 @@
 	})
 }
 
+// Guards against a roll-out that completes while runs are left on old servers that state no version, which then stop.
+func TestRunsOnServersWithoutVersionCount(t *testing.T) {
+	runTest(t, func(w *harness) {
+		w.rollOut(exceptNew, exceptNew)
+		w.serveVersion("llm", "shubra", "old", "", streamEvents(20, eventPause, nil))
+		got := w.startStream("r1")
+		time.Sleep(5 * eventPause)
+		runs, without := w.forwarder.RunsOnOthers("llm", "v2")
+		w.Assert([]int{runs, without}, qt.DeepEquals, []int{1, 1})
+		w.Assert((<-got).body, qt.Equals, eventText(1, 20))
+		w.waitForCleanup()
+		runs, _ = w.forwarder.RunsOnOthers("llm", "v2")
+		w.Assert(runs, qt.Equals, 0)
+		w.Assert(w.forwarder.config.Recorder.Evidence("llm", time.Now()).Versions, qt.HasLen, 0)
+	})
+}
+
 // Guards against a restriction or a record where no roll-outs are configured.
 func TestNoVersionsWithoutRollouts(t *testing.T) {
 	runTest(t, func(w *harness) {
