Roll-outs: two review findings that are kept, with tests

The same target with the same time limit, ordered again after its end, stays ended: declared orders that a tool writes again and again would try a bad version each time. An unanswered write of the status is not repeated by net/http: 20 of 20 writes whose connection was closed after the store had read them arrived once (TestUnansweredWriteIsNotRepeated). TestSameOrderAfterItsEnd states which orders are new.

--- a/internal/proxy/gladefront/store_test.go
+++ b/internal/proxy/gladefront/store_test.go
@@ -3,12 +3,21 @@
 import (
 	"cmp"
 	"encoding/json"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"testing"
 	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrassglade/eelgrassglade/gladestore"
+	gladeplatform "github.com/eelgrassglade/eelgrassglade/platform"
 )
 
 // fakeStore stands for the platform's store.
@@ -186,3 +195,30 @@
 	}
 	return events
 }
+
+// Guards against a status that net/http sends again on its own after the store has read it and closed the connection: the first one may
+// have been written.
+func TestUnansweredWriteIsNotRepeated(t *testing.T) {
+	c := qt.New(t)
+	var writes atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPut {
+			_, _ = w.Write([]byte(`{"items":[],"at":1}`))
+			return
+		}
+		writes.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		c.Check(err, qt.IsNil)
+		_ = conn.Close()
+	}))
+	t.Cleanup(server.Close)
+	store := gladeplatform.Store{Address: server.Listener.Addr().String(), Client: server.Client()}
+	for range 20 {
+		_, err := store.List(t.Context(), gladeplatform.KindRollouts, "") // the write uses its connection again
+		c.Assert(err, qt.IsNil)
+		_, err = store.PutStatus(t.Context(), gladeplatform.KindRollouts, "app", 1, struct{}{})
+		c.Assert(err, qt.ErrorIs, gladestore.ErrUnavailable)
+	}
+	c.Assert(writes.Load(), qt.Equals, int64(20))
+}
--- a/internal/state/gladedecider/registry_test.go
+++ b/internal/state/gladedecider/registry_test.go
@@ -172,3 +172,30 @@
 	_, elapsed, _ = b.Get(service, at(3))
 	c.Assert(elapsed, qt.Equals, time.Second)
 }
+
+// Guards against a version that was stopped and is tried again whenever a tool writes the same order once more, and against one that cannot
+// be ordered again at all: its object is deleted first, or the order gets another time limit.
+func TestSameOrderAfterItsEnd(t *testing.T) {
+	c := qt.New(t)
+	b := NewRegistry(time.Second)
+	pending := func(seconds float64) bool {
+		r, _, ok := b.Get(service, at(seconds))
+		c.Assert(ok, qt.IsTrue)
+		return r.Pending()
+	}
+	b.Put(rollout("v2", 5, gladerollout.Reverted), at(0))
+	b.Put(rollout("v2", 6, gladerollout.Reverted), at(1))
+	c.Assert(pending(1), qt.IsFalse)
+	longer := rollout("v2", 7, gladerollout.Reverted)
+	longer.Duration += time.Second
+	b.Put(longer, at(2))
+	c.Assert(pending(2), qt.IsTrue)
+
+	b = NewRegistry(time.Second)
+	b.Put(rollout("v2", 5, gladerollout.Reverted), at(0))
+	b.Withdraw(service, at(1))
+	b.Put(rollout("v2", 7, ""), at(2))
+	c.Assert(pending(2), qt.IsTrue)
+	_, elapsed, _ := b.Get(service, at(3))
+	c.Assert(elapsed, qt.Equals, time.Second)
+}
