Report a run that was ended as refused if its server crashes

Cause: once a prompt part is held, or a request refused, each VM ends its runs of it. Their servers may crash all the same. A VM that has closed its connection does not notice that itself, so after 400 ms the lost run was not counted ("ended=false"), and other VMs counted the crash against the harmless requests that the server ran for them. In the failed run of TestDeadlyPartIsStoppedBesideOtherCrashes (trace of a scratch copy with logs), llm-32 crashed 45 ms after vm4 had ended a run with d1 there; that crash, the loss of a failure domain and one more crash made three moments on abc006, which two harmless requests shared.

Change: the tracker passes the death of a server to the holders of all runs there. The holder of a lost or ended run need not wait for its own check then, and reports the run. A run that was ended counts from the server's death, not from its end. Plain requests that are ended as refused are watched in the same way.

Ruled out: a fault of the test's numbering. Two loads share numbers, so abc006 is a part of three requests, as prompts may share any part; the tracker must not hold it.

--- a/gladesuspect/tracker.go
+++ b/gladesuspect/tracker.go
@@ -133,6 +133,8 @@
 	tokens      atomic.Int64
 	// onRefused is called when the request is refused during the run; nil ignores that.
 	onRefused func()
+	// serverDeath receives the time at which the server died during the run.
+	serverDeath chan time.Time
 }
 
 // New returns a Tracker.
@@ -189,7 +191,10 @@
 
 func (t *Tracker) addRun(r Request, server gladeapi.BackendServer) *TrackedRun {
 	t.sequence++
-	v := &TrackedRun{tracker: t, request: r, fingerprint: r.Fingerprint, server: server, began: time.Now(), sequence: t.sequence}
+	v := &TrackedRun{
+		tracker: t, request: r, fingerprint: r.Fingerprint, server: server, began: time.Now(), sequence: t.sequence,
+		serverDeath: make(chan time.Time, 1),
+	}
 	t.runs[server.ID] = append(t.runs[server.ID], v)
 	return v
 }
@@ -430,6 +435,7 @@
 	for _, o := range t.runs[d.server.ID] {
 		if !o.began.After(d.at) {
 			t.addToDeath(d, o)
+			o.notifyDeath(d.at)
 		}
 	}
 	t.config.Log.Warn("Server died.", "server", d.server.ID, "domain", d.server.FailureDomain, "requests", len(d.runs),
--- a/internal/proxy/gladeforward/plain.go
+++ b/internal/proxy/gladeforward/plain.go
@@ -160,6 +160,8 @@
 			a.err = gladesuspect.ErrPoison
 		}
 		switch {
+		case errors.Is(a.err, gladesuspect.ErrPoison):
+			tracked.end(runRefused)
 		case a.err == nil && !notRun(&a) && a.status < http.StatusInternalServerError:
 			tracked.end(runCompleted)
 		case a.err == nil || ctx.Err() != nil || errors.Is(a.err, gladesend.ErrNotSent) || isNoRoom(a.err):
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -219,7 +219,7 @@
 	case result == attemptFinished && a.exchange.Status < http.StatusInternalServerError:
 		a.tracked.end(runCompleted)
 	case result == attemptBroken && !a.tracked.Progressed():
-		a.tracked.end(runLost)
+		a.tracked.end(a.lossOutcome())
 		s.lost++
 		s.lastLost = a.tracked
 	default:
@@ -303,6 +303,14 @@
 	}
 }
 
+// lossOutcome returns the outcome of a run that ended without an answer.
+func (a *attempt) lossOutcome() runOutcome {
+	if a.suspected {
+		return runRefused
+	}
+	return runLost
+}
+
 // moveOn abandons a run that may still be in progress; its connection is closed, which cancels it.
 func (a *attempt) moveOn(reason string) attemptResult {
 	a.log("Moving on.", "server", a.place.ID, "reason", reason, "silentMs", a.silence().Milliseconds(), "last", a.lastEvent)
--- a/internal/proxy/gladeforward/suspects.go
+++ b/internal/proxy/gladeforward/suspects.go
@@ -144,8 +144,12 @@
 }
 
 // end records the outcome of the run.
+//
+// The server of a run that was ended as refused may crash all the same. If the other VMs did not learn that the run was there, they
+// would count the death against the harmless requests that it takes along. This VM has closed its connection and may not notice the
+// death itself, so it also goes by the losses of other runs there.
 func (v *trackedRun) end(outcome runOutcome) {
-	if outcome != runLost {
+	if outcome != runLost && outcome != runRefused {
 		v.End(outcome == runCompleted)
 		close(v.classified)
 		return
@@ -153,18 +157,25 @@
 	lostAt := time.Now()
 	go func() {
 		defer close(v.classified)
+		died, diedAt := false, lostAt
 		select {
 		case <-v.down:
+			diedAt = time.Now()
+		case diedAt = <-v.ServerDeath():
+			died = true
 		case <-time.After(deathCheckDelay):
 		}
-		v.classifyLoss(lostAt)
+		if outcome == runRefused {
+			lostAt = diedAt // the end of the run is not the loss of its server
+		}
+		v.classifyLoss(lostAt, died || v.job.config.Fleet.Ended(v.server.ID))
 	}()
 }
 
 // classifyLoss records whether the server died under a run that was lost.
-func (v *trackedRun) classifyLoss(lostAt time.Time) {
+func (v *trackedRun) classifyLoss(lostAt time.Time, ended bool) {
 	j := v.job
-	ended, harmless := j.config.Fleet.Ended(v.server.ID), j.config.Suspects.FinishedRecently(j.fingerprint)
+	harmless := j.config.Suspects.FinishedRecently(j.fingerprint)
 	if !ended || harmless {
 		j.count("deaths.notCounted")
 		j.log("Lost run not counted.", "server", v.server.ID, "domain", v.server.FailureDomain, "fingerprint", j.fingerprint,
@@ -206,6 +217,7 @@
 	runCompleted    runOutcome = iota // the answer is complete and no failure
 	runInconclusive                   // the outcome does not count against the request
 	runLost                           // the run ended without an answer, or with little of one
+	runRefused                        // this VM ended the run, as its request crashes its servers
 )
 
 // deathCheckDelay is the longest time between a lost run and the check of its server's state; it is longer than two probes.
