Count no lost failure domain against prompt parts

Cause: the deaths of servers that are lost together with others of their failure domain count against no request, but counted against the parts of the prompts, as one moment. Two further crashes under requests with a new part then held it. The cause is by reading and by the test below.

Change: a death on a part does not count if MassDeaths other servers of the failure domain, on which no request with the part ran, died within the window around it. The rule and its code are those for single requests.

Ruled out: a lower limit than MassDeaths (3). Parts that crash servers of one domain within the window of each other would hide one another.

--- a/gladesuspect/doc.go
+++ b/gladesuspect/doc.go
@@ -7,7 +7,8 @@
 // clears the earlier deaths.
 //
 // Requests that are not alike may share what crashes servers, such as a part of their prompts. A part is held once three servers have
-// died under at least two requests with it, at three moments, and no request with it was answered since the first of these deaths. A part
+// died under at least two requests with it, at three moments, and no request with it was answered since the first of these deaths. Servers
+// that are lost together with others of their failure domain, on which no request with the part ran, do not count here either. A part
 // that was answered within a minute before is held after five deaths, 2.5 s after its last answer at the earliest. Parts that
 // were together in all of these deaths are held together: a request is refused if it has all of them, until an answer to a request with
 // one of them shows that it is another one. A held part is released by an answer that begins after the last death. If
--- a/gladesuspect/parts.go
+++ b/gladesuspect/parts.go
@@ -61,11 +61,14 @@
 	answered, told *lru.Cache[uint64, time.Time]
 	held           map[uint64]*heldSet
 	released       *lru.Cache[uint64, struct{}]
+	// isMassLoss reports whether a server was lost together with others of its failure domain on which no request with a part ran.
+	isMassLoss func(d *partDeath, part uint64) bool
 }
 
-func newPartLog() partLog {
+func newPartLog(isMassLoss func(d *partDeath, part uint64) bool) partLog {
 	return partLog{
-		byPart: map[uint64][]*partDeath{}, held: map[uint64]*heldSet{},
+		isMassLoss: isMassLoss,
+		byPart:     map[uint64][]*partDeath{}, held: map[uint64]*heldSet{},
 		answered: newCache[time.Time](maxAnsweredParts), told: newCache[time.Time](maxToldParts), released: newCache[struct{}](maxReleased),
 	}
 }
@@ -247,12 +250,12 @@
 	return len(deaths) > 0 && deaths[len(deaths)-1].at.After(l.lastAnswer(part))
 }
 
-// deathsOn returns the deaths on a part since it was last answered that no held set explains.
+// deathsOn returns the deaths on a part since it was last answered that neither a held set nor the loss of a failure domain explains.
 func (l *partLog) deathsOn(part uint64) []*partDeath {
 	answered := l.lastAnswer(part)
 	var deaths []*partDeath
 	for _, d := range l.byPart[part] {
-		if d.at.After(answered) && !l.isExplained(d, part) {
+		if d.at.After(answered) && !l.isExplained(d, part) && !l.isMassLoss(d, part) {
 			deaths = append(deaths, d)
 		}
 	}
@@ -263,6 +266,13 @@
 	return slices.ContainsFunc(d.runs, func(r partRun) bool { return containsAll(r.parts, parts) })
 }
 
+// diedWith reports whether the death of a server was one on a part.
+func (l *partLog) diedWith(part uint64, server gladeapi.BackendServer, at time.Time) bool {
+	return slices.ContainsFunc(l.byPart[part], func(d *partDeath) bool {
+		return d.server.ID == server.ID && d.server.Incarnation == server.Incarnation && d.at.Sub(at).Abs() <= reportWindow
+	})
+}
+
 // isExplained reports whether a request without the part that is refused by itself, or one with held parts, was among the runs of a death.
 func (l *partLog) isExplained(d *partDeath, part uint64) bool {
 	for _, f := range d.causes {
--- a/gladesuspect/parts_test.go
+++ b/gladesuspect/parts_test.go
@@ -102,6 +102,29 @@
 	})
 }
 
+// A failure domain is lost, and then two servers crash one after the other, each time with requests that share a part. Only the crashes
+// count, which are too few to hold the part.
+func TestLostDomainIsNoDeathOnPart(t *testing.T) {
+	virtual(t, func(c *qt.C) {
+		tracker := New(Config{MaxDeaths: 3, Progress: 2})
+		for i := range 12 {
+			if s := server(100 + i); i < 2 {
+				tracker.RecordRun(Request{Fingerprint: uint64(101 + i), Parts: []uint64{sharedPart}}, s, nil).ServerDied()
+			} else {
+				tracker.ServerFailed(s)
+			}
+		}
+		time.Sleep(2 * time.Second)
+		for f := range uint64(2) {
+			c.Assert(checkParts(tracker, f+1, sharedPart), qt.IsNil)
+			crashOn(tracker, f+1, sharedPart)
+		}
+		c.Assert(checkParts(tracker, 11, sharedPart), qt.IsNil)
+		crashOn(tracker, 12, sharedPart)
+		c.Assert(checkParts(tracker, 13, sharedPart), qt.ErrorIs, ErrPoison)
+	})
+}
+
 // One request was lost with several servers. That says nothing of others that share a part with it.
 func TestOneRequestHoldsNoPart(t *testing.T) {
 	virtual(t, func(c *qt.C) {
--- a/gladesuspect/poison.go
+++ b/gladesuspect/poison.go
@@ -214,14 +214,27 @@
 // isMassLoss reports whether MassDeaths other servers, whose deaths no request explains, died in the same failure domain
 // within the window around a death.
 func (t *Tracker) isMassLoss(d *death, fingerprint uint64) bool {
+	return t.isLostWithOthers(d.server, d.at, func(o *death) bool {
+		_, same := o.runs[fingerprint]
+		return !same && !t.isExplained(o)
+	})
+}
+
+// isMassPartLoss reports the same of a death on a part.
+func (t *Tracker) isMassPartLoss(d *partDeath, part uint64) bool {
+	return t.isLostWithOthers(d.server, d.at, func(o *death) bool { return !t.parts.diedWith(part, o.server, o.at) && !o.explained })
+}
+
+// isLostWithOthers reports whether MassDeaths other servers, whose deaths counts accepts, died in the failure domain of a server within
+// the window around its death.
+func (t *Tracker) isLostWithOthers(server gladeapi.BackendServer, at time.Time, counts func(*death) bool) bool {
 	others := map[string]bool{}
-	first, _ := slices.BinarySearchFunc(t.deaths, d.at.Add(-t.config.Window), func(o *death, at time.Time) int { return o.at.Compare(at) })
+	first, _ := slices.BinarySearchFunc(t.deaths, at.Add(-t.config.Window), func(o *death, at time.Time) int { return o.at.Compare(at) })
 	for _, o := range t.deaths[first:] {
-		if o.at.Sub(d.at) > t.config.Window {
+		if o.at.Sub(at) > t.config.Window {
 			break
 		}
-		_, same := o.runs[fingerprint]
-		if !same && o.server.ID != d.server.ID && o.server.FailureDomain == d.server.FailureDomain && !t.isExplained(o) {
+		if o.server.ID != server.ID && o.server.FailureDomain == server.FailureDomain && counts(o) {
 			others[o.server.ID] = true
 		}
 	}
--- a/gladesuspect/tracker.go
+++ b/gladesuspect/tracker.go
@@ -147,14 +147,15 @@
 	if c.Log == nil {
 		c.Log = hclog.NewNullLogger()
 	}
-	return &Tracker{
+	t := &Tracker{
 		config:          c,
 		successes:       newCache[time.Time](maxSuccesses),
-		parts:           newPartLog(),
 		runs:            map[string][]*TrackedRun{},
 		deathsByRequest: map[uint64][]*death{},
 		refused:         map[uint64]Refused{},
 	}
+	t.parts = newPartLog(t.isMassPartLoss)
+	return t
 }
 
 // StartRun records that a request runs on a server, until End or ServerDied is called on the TrackedRun. It returns
