Use servers longer after missing entries only if the store was out of reach

Cause: a list that misses more than half of a service's servers was taken for entries that had expired in an outage of the store, though there was none. The servers were used 1.5 s longer than others that leave.

Change: a VM records when no VM of its failure domain reached the store, from its own calls and from the readers' updates (gladeview.Outage). The longer use is given only within 2 s of an outage of at least 1 s. Without one, missing servers have left, and the new reader sends the others the changes instead of letting each request the list.

Not covered: a planned end of more than half of a service within 2 s of a real outage (docs/incidents/last-server-of-a-service.md).

--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -70,7 +70,7 @@
 
 // readForDomain follows the release and the servers in the store while this VM is the reader of its failure domain.
 func (f *Front) readForDomain(ctx context.Context) {
-	servers := followConfig(f, gladeplatform.KindServers, f.watchWait(), f.decodeServer, f.onServers, f.onServerChanges, func() {})
+	servers := followConfig(f, gladeplatform.KindServers, f.watchWait(), f.decodeServer, f.onServers, f.onServerChanges, f.recordStoreReached)
 	if !f.config.Settings.FirstStart {
 		f.readAtStart(ctx, servers.List)
 	}
@@ -157,12 +157,6 @@
 	clear(f.unreachable)
 }
 
-func (f *Front) setUnreachable(kind string, unreachable bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.unreachable[kind] = unreachable
-}
-
 func decodeRelease(o gladeplatform.Object) (*gladerelease.Release, error) {
 	return gladeplatform.DecodeRelease(o.Spec)
 }
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -87,6 +87,8 @@
 	relay    *gladerelay.Relay
 	feed     *gladefeed.Feed
 	age      *gladeage.Tracker
+	// outage records when this failure domain did not reach the store.
+	outage gladeview.Outage
 	// rollouts is nil unless the platform's settings ask for roll-outs.
 	rollouts *rollouts
 	stopping atomic.Bool
--- a/internal/proxy/gladefront/front_test.go
+++ b/internal/proxy/gladefront/front_test.go
@@ -287,7 +287,9 @@
 	f.Assert(complete, qt.IsTrue)
 	leaving, added := server("a", true), server("d", false)
 	f.Assert(changes, qt.DeepEquals, []gladefeed.Change{{Server: &leaving}, {Server: &added}, {Removed: "c"}})
-	// Entries that may only have expired get a grace that the changes do not tell.
+	// Entries that may only have expired in an outage of the store get a grace that the changes do not tell.
+	front.outage.RecordLost(bootTime().Add(-2 * time.Second))
+	front.outage.RecordLost(bootTime())
 	_, complete = front.replaceServers([]gladefleet.Server{server("d", false)}, 0, now)
 	f.Assert(complete, qt.IsFalse)
 }
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -419,14 +419,18 @@
 }
 
 // replaceServers updates the table to hold exactly the listed servers.  It returns the changes, and whether they tell
-// another VM all that has changed; they do not where entries may only have expired.
+// another VM all that has changed; they do not where entries may only have expired.  Without an outage of the store, servers that
+// the list lacks have left, however many they are: longer use would exceed the bound on leaving servers.
 func (f *Front) replaceServers(servers []gladefleet.Server, revision int64, now time.Time) (changes []gladefeed.Change, complete bool) {
 	listed := map[string]bool{}
 	for _, s := range servers {
 		listed[s.ID] = true
 	}
 	before := f.fleet.Statuses()
-	lapsed := gladefleet.PossiblyExpired(before, servers)
+	var lapsed map[string]bool
+	if f.outage.MayHaveExpired(bootTime()) {
+		lapsed = gladefleet.PossiblyExpired(before, servers)
+	}
 	for i, s := range servers {
 		if f.putServer(s, revision, now) {
 			changes = append(changes, gladefeed.Change{Server: &servers[i]})
--- a/internal/proxy/gladefront/updates.go
+++ b/internal/proxy/gladefront/updates.go
@@ -37,6 +37,12 @@
 
 // onUpdate applies the update of another VM. What this VM misses is requested without holding up later updates.
 func (f *Front) onUpdate(u gladefeed.Update) {
+	switch {
+	case u.Lost:
+		f.outage.RecordLost(bootTime())
+	case u.Reading:
+		f.outage.RecordReached(bootTime())
+	}
 	f.observeRelease(u)
 	f.mergeRollouts(u.Rollouts)
 	f.applyReleaseChange(u)
@@ -104,6 +110,19 @@
 	}
 }
 
+// setUnreachable records the start or the end of the time in which this VM cannot read a kind of objects.
+func (f *Front) setUnreachable(kind string, unreachable bool) {
+	if kind == gladeplatform.KindServers {
+		f.outage.RecordLost(bootTime())
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unreachable[kind] = unreachable
+}
+
+// recordStoreReached records that the store has just answered a call for the servers.
+func (f *Front) recordStoreReached() { f.outage.RecordReached(bootTime()) }
+
 func (f *Front) isReading() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
