Connections to servers and calls to the store, counted by cause

Which part of the code opens or calls was not visible.

Change: gladesend.Cause names why a connection is opened (request, retry, probe, copyCall, engineCall, healthCheck); the pool reports each opened connection, and engine calls carry their cause in the context down to the dialer. Calls to the store are counted by verb, kind and cause (store.calls.VERB.KIND.CAUSE, instead of store.list.KIND and store.watch.KIND). One line at the end of the process lists all counts.

Ruled out: counting requests per connection instead of dials; a probe's connection is often used by the next request, and its cause is the probe. Connections that fail to open are not counted, as before.

--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -327,6 +327,7 @@
 	return &gladesend.SendParams{
 		Server: s.ID, Started: s.Started, Address: s.Address, Organisation: j.organisation, LastEvent: j.call.LastEvent,
 		HasTimeLimit: true, TimeLeft: time.Until(j.deadline), Urgency: j.urgency(), HasUrgency: j.release.Services[j.service].Engine != nil,
+		Repeat: j.sends > 1,
 	}
 }
 
--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -196,7 +196,7 @@
 		Watch: func(ctx context.Context, revision int64) ([]gladeview.Change[entry[T]], int64, error) {
 			ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 			defer cancel()
-			f.countCall("store.watch." + kind)
+			f.countStoreCall(ctx, "watch", kind)
 			c, err := f.store.Watch(ctx, kind, revision, wait)
 			if errors.Is(err, gladeview.ErrHistoryGone) {
 				f.log.Warn("The store has lost its history; listing anew.", "kind", kind, "revision", revision)
@@ -224,7 +224,7 @@
 func (f *Front) listPage(ctx context.Context, kind, after string) (gladeplatform.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	f.countCall("store.list." + kind)
+	f.countStoreCall(ctx, "list", kind)
 	began := time.Now()
 	page, err := f.store.List(ctx, kind, after)
 	h := metrics.GetOrRegisterHistogram("store.latency."+kind, f.metrics, metrics.NewUniformSample(latencySampleSize))
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -172,7 +172,7 @@
 	}
 	f.startFollowing()
 	limits := f.startMemory()
-	pool, closePool := gladesend.NewPool(gladesend.PoolConfig{MaxIdle: limits.IdleServerConnections})
+	pool, closePool := gladesend.NewPool(gladesend.PoolConfig{MaxIdle: limits.IdleServerConnections, OnOpened: f.countConnection})
 	f.pool = pool
 	f.cleanup(closePool)
 	forwarding := gladeforward.Config{
@@ -226,7 +226,7 @@
 // openEngine prepares the calls to model engines.
 func (f *Front) openEngine() {
 	engine, closeEngine := gladeplatform.NewEngine(gladeplatform.EngineConfig{OnAnswer: f.onEngineAnswer, Transport: &http.Transport{
-		MaxIdleConnsPerHost: 1, IdleConnTimeout: engineIdleTimeout, DialContext: dialEngine, MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		MaxIdleConnsPerHost: 1, IdleConnTimeout: engineIdleTimeout, DialContext: f.dialEngine, MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}})
 	f.engine = engine
 	f.cleanup(closeEngine)
@@ -243,9 +243,13 @@
 }
 
 // dialEngine opens a connection for an engine call.
-func dialEngine(ctx context.Context, network, address string) (net.Conn, error) {
+func (f *Front) dialEngine(ctx context.Context, network, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: engineDialTimeout, KeepAlive: -1}
-	return d.DialContext(ctx, network, address)
+	conn, err := d.DialContext(ctx, network, address)
+	if err == nil {
+		f.countConnection(gladesend.CauseOf(ctx))
+	}
+	return conn, err
 }
 
 // engineDialTimeout bounds a new connection; a live engine accepts within a few milliseconds.
@@ -373,6 +377,7 @@
 	s := f.config.Settings
 	f.log.Info("Started.", "vm", s.VM, "failureDomain", s.FailureDomain, "entry", s.EntryAddress, "store", s.StoreAddress)
 	err := f.group.Run()
+	f.logCounts()
 	f.log.Info("Stopped.", "reason", err)
 	return err
 }
--- a/internal/proxy/gladefront/peers.go
+++ b/internal/proxy/gladefront/peers.go
@@ -78,7 +78,7 @@
 	f.sharer = sharer
 	relay, closeRelay := gladerelay.New(gladerelay.Config{
 		Node: node, State: f.state, Reading: f.isReading, Release: f.release.Load, History: &f.history, Servers: f.knownServers,
-		ReadRelease: f.readRelease, OnRelease: f.onPeerRelease, OnServers: f.onPeerServers,
+		ReadRelease: func(ctx context.Context) error { return f.readRelease(withStoreCause(ctx, causeRelay)) }, OnRelease: f.onPeerRelease, OnServers: f.onPeerServers,
 		OnNewest: func(version int64) {
 			f.age.Learn(version, bootTime())
 			f.checkRelease()
--- a/internal/proxy/gladefront/rollouts.go
+++ b/internal/proxy/gladefront/rollouts.go
@@ -130,7 +130,8 @@
 	}
 	decider, closeDecider := gladedecider.New(gladedecider.Config{
 		VM: s.VM, Registry: x.registry, CanaryShare: cmp.Or(s.CanaryShare, defaultCanaryShare), CanarySlack: cmp.Or(s.CanarySlack, defaultCanarySlack),
-		Candidates: f.rolloutCandidates, Reached: f.reachesStore, Write: f.writeRollout, Read: f.readRollouts,
+		Candidates: f.rolloutCandidates, Reached: f.reachesStore, Write: f.writeRollout,
+		Read:    func(ctx context.Context) error { return f.readRollouts(withStoreCause(ctx, causeRollout)) },
 		Servers: func(service, target string) (int, int) { return f.fleet.VersionCounts(service, target, time.Now()) },
 		Stop:    f.sendRolloutStop, Heartbeat: f.sendHeartbeat, OnChange: f.announceRollouts,
 		Now: bootTime, Log: f.log.Named("rollouts"), Metrics: f.metrics,
@@ -268,7 +269,7 @@
 	if f.rollouts == nil || !f.fleet.HasNewVersion(servers, revision, time.Now()) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), rolloutReadTimeout)
+	ctx, cancel := context.WithTimeout(withStoreCause(context.Background(), causeVersion), rolloutReadTimeout)
 	defer cancel()
 	if err := f.readRollouts(ctx); err != nil {
 		f.log.Warn("Roll-outs not read before servers of a new version are published; these are held.", "revision", revision, "reason", err)
@@ -399,7 +400,7 @@
 
 // writeRollout writes the status of an order.
 func (f *Front) writeRollout(ctx context.Context, service string, revision int64, s gladerollout.Status) (gladerollout.Rollout, error) {
-	f.countCall("store.write." + gladeplatform.KindRollouts)
+	f.countStoreCall(ctx, "write", gladeplatform.KindRollouts)
 	known, _, _ := f.rollouts.registry.Get(service, bootTime())
 	o, err := f.store.PutStatus(ctx, gladeplatform.KindRollouts, service, revision, s)
 	conflict, isConflict := errors.AsType[*gladeplatform.ConflictError](err)
--- a/internal/proxy/gladefront/start.go
+++ b/internal/proxy/gladefront/start.go
@@ -19,6 +19,7 @@
 // when many VMs restart together, each would repeat the calls of the reader of its failure domain until it has received that one for
 // a while.
 func (f *Front) readAtStart(ctx context.Context, list func(context.Context) ([]gladeview.Item[entry[gladefleet.Server]], int64, error)) {
+	ctx = withStoreCause(ctx, causeStart)
 	for range startReads {
 		err := f.readRolloutsAtStart(ctx)
 		if err == nil {
--- a/internal/proxy/gladesend/call.go
+++ b/internal/proxy/gladesend/call.go
@@ -102,6 +102,16 @@
 	ResumeFrom string
 	// NewConnection requests a new connection, because the server may have closed an idle one.
 	NewConnection bool
+	// Repeat reports that the call was sent before.
+	Repeat bool
+}
+
+// cause returns the cause of a connection that is opened for the send.
+func (s *SendParams) cause() Cause {
+	if s.Repeat {
+		return CauseRetry
+	}
+	return CauseRequest
 }
 
 // AnswerInfo is what the headers of an answer state about it.
--- a/internal/proxy/gladesend/exchange.go
+++ b/internal/proxy/gladesend/exchange.go
@@ -63,7 +63,7 @@
 //
 // It fails with ErrNotSent if no server received the request; after any other error a server may have received it.
 func (c *Client) Do(ctx context.Context, call *Call, s *SendParams) (*Exchange, error) {
-	conn, err := c.Pool.get(ctx, s.Address, s.NewConnection)
+	conn, err := c.Pool.get(ctx, s.Address, s.NewConnection, s.cause())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/proxy/gladesend/pool.go
+++ b/internal/proxy/gladesend/pool.go
@@ -48,7 +48,8 @@
 
 // Pool keeps idle connections to backend servers for reuse.
 type Pool struct {
-	dial func(ctx context.Context, address string) (net.Conn, error)
+	dial     func(ctx context.Context, address string) (net.Conn, error)
+	onOpened func(Cause)
 
 	mu sync.Mutex
 	// idle holds the idle connections by address, the one used last at the end.
@@ -77,6 +78,8 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// MaxIdle is the largest number of idle connections; zero sets no limit.
 	MaxIdle int
+	// OnOpened is called for each connection that is opened; nil means that nobody counts them.
+	OnOpened func(Cause)
 }
 
 // NewPool returns a pool and a function that closes its idle connections.
@@ -93,7 +96,10 @@
 		}}
 		c.Dial = func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
 	}
-	p := &Pool{dial: c.Dial, idle: map[string][]*conn{}, maxIdle: c.MaxIdle}
+	if c.OnOpened == nil {
+		c.OnOpened = func(Cause) {}
+	}
+	p := &Pool{dial: c.Dial, onOpened: c.OnOpened, idle: map[string][]*conn{}, maxIdle: c.MaxIdle}
 	return p, p.close
 }
 
@@ -101,16 +107,16 @@
 const tcpUserTimeout = 18
 
 // get returns an idle connection, or a new one if there is none or fresh is set.
-func (p *Pool) get(ctx context.Context, address string, fresh bool) (*conn, error) {
+func (p *Pool) get(ctx context.Context, address string, fresh bool, cause Cause) (*conn, error) {
 	if !fresh {
 		if c := p.takeIdle(address); c != nil {
 			return c, nil
 		}
 	}
-	return p.open(ctx, address)
+	return p.open(ctx, address, cause)
 }
 
-func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
+func (p *Pool) open(ctx context.Context, address string, cause Cause) (*conn, error) {
 	raw, err := p.dial(ctx, address)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
@@ -121,6 +127,7 @@
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
+	p.onOpened(cause)
 	return &conn{
 		Conn: raw, address: address, reader: bufio.NewReaderSize(raw, maxHeadBytes), idleTimeout: defaultIdleTimeout,
 	}, nil
@@ -216,7 +223,7 @@
 // Probe opens a connection and keeps it for the next send.  It fails with ErrNotSent if the server accepts no
 // connection.
 func (p *Pool) Probe(ctx context.Context, address string) error {
-	c, err := p.open(ctx, address)
+	c, err := p.open(ctx, address, CauseProbe)
 	if err != nil {
 		return err
 	}
