Probes: one connection per silent server and second

Cause: each plain request that took longer than 100 ms opened a connection to its server, whatever the server had answered to other requests meanwhile, and each silent stream probed on its own. In a burst most requests take that long.

Change: a plain request whose server has answered any request of this VM within the limit waits for the rest of it instead of probing. probeLimiter allows one probe of a silent server per second, for all requests there. Servers put in doubt by failures in their failure domain have an interval of their own, as they may have failed after the last probe; lost answers and retries of failed servers are probed at once, as before.

Ruled out: the progress of other VMs as evidence (their share datagrams do not say when a server was last heard), and keep-alive segments on the connection in use: Linux sends the first one after a second at the earliest, and a relay on the path would acknowledge it for a dead server.

--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -99,7 +99,8 @@
 
 	mu sync.Mutex
 	// probing is the set of servers with a probe in progress, by identifier.
-	probing map[string]bool
+	probing    map[string]bool
+	probeLimit probeLimiter
 	// queues hold the requests that wait for room on a server, by service.
 	queues map[string]*gladeline.Queue
 	// versionRuns are the runs in progress on servers whose version is known, if there is a Recorder.
@@ -112,7 +113,7 @@
 	f := &Forwarder{
 		config: c, started: time.Now(), heldPrompts: heldCache{answers: map[string]heldAnswer{}}, probing: map[string]bool{},
 		queues: map[string]*gladeline.Queue{}, durations: gladestop.NewDurations(),
-		versionRuns: map[*versionRun]struct{}{},
+		versionRuns: map[*versionRun]struct{}{}, probeLimit: probeLimiter{last: map[probeKey]time.Time{}},
 	}
 	done := make(chan struct{})
 	f.tasks.Go(func() {
@@ -124,7 +125,7 @@
 				return
 			case <-ticker.C:
 				for _, s := range c.Fleet.DueForRetry(time.Now()) {
-					f.probe(s)
+					f.probe(s, probeDue)
 				}
 			}
 		}
--- a/internal/proxy/gladeforward/load.go
+++ b/internal/proxy/gladeforward/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
@@ -17,14 +18,38 @@
 	minSilence = 100 * time.Millisecond
 )
 
-// watchSilence probes the server of a place if the request takes long, where servers report how long work takes. It returns a
-// function that ends the watch.
+// watchSilence probes the server of a place if the request takes long and no other request has been answered there meanwhile, where
+// servers report how long work takes. It returns a function that ends the watch.
 func (j *job) watchSilence(k *gladefleet.Reservation) func() {
 	if !j.config.Fleet.ReportsWork(j.service, time.Now()) {
 		return func() {}
 	}
-	timer := time.AfterFunc(max(minSilence, silentFactor*k.Reported.AnswerTime), func() { j.probe(k.Server) })
-	return func() { timer.Stop() }
+	limit := max(minSilence, silentFactor*k.Reported.AnswerTime)
+	var mu sync.Mutex
+	var timer *time.Timer
+	stopped := false
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(limit, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if stopped {
+			return
+		}
+		if wait := nextSilenceCheck(j.config.Fleet.SilentFor(k.ID, time.Now()), limit); wait > 0 {
+			timer.Reset(wait)
+			return
+		}
+		if !j.probe(k.Server, probeSilent) { // the last probe may have come before the server failed
+			timer.Reset(minSilence)
+		}
+	})
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		stopped = true
+		timer.Stop()
+	}
 }
 
 // fullWaitShare is the share of a route's target time that a refused plain request waits until a server has room, if all the
--- a/internal/proxy/gladeforward/plain.go
+++ b/internal/proxy/gladeforward/plain.go
@@ -222,7 +222,7 @@
 	case a.err != nil:
 		j.mayHaveRun = true
 		j.recordFailure(a.server, a.err)
-		j.probe(a.server)
+		j.probe(a.server, probeDue)
 		j.log("Answer lost.", "server", a.server.ID, "reason", a.err)
 		return false
 	}
--- a/internal/proxy/gladeforward/servers.go
+++ b/internal/proxy/gladeforward/servers.go
@@ -26,7 +26,7 @@
 			"doubtful", len(doubtful), "reason", reason)
 	}
 	for _, o := range doubtful {
-		f.probe(o)
+		f.probe(o, probeDoubtful)
 	}
 }
 
@@ -91,12 +91,13 @@
 	return false
 }
 
-// probe checks in the background whether a server accepts connections.
-func (f *Forwarder) probe(s gladefleet.Server) {
+// probe checks in the background whether a server accepts connections, and reports whether it does so now: not while another probe
+// is in progress or if the limiter denies it.
+func (f *Forwarder) probe(s gladefleet.Server, reason probeReason) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.probing[s.ID] {
-		return
+	if f.probing[s.ID] || !f.probeLimit.allow(s.ID, reason, time.Now()) {
+		return false
 	}
 	f.probing[s.ID] = true
 	f.count("probes")
@@ -115,4 +116,5 @@
 		defer f.mu.Unlock()
 		delete(f.probing, s.ID)
 	})
+	return true
 }
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -360,9 +360,8 @@
 		limit = prefillProbeSilence
 	}
 	limit <<= min(a.probes, maxProbeDoublings)
-	if silence > limit && a.config.Fleet.SilentFor(a.place.ID, time.Now()) > limit {
+	if silence > limit && a.config.Fleet.SilentFor(a.place.ID, time.Now()) > limit && a.probe(a.place.Server, probeSilent) {
 		a.probes++
-		a.probe(a.place.Server)
 	}
 	maxPause := a.route.EventGap
 	if maxPause <= 0 {
@@ -413,7 +412,7 @@
 	a.log("Broken off.", "server", a.place.ID, "reason", i.err, "last", a.lastEvent, "got", a.received)
 	a.recordFailure(a.place.Server, i.err)
 	a.avoidServer(a.place.ID)
-	a.probe(a.place.Server)
+	a.probe(a.place.Server, probeDue)
 	return attemptBroken, true
 }
 
