Health checks: use the connection that the probe has opened

Cause: when a failed server accepts connections again, the probe opens one and the health check that asks which server answers there opens a second one, at each VM that had a run there.

Change: Pool.TakeUnused hands out an idle connection on which no request has been sent, and engine calls take it before they open one. The first answer on it belongs to the call, as on a new connection, so that late answers to other calls stay harmless.

Ruled out: taking connections that were used before, as an answer without an identifier might then belong to an earlier request.

--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -165,16 +165,16 @@
 		Progress: poisonProgress, OnRefused: f.reportRefusal, OnCleared: f.reportCleared,
 		OnHeld: f.reportHeld, OnAnswered: f.reportAnswered, Log: f.log.Named("suspects"),
 	})
+	limits := f.startMemory()
+	pool, closePool := gladesend.NewPool(gladesend.PoolConfig{MaxIdle: limits.IdleServerConnections, OnOpened: f.countConnection})
+	f.pool = pool
+	f.cleanup(closePool)
 	f.openEngine()
 	f.openStore()
 	if err := f.startPeers(); err != nil {
 		return err
 	}
 	f.startFollowing()
-	limits := f.startMemory()
-	pool, closePool := gladesend.NewPool(gladesend.PoolConfig{MaxIdle: limits.IdleServerConnections, OnOpened: f.countConnection})
-	f.pool = pool
-	f.cleanup(closePool)
 	forwarding := gladeforward.Config{
 		Release: f.release.Load, AwaitRelease: f.awaitRelease, Fleet: f.fleet,
 		Client:   &gladesend.Client{Pool: pool, Encode: gladeplatform.EncodeSend, Decode: gladeplatform.DecodeAnswer, OnAnswer: f.onAnswer},
@@ -242,8 +242,11 @@
 	return time.Unix(t.Unix())
 }
 
-// dialEngine opens a connection for an engine call.
+// dialEngine returns a connection for an engine call: the one of a probe if no request was sent on it yet, or else a new one.
 func (f *Front) dialEngine(ctx context.Context, network, address string) (net.Conn, error) {
+	if conn := f.pool.TakeUnused(address); conn != nil {
+		return conn, nil
+	}
 	d := net.Dialer{Timeout: engineDialTimeout, KeepAlive: -1}
 	conn, err := d.DialContext(ctx, network, address)
 	if err == nil {
--- a/internal/proxy/gladesend/cause_test.go
+++ b/internal/proxy/gladesend/cause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -23,3 +24,25 @@
 		c.Assert(opened, qt.DeepEquals, map[Cause]int{CauseRequest: 1, CauseRetry: 1, CauseProbe: 1})
 	})
 }
+
+// Guards against an engine call on a connection that a request was sent on, where a late second answer to that may follow, and against
+// two connections for one check.
+func TestOnlyUnusedConnectionsAreTaken(t *testing.T) {
+	s := &scriptedServer{answers: []string{okAnswer, okAnswer}}
+	runWithServer(t, s, func(c *qt.C, client *Client) {
+		c.Assert(client.Pool.TakeUnused("server:1"), qt.IsNil)
+		_, err := sendAndRead(client, "1")
+		c.Assert(err, qt.IsNil)
+		c.Assert(client.Pool.TakeUnused("server:1"), qt.IsNil)
+		c.Assert(client.Pool.Probe(c.Context(), "server:1"), qt.IsNil)
+		conn := client.Pool.TakeUnused("server:1")
+		c.Assert(conn, qt.IsNotNil)
+		_ = conn.Close()
+		c.Assert(client.Pool.TakeUnused("server:1"), qt.IsNil)
+		c.Assert(client.Pool.Probe(c.Context(), "server:1"), qt.IsNil)
+		time.Sleep(defaultIdleTimeout)
+		c.Assert(client.Pool.TakeUnused("server:1"), qt.IsNil) // the server may have closed it
+		_, err = sendAndRead(client, "2")
+		c.Assert(err, qt.IsNil)
+	})
+}
--- a/internal/proxy/gladesend/exchange.go
+++ b/internal/proxy/gladesend/exchange.go
@@ -67,6 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
+	conn.used = true
 	x := &Exchange{pool: c.Pool, conn: conn, writeResult: make(chan error, 1), hold: call.Hold, done: ctx.Done()}
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	head, sentAt := c.encodeHead(call, s), time.Now()
--- a/internal/proxy/gladesend/pool.go
+++ b/internal/proxy/gladesend/pool.go
@@ -70,6 +70,8 @@
 	idleSince time.Time
 	// idleTimeout is how long the connection may stay idle before it is discarded.
 	idleTimeout time.Duration
+	// used reports that a request was sent on the connection.
+	used bool
 }
 
 // PoolConfig configures a Pool.
@@ -153,6 +155,27 @@
 	}
 }
 
+// TakeUnused returns an idle connection on which no request has been sent yet, as a probe leaves it, or nil.  An answer on it belongs
+// to the first request that is sent there.
+func (p *Pool) TakeUnused(address string) net.Conn {
+	p.mu.Lock()
+	list := p.idle[address]
+	i := slices.IndexFunc(list, func(c *conn) bool { return !c.used })
+	if i < 0 {
+		p.mu.Unlock()
+		return nil
+	}
+	c := list[i]
+	p.idle[address] = slices.Concat(list[:i], list[i+1:])
+	p.idleCount--
+	p.mu.Unlock()
+	if time.Since(c.idleSince) < c.idleTimeout && c.reusable() {
+		return c.Conn
+	}
+	_ = c.Close()
+	return nil
+}
+
 // put returns a connection to the pool after a complete answer and closes those that are expired or too many.
 func (p *Pool) put(c *conn) {
 	c.idleSince = time.Now()
