--- a/internal/proxy/gladesend/pool.go
+++ b/internal/proxy/gladesend/pool.go
@@ -28,6 +28,9 @@
 	ErrWrongAnswer = eris.New("answer of another request")
 )
 
+// DefaultIdleTimeout is how long an idle connection may be reused if the server states no timeout.
+const DefaultIdleTimeout = 800 * time.Millisecond
+
 const (
 	// dialTimeout is the time limit for opening a connection; a live server accepts within a few milliseconds.
 	dialTimeout = 200 * time.Millisecond
@@ -36,7 +39,7 @@
 	maxIdlePerServer = 8
 	// defaultIdleTimeout is how long an idle connection is kept if the server does not send its own timeout.  It is
 	// below the shortest idle timeout of any known server.
-	defaultIdleTimeout = 800 * time.Millisecond
+	defaultIdleTimeout = DefaultIdleTimeout
 	// idleTimeoutShare is the share of the server's idle timeout during which a connection is reused.
 	idleTimeoutShare = 0.8
 	// socketBufferBytes is the size of the kernel's buffers of a connection, which doubles it.  Without it they grow to megabytes,
@@ -284,12 +287,17 @@
 	p.idle, p.idleCount = map[string][]*conn{}, 0
 }
 
-// applyKeepAlive sets the idle timeout from the timeout parameter of a Keep-Alive header, in seconds.
-func (c *conn) applyKeepAlive(header string) {
+// applyKeepAlive sets the idle timeout from a Keep-Alive header.
+func (c *conn) applyKeepAlive(header string) { c.idleTimeout = IdleTimeout(header, c.idleTimeout) }
+
+// IdleTimeout returns how long an idle connection may be reused by the timeout parameter of a Keep-Alive header, in seconds, or the
+// given time if the header has none.
+func IdleTimeout(header string, otherwise time.Duration) time.Duration {
 	for part := range strings.SplitSeq(header, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		if s, err := strconv.ParseFloat(value, 64); err == nil && strings.EqualFold(name, "timeout") {
-			c.idleTimeout = time.Duration(s * idleTimeoutShare * float64(time.Second))
+			otherwise = time.Duration(s * idleTimeoutShare * float64(time.Second))
 		}
 	}
+	return otherwise
 }
