Start: repeat only the reads of the store that failed

Cause: a restarted VM reads the roll-outs, the servers and the release. If one call failed, it read all of them again, up to three times, also while the store was refusing calls for their number.

Change: readSteps repeats the step that failed and goes on from there.

Figures (TestStartRepeatsOnlyWhatFailed): if the list of servers fails once, four calls instead of five; if it fails three times, four instead of six.

Ruled out: ending the attempts as soon as a reader is heard. The roll-outs come in full only every 2 s, and a VM that restarts alone would be ready later.

--- a/internal/proxy/gladefront/counts_test.go
+++ b/internal/proxy/gladefront/counts_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/eelgrassglade/eelgrassglade/gladestore"
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladesend"
 )
 
@@ -25,3 +27,35 @@
 		"store.calls.list.worker.start", int64(1), "store.calls.watch.worker.follow", int64(1),
 	})
 }
+
+// Guards against a restarted VM that reads everything again because one call to the store failed, and against a release that is taken
+// for the newest without having been read.
+func TestStartRepeatsOnlyWhatFailed(t *testing.T) {
+	for name, test := range map[string]struct {
+		// failures is the number of calls of the second step that fail.
+		failures int
+		calls    []int
+		ok       bool
+	}{
+		"none fails":  {0, []int{1, 1, 1}, true},
+		"one fails":   {1, []int{1, 2, 1}, true},
+		"all of them": {9, []int{1, 3, 0}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			calls := make([]int, 3)
+			step := func(n, failures int) func(context.Context) error {
+				return func(context.Context) error {
+					if calls[n]++; calls[n] <= failures {
+						return gladestore.ErrUnavailable
+					}
+					return nil
+				}
+			}
+			steps := []func(context.Context) error{step(0, 0), step(1, test.failures), step(2, 0)}
+			err := readSteps(c.Context(), startReads, time.Millisecond, steps, func(error) {})
+			c.Assert(err == nil, qt.Equals, test.ok)
+			c.Assert(calls, qt.DeepEquals, test.calls)
+		})
+	}
+}
--- a/internal/proxy/gladefront/start.go
+++ b/internal/proxy/gladefront/start.go
@@ -20,22 +20,43 @@
 // a while.
 func (f *Front) readAtStart(ctx context.Context, list func(context.Context) ([]gladeview.Item[entry[gladefleet.Server]], int64, error)) {
 	ctx = withStoreCause(ctx, causeStart)
-	for range startReads {
-		err := f.readRolloutsAtStart(ctx)
-		if err == nil {
-			err = f.readServersAndRelease(ctx, list)
+	err := readSteps(ctx, startReads, startReadPause, []func(context.Context) error{
+		f.readRolloutsAtStart,
+		func(ctx context.Context) error {
+			items, revision, err := list(ctx)
+			if err == nil {
+				f.onServers(items, revision)
+			}
+			return err
+		},
+		f.readRelease,
+	}, func(err error) { f.log.Warn("Cannot read the store at the start.", "reason", err) })
+	if err == nil {
+		f.confirmRelease()
+	}
+}
+
+// readSteps takes steps in order, up to a number of attempts in all, and returns the error of the last one. A step that has succeeded is
+// not repeated.
+func readSteps(ctx context.Context, attempts int, pause time.Duration, steps []func(context.Context) error, onError func(error)) error {
+	var err error
+	for range attempts {
+		for err = nil; err == nil && len(steps) > 0; {
+			if err = steps[0](ctx); err == nil {
+				steps = steps[1:]
+			}
 		}
 		if err == nil {
-			f.confirmRelease()
-			return
+			return nil
 		}
-		f.log.Warn("Cannot read the store at the start.", "reason", err)
+		onError(err)
 		select {
 		case <-ctx.Done():
-			return
-		case <-time.After(startReadPause):
+			return ctx.Err()
+		case <-time.After(pause):
 		}
 	}
+	return err
 }
 
 // readRolloutsAtStart reads the roll-outs, if there are any on this platform. They come before the servers: a VM that knows servers
@@ -46,14 +67,3 @@
 	}
 	return f.readRollouts(ctx)
 }
-
-func (f *Front) readServersAndRelease(
-	ctx context.Context, list func(context.Context) ([]gladeview.Item[entry[gladefleet.Server]], int64, error),
-) error {
-	items, revision, err := list(ctx)
-	if err != nil {
-		return err
-	}
-	f.onServers(items, revision)
-	return f.readRelease(ctx)
-}
