--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -133,12 +133,14 @@
 	f := &Front{
 		config: c, log: c.Log, metrics: metrics.NewRegistry(), unreachable: map[string]bool{}, peersHeard: make(chan struct{}),
 		releaseChanged: make(chan struct{}),
-		fleet: gladefleet.New(gladefleet.Config{
-			FailureDomain: c.Settings.FailureDomain, FailureDomains: len(c.Settings.FailureDomains),
-			AddressReuse: c.Settings.AddressReuse, DrainBound: c.Settings.DrainBound, BootTime: bootTime,
-		}),
-		age: gladeage.New(gladeage.Config{Bound: c.Settings.ReleaseBound, Log: c.Log.Named("age")}),
+		age:            gladeage.New(gladeage.Config{Bound: c.Settings.ReleaseBound, Log: c.Log.Named("age")}),
 	}
+	f.fleet = gladefleet.New(gladefleet.Config{
+		FailureDomain: c.Settings.FailureDomain, FailureDomains: len(c.Settings.FailureDomains),
+		AddressReuse: c.Settings.AddressReuse, DrainBound: c.Settings.DrainBound, BootTime: bootTime,
+		// The pool is opened before the first request.
+		IdleConnection: func(address string) bool { return f.pool.HasIdle(address) },
+	})
 	if c.Settings.Rollouts {
 		f.rollouts = newRollouts(f)
 	}
@@ -167,16 +169,16 @@
 		Progress: poisonProgress, OnRefused: f.reportRefusal, OnCleared: f.reportCleared,
 		OnHeld: f.reportHeld, OnAnswered: f.reportAnswered, Log: f.log.Named("suspects"),
 	})
+	limits := f.startMemory()
+	pool, closePool := gladesend.NewPool(gladesend.PoolConfig{MaxIdle: limits.IdleServerConnections, OnOpened: f.countConnection})
+	f.pool = pool
+	f.cleanup(closePool)
 	f.openEngine()
 	f.openStore()
 	if err := f.startPeers(); err != nil {
 		return err
 	}
 	f.startFollowing()
-	limits := f.startMemory()
-	pool, closePool := gladesend.NewPool(gladesend.PoolConfig{MaxIdle: limits.IdleServerConnections})
-	f.pool = pool
-	f.cleanup(closePool)
 	forwarding := gladeforward.Config{
 		Release: f.release.Load, AwaitRelease: f.awaitRelease, Fleet: f.fleet,
 		Client:   &gladesend.Client{Pool: pool, Encode: gladeplatform.EncodeSend, Decode: gladeplatform.DecodeAnswer, OnAnswer: f.onAnswer},
@@ -228,7 +230,7 @@
 // openEngine prepares the calls to model engines.
 func (f *Front) openEngine() {
 	engine, closeEngine := gladeplatform.NewEngine(gladeplatform.EngineConfig{OnAnswer: f.onEngineAnswer, Transport: &http.Transport{
-		MaxIdleConnsPerHost: 1, IdleConnTimeout: engineIdleTimeout, DialContext: dialEngine, MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		MaxIdleConnsPerHost: 1, IdleConnTimeout: engineIdleTimeout, DialContext: f.dialEngine, MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}})
 	f.engine = engine
 	f.cleanup(closeEngine)
@@ -244,10 +246,17 @@
 	return time.Unix(t.Unix())
 }
 
-// dialEngine opens a connection for an engine call.
-func dialEngine(ctx context.Context, network, address string) (net.Conn, error) {
+// dialEngine returns a connection for an engine call: the one of a probe if no request was sent on it yet, or else a new one.
+func (f *Front) dialEngine(ctx context.Context, network, address string) (net.Conn, error) {
+	if conn := f.pool.TakeUnused(address); conn != nil {
+		return conn, nil
+	}
 	d := net.Dialer{Timeout: engineDialTimeout, KeepAlive: -1}
-	return d.DialContext(ctx, network, address)
+	conn, err := d.DialContext(ctx, network, address)
+	if err == nil {
+		f.countConnection(gladesend.CauseOf(ctx))
+	}
+	return conn, err
 }
 
 // engineDialTimeout bounds a new connection; a live engine accepts within a few milliseconds.
@@ -375,6 +384,7 @@
 	s := f.config.Settings
 	f.log.Info("Started.", "vm", s.VM, "failureDomain", s.FailureDomain, "entry", s.EntryAddress, "store", s.StoreAddress)
 	err := f.group.Run()
+	f.logCounts()
 	f.log.Info("Stopped.", "reason", err)
 	return err
 }
--- a/internal/proxy/gladefront/rollout_servers.go
+++ b/internal/proxy/gladefront/rollout_servers.go
@@ -37,7 +37,7 @@
 	if f.rollouts == nil || !f.fleet.HasNewVersion(servers, revision, time.Now()) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), rolloutReadTimeout)
+	ctx, cancel := context.WithTimeout(withStoreCause(context.Background(), causeVersion), rolloutReadTimeout)
 	defer cancel()
 	if err := f.readRollouts(ctx); err != nil {
 		f.log.Warn("Roll-outs not read before servers of a new version are published; these are held.", "revision", revision, "reason", err)
--- a/internal/proxy/gladesend/pool.go
+++ b/internal/proxy/gladesend/pool.go
@@ -28,6 +28,9 @@
 	ErrWrongAnswer = eris.New("answer of another request")
 )
 
+// DefaultIdleTimeout is how long an idle connection may be reused if the server states no timeout.
+const DefaultIdleTimeout = 800 * time.Millisecond
+
 const (
 	// dialTimeout is the time limit for opening a connection; a live server accepts within a few milliseconds.
 	dialTimeout = 200 * time.Millisecond
@@ -36,7 +39,7 @@
 	maxIdlePerServer = 8
 	// defaultIdleTimeout is how long an idle connection is kept if the server does not send its own timeout.  It is
 	// below the shortest idle timeout of any known server.
-	defaultIdleTimeout = 800 * time.Millisecond
+	defaultIdleTimeout = DefaultIdleTimeout
 	// idleTimeoutShare is the share of the server's idle timeout during which a connection is reused.
 	idleTimeoutShare = 0.8
 	// socketBufferBytes is the size of the kernel's buffers of a connection, which doubles it.  Without it they grow to megabytes,
@@ -48,7 +51,8 @@
 
 // Pool keeps idle connections to backend servers for reuse.
 type Pool struct {
-	dial func(ctx context.Context, address string) (net.Conn, error)
+	dial     func(ctx context.Context, address string) (net.Conn, error)
+	onOpened func(Cause)
 
 	mu sync.Mutex
 	// idle holds the idle connections by address, the one used last at the end.
@@ -69,6 +73,8 @@
 	idleSince time.Time
 	// idleTimeout is how long the connection may stay idle before it is discarded.
 	idleTimeout time.Duration
+	// used reports that a request was sent on the connection.
+	used bool
 }
 
 // PoolConfig configures a Pool.
@@ -77,6 +83,8 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// MaxIdle is the largest number of idle connections; zero sets no limit.
 	MaxIdle int
+	// OnOpened is called for each connection that is opened; nil means that nobody counts them.
+	OnOpened func(Cause)
 }
 
 // NewPool returns a pool and a function that closes its idle connections.
@@ -93,7 +101,10 @@
 		}}
 		c.Dial = func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
 	}
-	p := &Pool{dial: c.Dial, idle: map[string][]*conn{}, maxIdle: c.MaxIdle}
+	if c.OnOpened == nil {
+		c.OnOpened = func(Cause) {}
+	}
+	p := &Pool{dial: c.Dial, onOpened: c.OnOpened, idle: map[string][]*conn{}, maxIdle: c.MaxIdle}
 	return p, p.close
 }
 
@@ -101,16 +112,16 @@
 const tcpUserTimeout = 18
 
 // get returns an idle connection, or a new one if there is none or fresh is set.
-func (p *Pool) get(ctx context.Context, address string, fresh bool) (*conn, error) {
+func (p *Pool) get(ctx context.Context, address string, fresh bool, cause Cause) (*conn, error) {
 	if !fresh {
 		if c := p.takeIdle(address); c != nil {
 			return c, nil
 		}
 	}
-	return p.open(ctx, address)
+	return p.open(ctx, address, cause)
 }
 
-func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
+func (p *Pool) open(ctx context.Context, address string, cause Cause) (*conn, error) {
 	raw, err := p.dial(ctx, address)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
@@ -121,6 +132,7 @@
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
+	p.onOpened(cause)
 	return &conn{
 		Conn: raw, address: address, reader: bufio.NewReaderSize(raw, maxHeadBytes), idleTimeout: defaultIdleTimeout,
 	}, nil
@@ -146,6 +158,35 @@
 	}
 }
 
+// HasIdle reports whether there is an idle connection to a server that a send would probably use.
+func (p *Pool) HasIdle(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	return len(list) > 0 && time.Since(list[len(list)-1].idleSince) < list[len(list)-1].idleTimeout
+}
+
+// TakeUnused returns an idle connection on which no request has been sent yet, as a probe leaves it, or nil.  An answer on it belongs
+// to the first request that is sent there.
+func (p *Pool) TakeUnused(address string) net.Conn {
+	p.mu.Lock()
+	list := p.idle[address]
+	i := slices.IndexFunc(list, func(c *conn) bool { return !c.used })
+	if i < 0 {
+		p.mu.Unlock()
+		return nil
+	}
+	c := list[i]
+	p.idle[address] = slices.Concat(list[:i], list[i+1:])
+	p.idleCount--
+	p.mu.Unlock()
+	if time.Since(c.idleSince) < c.idleTimeout && c.reusable() {
+		return c.Conn
+	}
+	_ = c.Close()
+	return nil
+}
+
 // put returns a connection to the pool after a complete answer and closes those that are expired or too many.
 func (p *Pool) put(c *conn) {
 	c.idleSince = time.Now()
@@ -216,7 +257,7 @@
 // Probe opens a connection and keeps it for the next send.  It fails with ErrNotSent if the server accepts no
 // connection.
 func (p *Pool) Probe(ctx context.Context, address string) error {
-	c, err := p.open(ctx, address)
+	c, err := p.open(ctx, address, CauseProbe)
 	if err != nil {
 		return err
 	}
@@ -254,12 +295,17 @@
 	p.idle, p.idleCount = map[string][]*conn{}, 0
 }
 
-// applyKeepAlive sets the idle timeout from the timeout parameter of a Keep-Alive header, in seconds.
-func (c *conn) applyKeepAlive(header string) {
+// applyKeepAlive sets the idle timeout from a Keep-Alive header.
+func (c *conn) applyKeepAlive(header string) { c.idleTimeout = IdleTimeout(header, c.idleTimeout) }
+
+// IdleTimeout returns how long an idle connection may be reused by the timeout parameter of a Keep-Alive header, in seconds, or the
+// given time if the header has none.
+func IdleTimeout(header string, otherwise time.Duration) time.Duration {
 	for part := range strings.SplitSeq(header, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		if s, err := strconv.ParseFloat(value, 64); err == nil && strings.EqualFold(name, "timeout") {
-			c.idleTimeout = time.Duration(s * idleTimeoutShare * float64(time.Second))
+			otherwise = time.Duration(s * idleTimeoutShare * float64(time.Second))
 		}
 	}
+	return otherwise
 }
