Probe a server a second time before its lost run is judged

Cause: a death counts against a request if the server's process has ended, which the probe right after the lost run shows. A process that crashes may close its connections before its listener. The probe then found it accepting connections, nothing asked again within the 400 ms, and the crash was not counted: TestCrashingRequestStopped failed rarely ("five servers run it"), as its engines close the connection and the listener in two goroutines.

Change: a lost run probes its server once more after 150 ms. A probe that is asked for after the forwarder has closed is not started. That costs one connection for a lost run whose server is not known to be down by then.

Ruled out: a wait before the first probe, which would delay retries and the detection of crashed servers; counting a closed connection as a crash, since a server that is cut off or that ends one connection looks the same.

--- a/internal/proxy/gladeforward/forwarder.go
+++ b/internal/proxy/gladeforward/forwarder.go
@@ -100,6 +100,8 @@
 	mu sync.Mutex
 	// probing is the set of servers with a probe in progress, by identifier.
 	probing map[string]bool
+	// closed ends probing: one that a lost run asks for may come later than the end.
+	closed bool
 	// queues hold the requests that wait for room on a server, by service.
 	queues map[string]*gladeline.Queue
 	// versionRuns are the runs in progress on servers whose version is known, if there is a Recorder.
@@ -131,6 +133,9 @@
 	})
 	return f, func() {
 		close(done)
+		f.mu.Lock()
+		f.closed = true
+		f.mu.Unlock()
 		f.tasks.Wait()
 	}
 }
--- a/internal/proxy/gladeforward/servers.go
+++ b/internal/proxy/gladeforward/servers.go
@@ -95,7 +95,7 @@
 func (f *Forwarder) probe(s gladefleet.Server) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.probing[s.ID] {
+	if f.probing[s.ID] || f.closed {
 		return
 	}
 	f.probing[s.ID] = true
--- a/internal/proxy/gladeforward/suspects.go
+++ b/internal/proxy/gladeforward/suspects.go
@@ -158,6 +158,12 @@
 	go func() {
 		defer close(v.classified)
 		died, diedAt := false, lostAt
+		again := time.AfterFunc(secondProbeDelay, func() {
+			if outcome == runLost {
+				v.job.probe(v.server)
+			}
+		})
+		defer again.Stop()
 		select {
 		case <-v.down:
 			diedAt = time.Now()
@@ -220,5 +226,10 @@
 	runRefused                        // this VM ended the run, as its request crashes its servers
 )
 
-// deathCheckDelay is the longest time between a lost run and the check of its server's state; it is longer than two probes.
-const deathCheckDelay = 400 * time.Millisecond
+const (
+	// secondProbeDelay is the time after a lost run at which its server is probed once more. A process that crashes closes its listener
+	// up to some milliseconds after its connections, so that the first probe may find it accepting connections.
+	secondProbeDelay = 150 * time.Millisecond
+	// deathCheckDelay is the longest time between a lost run and the check of its server's state; it is longer than two probes.
+	deathCheckDelay = 400 * time.Millisecond
+)
