--- a/internal/proxy/gladeforward/servers.go
+++ b/internal/proxy/gladeforward/servers.go
@@ -96,7 +96,7 @@
 func (f *Forwarder) probe(s gladefleet.Server, reason probeReason) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.probing[s.ID] || !f.probeLimit.allow(s.ID, reason, time.Now()) {
+	if f.probing[s.ID] || f.closed || !f.probeLimit.allow(s.ID, reason, time.Now()) {
 		return false
 	}
 	f.probing[s.ID] = true
--- a/internal/proxy/gladefront/rollouts.go
+++ b/internal/proxy/gladefront/rollouts.go
@@ -142,7 +142,7 @@
 	x.mu.Unlock()
 	decider, closeDecider := gladedecider.New(gladedecider.Config{
 		VM: s.VM, Registry: x.registry, CanaryShare: cmp.Or(s.CanaryShare, defaultCanaryShare), CanarySlack: cmp.Or(s.CanarySlack, defaultCanarySlack),
-Candidates: f.rolloutCandidates, Reached: f.followsRollouts, Write: f.writeRollout,
+		Candidates: f.rolloutCandidates, Reached: f.followsRollouts, Write: f.writeRollout,
 		Read:    func(ctx context.Context) error { return f.readRollouts(withStoreCause(ctx, causeRollout)) },
 		Servers: func(service, target string) (int, int) { return f.fleet.VersionCounts(service, target, time.Now()) },
 		Stop:    f.sendRolloutStop, Heartbeat: f.sendHeartbeat, OnChange: f.announceRollouts,
