--- a/internal/fleet/gladerollout/model_test.go
+++ b/internal/fleet/gladerollout/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -16,6 +17,7 @@
 	VMs, Old, Target    int
 	Rates               []float64 // requests per second of each route
 	First, Whole        time.Duration
+	Prefill, Decode     time.Duration // of one request alone on a server, on which others wait and slow it; 0 for First and Whole
 	Fails               float64       // part of the bad version's answers that fail
 	Slow                float64       // factor by which the bad version is slower, 0 for not
 	BadFrom             time.Duration // since the order
@@ -43,6 +45,27 @@
 	name           string
 	running        int
 	flaky, crashed bool
+	prefilledAt    time.Time // when the prompts that wait will have been read
+	prefilling     float64   // part of the time with prefill, as an average over prefillWindow
+	averagedAt     time.Time
+}
+
+const (
+	prefillWindow = 5 * time.Second
+	// prefillSlowdown is the increase of a decoding step of 3.7 ms by a chunk of 125 prompt tokens at 5 tokens per ms.
+	prefillSlowdown = 25 / 3.7
+)
+
+// times adds a prompt to those that wait and returns the times to the first event and to the end of its run.
+func (k *modelServer) times(now time.Time, prefill, decode time.Duration) (first, whole time.Duration) {
+	if k.prefilledAt.Before(now) {
+		k.prefilledAt = now
+	}
+	k.prefilledAt = k.prefilledAt.Add(prefill)
+	k.prefilling = k.prefilling*math.Exp(-float64(now.Sub(k.averagedAt))/float64(prefillWindow)) + float64(prefill)/float64(prefillWindow)
+	k.averagedAt = now
+	first = k.prefilledAt.Sub(now)
+	return first, first + time.Duration(float64(decode)*(1+prefillSlowdown*min(k.prefilling, 1)))
 }
 
 type modelRun struct {
@@ -175,7 +198,10 @@
 	bad := !u.old && m.bad() && m.elapsed() >= m.BadFrom && (m.BadRoute < 0 || m.BadRoute == route) &&
 		(!m.UnderLoad || float64(u.server.running) >= 0.5*load)
 	first, whole := m.between(m.First*7/10, m.First*14/10), m.between(m.Whole*7/10, m.Whole*14/10)
-	if m.bursting() {
+	switch {
+	case m.Prefill > 0:
+		first, whole = u.server.times(m.now, m.between(m.Prefill*7/10, m.Prefill*13/10), m.between(m.Decode*9/10, m.Decode*11/10))
+	case m.bursting():
 		first, whole = 3*first, 2*whole
 	}
 	if bad && m.Slow > 0 {
--- a/internal/fleet/gladerollout/rollout_test.go
+++ b/internal/fleet/gladerollout/rollout_test.go
@@ -101,6 +101,21 @@
 	}
 }
 
+// A good version whose servers take longer the more requests they have must not be reverted, although the requests for the target are
+// concentrated on few servers, and in a burst.
+func TestGoodVersionWithTimesThatDependOnLoad(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(6) {
+		s := scenario{
+			Seed: seed, Limit: 14 * time.Second, VMs: 100, Old: 144, Target: 144, Rates: []float64{40, 5}, First: 1300 * time.Millisecond,
+			Whole: 12 * time.Second, Prefill: 1040 * time.Millisecond, Decode: 3800 * time.Millisecond, ReportDelay: time.Second, BadRoute: -1,
+			Burst: []time.Duration{0, 4 * time.Second}[seed%2],
+		}
+		got := newModel(s).play()
+		c.Assert(got.state, qt.Equals, Complete, qt.Commentf("%d %v", seed, got.log))
+	}
+}
+
 // baseInput is an order in progress with nothing known.
 func baseInput() Input {
 	return Input{
