gladeforward tests: read shared records under their locks

Cause: TestCrashOfRefusedRunIsReported read the crashes without the lock, and the harness read the clean-up functions without it, while a server that restarts adds to them. The race detector reported both.

Change: both are read under the lock. No check changes.

Figures: go test -race of gladeforward failed before, passes now.

--- a/internal/proxy/gladeforward/crash_fleet_test.go
+++ b/internal/proxy/gladeforward/crash_fleet_test.go
@@ -107,7 +107,10 @@
 func (c *crashFleet) close() {
 	time.Sleep(30 * time.Second) // all requests and restarts are over
 	for _, w := range c.vms {
-		for _, closer := range slices.Backward(w.closers) {
+		w.mu.Lock()
+		closers := slices.Clone(w.closers) // servers that restart add to them
+		w.mu.Unlock()
+		for _, closer := range slices.Backward(closers) {
 			closer()
 		}
 	}
--- a/internal/proxy/gladeforward/crash_refused_test.go
+++ b/internal/proxy/gladeforward/crash_refused_test.go
@@ -28,7 +28,10 @@
 			w.hold("d1")
 		}
 		time.Sleep(c.runTime)
-		c.Assert(c.crashes["d1"], qt.HasLen, 1)
+		c.mu.Lock()
+		crashes := len(c.crashes["d1"])
+		c.mu.Unlock()
+		c.Assert(crashes, qt.Equals, 1)
 		reported := slices.ContainsFunc(c.vms[0].reportedDeaths(), func(d ServerDeath) bool {
 			return slices.Contains(d.Parts, gladesend.PartID("d1"))
 		})
