Store calls: the writes of a decider are counted as such

Cause: the counters of calls to the store have a cause since the last merge, and the status writes of a decider got that of a reader's watch. TestOrderWithoutServers names the counter by its old name and failed.

--- a/internal/proxy/gladefront/rollouts.go
+++ b/internal/proxy/gladefront/rollouts.go
@@ -406,7 +406,7 @@
 
 // writeRollout writes the status of an order.
 func (f *Front) writeRollout(ctx context.Context, service string, revision int64, s gladerollout.Status) (gladerollout.Rollout, error) {
-	f.countStoreCall(ctx, "write", gladeplatform.KindRollouts)
+	f.countStoreCall(withStoreCause(ctx, causeRollout), "write", gladeplatform.KindRollouts)
 	known, _, _ := f.rollouts.registry.Get(service, bootTime())
 	o, err := f.store.PutStatus(ctx, gladeplatform.KindRollouts, service, revision, s)
 	conflict, isConflict := errors.AsType[*gladeplatform.ConflictError](err)
