--- a/internal/fleet/gladefleet/load.go
+++ b/internal/fleet/gladefleet/load.go
@@ -41,9 +41,6 @@
 	last time.Time
 	// answerTime is the moving average of the times of plain answers, in seconds, zero if there were none.
 	answerTime float64
-	// connectedTime is the least expected time of a plain answer, in seconds, among the servers of the choice in progress to which this
-	// VM has an idle connection; infinite if there is none.
-	connectedTime float64
 }
 
 // reportedLoad is what a server reported and what this VM measured of its answers.
@@ -142,7 +139,7 @@
 	case n.reports == nil && n.value == nil:
 		return t.cost(e, jitter, n.Prompt)
 	case n.Prompt == 0:
-		return t.plainCost(e, n.reports, now) + t.connectionSurcharge(s, e, n, now)
+		return t.plainCost(e, n.reports, now)
 	}
 	bound := math.Inf(1)
 	if s.best != nil {
@@ -174,9 +171,6 @@
 		return cost
 	}
 	own := runTokens + float64(prompt)
-	if t.hasIdleConnection(e) {
-		return cost // the random part is larger than what a connection costs
-	}
 	expected := (own + e.uncounted(age)*runTokens) * work / own
 	return cost + spreadTokens*expected*expected*t.exponential()
 }
--- a/internal/fleet/gladefleet/plain.go
+++ b/internal/fleet/gladefleet/plain.go
@@ -71,28 +71,19 @@
 	return expected
 }
 
-// reportFreshness returns how much the last report of a server still says, from 0 to 1.
-func (e *entry) reportFreshness(now time.Time) float64 {
-	if e.reported.at.IsZero() {
-		return 0
-	}
-	return decay(now.Sub(e.reported.at), lastWorkHalfLife)
-}
-
-// plainTime returns the expected time of an answer on a server, in seconds, with the wait there and what its errors cost.
-func (t *Table) plainTime(e *entry, s *serviceReports, now time.Time) float64 {
-	expected, slots := t.answerTime(e, s, now), float64(max(1, e.Slots))
-	// The peers' counts are not used: they are up to a second old, and a plain request takes some 10 ms.
-	ahead := float64(e.runs) + float64(e.reported.others)*e.reportFreshness(now)
-	expected *= 1 + max(0, ahead+1-slots)/slots
-	return expected * (1 + errorTimeFactor*e.errorRate)
-}
-
 // plainCost returns the expected time of an answer on a server, divided by its slots and times a random factor. With the
 // factor of old knowledge, each server is chosen with a probability in proportion to the work it completes.
 func (t *Table) plainCost(e *entry, s *serviceReports, now time.Time) float64 {
-	k, fresh := &e.reported, e.reportFreshness(now)
-	expected, slots := t.plainTime(e, s, now), float64(max(1, e.Slots))
+	k := &e.reported
+	expected, slots := t.answerTime(e, s, now), float64(max(1, e.Slots))
+	fresh := 0.0
+	if !k.at.IsZero() {
+		fresh = decay(now.Sub(k.at), lastWorkHalfLife)
+	}
+	// The peers' counts are not used: they are up to a second old, and a plain request takes some 10 ms.
+	ahead := float64(e.runs) + float64(k.others)*fresh
+	expected *= 1 + max(0, ahead+1-slots)/slots
+	expected *= 1 + errorTimeFactor*e.errorRate
 	spread := max(minSpread, 1-fresh)
 	cost := expected / slots * (1 - spread + spread*t.exponential())
 	if now.Before(k.fullUntil) {
--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -46,9 +46,6 @@
 	BootTime func() time.Time
 	// Random returns a random number from 0 up to but not including 1; nil means that of math/rand.
 	Random func() float64
-	// IdleConnection reports whether this VM has an idle connection to an address, which a request can use; nil means that it is not
-	// known. It is called while the table is locked.
-	IdleConnection func(address string) bool
 }
 
 // Table holds the known backend servers, their load and their failures.
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -133,14 +133,12 @@
 	f := &Front{
 		config: c, log: c.Log, metrics: metrics.NewRegistry(), unreachable: map[string]bool{}, peersHeard: make(chan struct{}),
 		releaseChanged: make(chan struct{}),
-		age:            gladeage.New(gladeage.Config{Bound: c.Settings.ReleaseBound, Log: c.Log.Named("age")}),
+		fleet: gladefleet.New(gladefleet.Config{
+			FailureDomain: c.Settings.FailureDomain, FailureDomains: len(c.Settings.FailureDomains),
+			AddressReuse: c.Settings.AddressReuse, DrainBound: c.Settings.DrainBound, BootTime: bootTime,
+		}),
+		age: gladeage.New(gladeage.Config{Bound: c.Settings.ReleaseBound, Log: c.Log.Named("age")}),
 	}
-	f.fleet = gladefleet.New(gladefleet.Config{
-		FailureDomain: c.Settings.FailureDomain, FailureDomains: len(c.Settings.FailureDomains),
-		AddressReuse: c.Settings.AddressReuse, DrainBound: c.Settings.DrainBound, BootTime: bootTime,
-		// The pool is opened before the first request.
-		IdleConnection: func(address string) bool { return f.pool.HasIdle(address) },
-	})
 	if c.Settings.Rollouts {
 		f.rollouts = newRollouts(f)
 	}
--- a/internal/proxy/gladesend/pool.go
+++ b/internal/proxy/gladesend/pool.go
@@ -158,14 +158,6 @@
 	}
 }
 
-// HasIdle reports whether there is an idle connection to a server that a send would probably use.
-func (p *Pool) HasIdle(address string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[address]
-	return len(list) > 0 && time.Since(list[len(list)-1].idleSince) < list[len(list)-1].idleTimeout
-}
-
 // TakeUnused returns an idle connection on which no request has been sent yet, as a probe leaves it, or nil.  An answer on it belongs
 // to the first request that is sent there.
 func (p *Pool) TakeUnused(address string) net.Conn {
