Probes: limited only where servers report how long work takes

Cause: since all services had one probe per silent server and second.

Change: the limit applies to services whose servers report how long work takes, for which it was made; elsewhere every probe is as before.

--- a/internal/proxy/gladeforward/probes_test.go
+++ b/internal/proxy/gladeforward/probes_test.go
@@ -74,3 +74,22 @@
 		})
 	}
 }
+
+// Guards against a limit on probes where servers do not report how long work takes: crashed servers were found out later there, and
+// the trouble days of two deployments were worth 0.02 less.
+func TestProbesAreLimitedOnlyWithReports(t *testing.T) {
+	runTest(t, func(w *harness) {
+		w.serve("web", "shubra", "a", func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusOK) })
+		server, _ := w.fleet.Server("a")
+		probe := func() bool {
+			defer time.Sleep(100 * time.Millisecond) // until it has ended
+			return w.forwarder.probe(server, probeSilent)
+		}
+		for range 3 {
+			w.Assert(probe(), qt.IsTrue)
+		}
+		w.fleet.RecordLoad("a", gladefleet.LoadReport{Running: 1, Slots: 4, WorkPercent: 100}, time.Now())
+		w.Assert(probe(), qt.IsTrue)
+		w.Assert(probe(), qt.IsFalse)
+	})
+}
--- a/internal/proxy/gladeforward/servers.go
+++ b/internal/proxy/gladeforward/servers.go
@@ -96,7 +96,7 @@
 func (f *Forwarder) probe(s gladefleet.Server, reason probeReason) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.probing[s.ID] || f.closed || !f.probeLimit.allow(s.ID, reason, time.Now()) {
+	if f.probing[s.ID] || f.closed || !f.mayProbe(s, reason, time.Now()) {
 		return false
 	}
 	f.probing[s.ID] = true
@@ -118,3 +118,9 @@
 	})
 	return true
 }
+
+// mayProbe reports whether the limiter permits a probe. It applies to services whose servers report how long work takes: elsewhere a
+// server that falls silent just after a probe is found out later than before.
+func (f *Forwarder) mayProbe(s gladefleet.Server, reason probeReason, now time.Time) bool {
+	return !f.config.Fleet.ReportsWork(s.Service, now) || f.probeLimit.allow(s.ID, reason, now)
+}
