gladesend: read large answers in parts that are reused

Cause: a body was read into one buffer that doubled.

Change: up to 64 KiB a body has one buffer that grows, as before; beyond that it is read in parts of 64 KiB, and joined at the end. What a call's hold counts is what its body occupies, during the join too.

--- a/internal/proxy/gladesend/limits.go
+++ b/internal/proxy/gladesend/limits.go
@@ -33,9 +33,11 @@
 	maxStaleBytes = 64 << 10
 	// MaxBodyBytes is the maximum size of a body that ReadBody returns.
 	MaxBodyBytes = 8 << 20
-	// unreservedBytes is the size up to which a body does not count towards maxBufferedBytes.
-	unreservedBytes = 64 << 10
-	// maxBufferedBytes is the memory that all larger bodies may occupy together while they are read, if their calls have no hold.
+	// bodyPartBytes is the size of the parts in which a large body is read, and up to which a body does not count towards
+	// maxBufferedBytes.
+	bodyPartBytes = 64 << 10
+	// maxBufferedBytes is the memory that all larger bodies may occupy together while they are read, if their calls have no hold.  The
+	// copy that joins a body's parts is included.
 	maxBufferedBytes = 16 << 20
 	// firstBufferBytes is the size of the first buffer for a body.
 	firstBufferBytes = 2 << 10
@@ -147,55 +149,114 @@
 	if x.contentLength > MaxBodyBytes {
 		return nil, eris.Wrap(NewLimitError("body", MaxBodyBytes, "bytes"), x.conn.address)
 	}
-	b := bodyBuffer{budget: &x.pool.buffers, length: x.contentLength, exchange: x}
-	defer func() { b.budget.release(b.reserved) }()
-	body, err := b.read(x)
+	b := bodyReader{exchange: x}
+	body, err := b.read()
+	x.pool.buffers.release(b.reserved)
 	if err != nil {
-		x.hold.Shrink(cap(b.bytes))
+		x.hold.Shrink(b.held)
 	}
 	return body, err
 }
 
-// read reads the whole body of an exchange.
-func (b *bodyBuffer) read(x *Exchange) ([]byte, error) {
-	if err := b.hold(firstBufferBytes); err != nil {
-		return nil, err
-	}
-	b.bytes = make([]byte, 0, firstBufferBytes)
+// bodyReader reads a body.
+type bodyReader struct {
+	exchange *Exchange
+	// first is a buffer that grows up to bodyPartBytes, and parts are what follows it.
+	first []byte
+	parts [][]byte
+	// size is the number of bytes read.
+	size int
+	// held is the number of bytes counted in the hold of the call, and reserved those reserved in the pool's budget.
+	held, reserved int
+}
+
+// read reads the whole body.
+func (b *bodyReader) read() ([]byte, error) {
+	defer b.returnParts()
 	for {
-		if len(b.bytes) == cap(b.bytes) {
-			if err := b.grow(x.conn.address); err != nil {
+		current := &b.first
+		if len(b.parts) > 0 {
+			current = &b.parts[len(b.parts)-1]
+		}
+		if len(*current) == cap(*current) {
+			if err := b.grow(); err != nil {
 				return nil, err
 			}
+			continue
 		}
-		n, err := x.Read(b.bytes[len(b.bytes):cap(b.bytes)])
-		b.bytes = b.bytes[:len(b.bytes)+n]
+		free := (*current)[len(*current):cap(*current)]
+		n, err := b.exchange.Read(free[:min(len(free), MaxBodyBytes+1-b.size)])
+		*current, b.size = (*current)[:len(*current)+n], b.size+n
 		switch {
 		case errors.Is(err, io.EOF):
-			return b.bytes, nil
+			return b.join()
 		case err != nil:
 			return nil, err
+		case b.size > MaxBodyBytes:
+			return nil, eris.Wrap(NewLimitError("body", MaxBodyBytes, "bytes"), b.exchange.conn.address)
 		}
 	}
 }
 
-// bodyBuffer is the buffer of a body that is being read.
-type bodyBuffer struct {
-	bytes  []byte
-	budget *bufferBudget
-	// reserved is the number of bytes reserved in budget.
-	reserved int
-	// length is the announced length of the body, negative if it is unknown.
-	length   int64
-	exchange *Exchange
+// grow doubles the first buffer, or adds a part once it is as large as one.
+func (b *bodyReader) grow() error {
+	if cap(b.first) >= bodyPartBytes {
+		if err := b.occupyLarge(bodyPartBytes); err != nil {
+			return err
+		}
+		b.parts = append(b.parts, b.exchange.pool.parts.take())
+		return nil
+	}
+	size := min(max(firstBufferBytes, 2*cap(b.first)), bodyPartBytes)
+	if length := b.exchange.contentLength; length >= 0 {
+		size = max(cap(b.first)+1, min(size, int(length)+1))
+	}
+	if err := b.occupy(size); err != nil {
+		return err
+	}
+	outgrown := cap(b.first)
+	b.first = append(make([]byte, 0, size), b.first...)
+	b.vacate(outgrown)
+	return nil
+}
+
+// join returns the body in one piece.
+func (b *bodyReader) join() ([]byte, error) {
+	if len(b.parts) == 0 {
+		return b.first, nil
+	}
+	if err := b.occupyLarge(b.size); err != nil {
+		return nil, err
+	}
+	body := append(make([]byte, 0, b.size), b.first...)
+	for _, p := range b.parts {
+		body = append(body, p...)
+	}
+	b.vacate(b.held - b.size)
+	return body, nil
 }
 
-// hold counts size further bytes in the hold of the call.  It waits a while for room.
-func (b *bodyBuffer) hold(size int) error {
+// occupyLarge is occupy for memory beyond the first buffer.  Without a hold it reserves the memory in the budget of the pool.
+func (b *bodyReader) occupyLarge(size int) error {
+	if err := b.occupy(size); err != nil || b.exchange.hold != nil {
+		return err
+	}
+	if !b.exchange.pool.buffers.reserve(size) {
+		return eris.Wrap(NewLimitError("all large bodies", maxBufferedBytes, "bytes"), b.exchange.conn.address)
+	}
+	b.reserved += size
+	return nil
+}
+
+// occupy counts size further bytes in the hold of the call.  It waits for room for at most roomWait.
+func (b *bodyReader) occupy(size int) error {
 	x := b.exchange
 	began := time.Now()
 	for now := began; ; now = time.Now() {
 		err := x.hold.Grow(size, now)
+		if err == nil {
+			b.held += size
+		}
 		if !errors.Is(err, gladememory.ErrNoRoom) || now.Sub(began) >= roomWait {
 			return err
 		}
@@ -207,32 +268,14 @@
 	}
 }
 
-// grow doubles the capacity, up to one byte more than the body may have.
-func (b *bodyBuffer) grow(address string) error {
-	if len(b.bytes) > MaxBodyBytes {
-		return eris.Wrap(NewLimitError("body", MaxBodyBytes, "bytes"), address)
-	}
-	size := 2 * cap(b.bytes)
-	if size >= MaxBodyBytes {
-		size = MaxBodyBytes + 1
-	}
-	if b.length >= 0 {
-		size = max(cap(b.bytes)+1, min(size, int(b.length)+1))
-	}
-	if err := b.hold(size); err != nil {
-		return err
-	}
-	reserved := 0
-	if size > unreservedBytes && b.exchange.hold == nil {
-		if !b.budget.reserve(size) {
-			return eris.Wrap(NewLimitError("all large bodies", maxBufferedBytes, "bytes"), address)
-		}
-		reserved = size
+// vacate gives size bytes back to the hold of the call.
+func (b *bodyReader) vacate(size int) {
+	b.exchange.hold.Shrink(size)
+	b.held -= size
+}
+
+func (b *bodyReader) returnParts() {
+	for _, p := range b.parts {
+		b.exchange.pool.parts.put(p)
 	}
-	old := cap(b.bytes)
-	b.bytes = append(make([]byte, 0, size), b.bytes...)
-	b.exchange.hold.Shrink(old)
-	b.budget.release(b.reserved)
-	b.reserved = reserved
-	return nil
 }
--- a/internal/proxy/gladesend/limits_test.go
+++ b/internal/proxy/gladesend/limits_test.go
@@ -248,7 +248,7 @@
 }
 
 func TestReadBodyLengths(t *testing.T) {
-	for _, size := range []int{0, 1, firstBufferBytes, unreservedBytes, unreservedBytes + 1, MaxBodyBytes} {
+	for _, size := range []int{0, 1, firstBufferBytes, bodyPartBytes, bodyPartBytes + 1, 2 * bodyPartBytes, MaxBodyBytes - 1, MaxBodyBytes} {
 		for name, head := range map[string]string{
 			"announced": fmt.Sprintf("Content-Length: %d\r\nConnection: close\r\n\r\n", size), "to the end": "Connection: close\r\n\r\n",
 		} {
--- a/internal/proxy/gladesend/pool.go
+++ b/internal/proxy/gladesend/pool.go
@@ -63,6 +63,7 @@
 	idleCount, maxIdle int
 
 	buffers bufferBudget
+	parts   partList
 }
 
 type conn struct {
