gladeforward: one loop for both ways to wait for a place

Cause: waitForTurn repeated the 16 lines with which waitForPlace polls for a free place.

Change: awaitPlace has them. Decisions are the same; the rate of places is recorded after the waiter has left the queue instead of before, which are independent of each other.

--- a/internal/proxy/gladeforward/room.go
+++ b/internal/proxy/gladeforward/room.go
@@ -94,11 +94,15 @@
 	}
 	s.count("waiting")
 	s.log("Waiting for room.", "rank", r.Rank, "waiting", queue.Len(), "upToMs", wait.Milliseconds())
-	w := queue.Enqueue(r, now)
+	return s.awaitPlace(queue.Enqueue(r, now), need, now, wait)
+}
+
+// awaitPlace waits in a queue, which the stream has joined at the time since, until it gets a place or has waited for its maximum wait.
+func (s *stream) awaitPlace(w *gladeline.Waiter, need gladefleet.Requirements, since time.Time, wait time.Duration) (*gladefleet.Reservation, error) {
 	served := false
 	defer func() {
 		w.Remove(served, time.Now())
-		s.observe("wait", time.Since(now))
+		s.observe("wait", time.Since(since))
 	}()
 	tick := time.NewTicker(roomCheckInterval)
 	defer tick.Stop()
@@ -114,10 +118,9 @@
 				return place, err
 			}
 		}
-		if time.Since(now) < wait {
-			continue
+		if time.Since(since) >= wait {
+			return s.chooseLast(need)
 		}
-		return s.chooseLast(need)
 	}
 }
 
--- a/internal/proxy/gladeforward/waiting.go
+++ b/internal/proxy/gladeforward/waiting.go
@@ -62,30 +62,8 @@
 	s.count("waiting")
 	s.log("Waiting for room.", "rank", w.Rank, "waiting", queue.Len(), "upToMs", wait.Milliseconds(), "leftMs", time.Until(w.Times.Target).Milliseconds())
 	w.Enqueue(now)
-	served := false
-	defer func() {
-		w.Remove(served, time.Now())
-		s.observe("wait", time.Since(now))
-	}()
-	tick := time.NewTicker(roomCheckInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-s.ctx.Done():
-			return nil, s.ctx.Err()
-		case <-tick.C:
-		}
-		if w.IsNext(time.Now()) {
-			if place, err := s.choose(need, true); !s.hasRoomSoon(err) {
-				served = err == nil
-				return s.recordPlacement(w, place, err)
-			}
-		}
-		if time.Since(now) >= wait {
-			place, err := s.chooseLast(need)
-			return s.recordPlacement(w, place, err)
-		}
-	}
+	place, err := s.awaitPlace(w, need, now, wait)
+	return s.recordPlacement(w, place, err)
 }
 
 // recordPlacement records the place of a request, if it got one, in the rate at which places are given.
