TestStopInterruptsNoRequest: show the status and the VM's decisions

The test failed twice beside load and showed only that one request had a status other than 200 and 503. Requests now have identifiers of their own, and a failure shows the status, the time it took, and the VM's log lines of that request and of the stop. The checks are unchanged.

--- a/internal/proxy/gladefront/front_test.go
+++ b/internal/proxy/gladefront/front_test.go
@@ -1,6 +1,8 @@
 package gladefront
 
 import (
+	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -42,6 +44,8 @@
 	closeStoreListener map[int]func()
 	// rollouts reports that the settings of the VMs ask for roll-outs.
 	rollouts bool
+	// log receives the logs of the VMs that are started next; nil discards them.
+	log hclog.Logger
 	// runs counts the requests that reached the backend server.
 	runs atomic.Int64
 	// version is the version of the release that was published last.
@@ -119,7 +123,7 @@
 			PeerAddress: f.address(host, 7200), Seeds: f.seeds, StoreAddress: store, StopGrace: f.grace, DrainBound: f.bound, ReleaseBound: f.bound,
 			RetryShare: 1, RetryReserve: 100, RetryWindow: 10 * time.Second, Rollouts: f.rollouts,
 		},
-		MetricsAddress: f.address(host, 9464), Log: hclog.NewNullLogger(),
+		MetricsAddress: f.address(host, 9464), Log: cmp.Or(f.log, hclog.NewNullLogger()),
 	})
 	f.Assert(err, qt.IsNil)
 	f.seeds = append(f.seeds, f.address(host, 7200))
@@ -151,10 +155,15 @@
 }
 
 func (f *testFleet) get(host, port int, path string) (int, http.Header, string) {
+	return f.getAs("a1", host, port, path)
+}
+
+// getAs sends a request with an identifier.
+func (f *testFleet) getAs(id string, host, port int, path string) (int, http.Header, string) {
 	r, err := http.NewRequest(http.MethodGet, "http://"+f.address(host, port)+path, nil)
 	f.Assert(err, qt.IsNil)
 	r.Host = "h"
-	r.Header.Set("Attempt-Id", "a1")
+	r.Header.Set("Attempt-Id", id)
 	answer, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0, nil, ""
@@ -294,19 +303,51 @@
 	f.Assert(complete, qt.IsFalse)
 }
 
+// logLines is the log of VMs.
+type logLines struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+// Write records one line.
+func (l *logLines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, string(bytes.TrimSpace(p)))
+	return len(p), nil
+}
+
+// with returns the lines that contain any of the texts.
+func (l *logLines) with(texts ...string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []string
+	for _, line := range l.lines {
+		if slices.ContainsFunc(texts, func(t string) bool { return strings.Contains(line, t) }) {
+			found = append(found, line)
+		}
+	}
+	return strings.Join(found, "\n")
+}
+
 // Guards against a planned stop that interrupts a request.  A stopping VM announces the close in each answer, refuses what it cannot
 // end, and exits when no request is in progress.
 func TestStopInterruptsNoRequest(t *testing.T) {
 	f := newTestFleet(t)
 	f.grace = 4 * time.Second
+	var lines logLines
+	f.log = hclog.New(&hclog.LoggerOptions{Output: &lines, TimeFormat: "15:04:05.000000"})
 	f.publish(3, "/a/")
 	front, stop := f.startVM(1)
 	f.eventually("ready", front.Ready)
-	var served, refused, failed int
+	var served, refused, failed, sent int
 	stopped := make(chan struct{})
 	time.AfterFunc(300*time.Millisecond, func() { stop(); close(stopped) })
 	for {
-		status, _, _ := f.get(1, 8000, "/a/x")
+		sent++
+		id := fmt.Sprintf("stop-%d-", sent)
+		began := time.Now()
+		status, _, _ := f.getAs(id, 1, 8000, "/a/x")
 		if status == 0 { // the listener is closed and the request was not read
 			break
 		}
@@ -318,6 +359,8 @@
 			time.Sleep(20 * time.Millisecond)
 		default:
 			failed++
+			f.Logf("status %d after %s, %d served and %d refused before:\n%s", status, time.Since(began), served, refused,
+				lines.with(id, "Stopping.", "Answering the requests", "Cannot finish"))
 		}
 	}
 	<-stopped
