--- a/internal/proxy/gladeforward/stop_test.go
+++ b/internal/proxy/gladeforward/stop_test.go
@@ -79,6 +79,38 @@
 	}
 }
 
+// Guards against 502 at the stop for a call on a sound server that takes longer than those before it by one pause of the process: calls
+// that always take 20 ms were passed on until 35 ms before the last answers.
+func TestPauseAtStopFailsNoShortCall(t *testing.T) {
+	const pause = 110 * time.Millisecond // the longest one measured in a process with one VM beside load
+	for _, length := range []time.Duration{20 * time.Millisecond, 150 * time.Millisecond} {
+		for left := 10 * time.Millisecond; left <= 450*time.Millisecond; left += 30 * time.Millisecond {
+			for _, path := range []string{"/unsafe/x", "/safe/x"} {
+				runTest(t, func(w *harness) {
+					takes := length
+					w.serve("app", "shubra", "a", func(rw http.ResponseWriter, _ *http.Request) {
+						time.Sleep(takes)
+						_, _ = io.WriteString(rw, "done")
+					})
+					for range 3 {
+						w.callBeforeStop(path)
+					}
+					before := len(w.serversRun())
+					takes += pause
+					w.stopIn(left)
+					r := w.call(http.MethodPost, path, nil)
+					w.Assert(r.err, qt.IsNil)
+					if r.status == http.StatusServiceUnavailable {
+						w.Assert(w.serversRun(), qt.HasLen, before)
+						return
+					}
+					w.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s, calls of %s, stop in %s", path, length, left))
+				})
+			}
+		}
+	}
+}
+
 // Guards against a closed connection for a call that takes longer at the stop than those before it: its answer is complete and
 // promises nothing.
 func TestCallInterruptedByStopIsAnswered(t *testing.T) {
