--- a/internal/proxy/gladeforward/stop.go
+++ b/internal/proxy/gladeforward/stop.go
@@ -20,9 +20,9 @@
 	// on a route without earlier calls.
 	unknownCallTime     = 2 * time.Second
 	unknownTargetFactor = 4
-	// minForeseenTime is the shortest time that a call is foreseen to take. The process may stand still for about 100 ms at a time (25 to
-	// 108 ms were measured with one VM beside load, and a VM with a small share of a core gets it in slices), and short calls alone leave less than
-	// that: 100 calls of 20 ms foresee 32 ms.
+	// minForeseenTime is the shortest time that a call is foreseen to take. The process may stand still for about 100 ms at a time: 25 to
+	// 108 ms were measured with one VM beside load, and a VM with a small share of a core gets it in slices. Short calls alone leave less
+	// than that: 100 calls of 20 ms foresee 32 ms.
 	minForeseenTime = 300 * time.Millisecond
 	// stoppingRetryAfter is the Retry-After value of a stopping VM; other VMs can take the request at once.
 	stoppingRetryAfter = 20 * time.Millisecond
