Limits: a refusal by a VM without a coordinator always names a time

A VM that reaches no coordinator tells a refused caller when its own share of the limit has room. That time had no lower bound; under 0.5 ms it is rounded to none, and the caller gets 503 without Retry-After. A coordinator's times have had the bound (minWait, 5 ms).

Evidence: TestRefusalWithoutCoordinatorNamesATime failed before with 0.1 ms.

--- a/internal/admit/gladequota/pool.go
+++ b/internal/admit/gladequota/pool.go
@@ -355,7 +355,7 @@
 		return Answer{Granted: true}
 	}
 	wait := perRequest(1-f.level, perSecond)
-	return Answer{Wait: clampWait(wait), RetryAfter: min(fallbackRetryAfter, wait)}
+	return Answer{Wait: clampWait(wait), RetryAfter: min(fallbackRetryAfter, max(minWait, wait))}
 }
 
 func clampWait(d time.Duration) time.Duration { return min(maxWait, max(minWait, d)) }
--- a/internal/admit/gladequota/pool_test.go
+++ b/internal/admit/gladequota/pool_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
 )
 
 func bubble(t *testing.T, test func(c *qt.C)) {
@@ -436,3 +438,21 @@
 		f.Check(f.pool("vm-001").Published(), qt.HasLen, 0)
 	})
 }
+
+// Guards against a time to come back that is rounded to none, so that the caller is refused without Retry-After: a VM that reaches no
+// coordinator may have room within a fraction of a millisecond.
+func TestRefusalWithoutCoordinatorNamesATime(t *testing.T) {
+	bubble(t, func(c *qt.C) {
+		p, closePool := New(Config{
+			Coordinator: func(Server) string { return "" }, VMs: func() int { return 1 }, Random: func() float64 { return 0.9999 },
+			Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
+		})
+		defer closePool()
+		s := Server{ID: "a"}
+		p.Observe(s, []string{"2"}, time.Now(), time.Now())
+		err := p.Acquire(c.Context(), s, Request{Final: true})
+		var denied *DeniedError
+		c.Assert(errors.As(err, &denied), qt.IsTrue)
+		c.Assert(denied.RetryAfter >= minWait, qt.IsTrue, qt.Commentf("%s", denied.RetryAfter))
+	})
+}
