Tests of limits: show the answers, the calls that were sent and late timers

The five tests of servers that state limits failed once each beside load with no figures but the one that was checked. Their messages now have the number of calls that were due and sent, the answers by kind, and how much longer than asked the pauses between calls lasted. A process that is not scheduled on a processor shows there, whatever the VMs do. The checks are unchanged.

--- a/internal/proxy/gladefront/limits_fleet_test.go
+++ b/internal/proxy/gladefront/limits_fleet_test.go
@@ -168,6 +168,33 @@
 	slowRefusals, untrue atomic.Int64
 	// lateRefusals counts the refusals that took longer than refusalTarget.
 	lateRefusals atomic.Int64
+	// due is the number of calls that the rate asks for, and sent the number that the loop sent in that time.
+	due, sent int
+	// lateTimers counts the pauses between calls that lasted over maxTimerDelay longer than asked, and latest is the largest excess:
+	// a process that is not scheduled on a processor shows there, whatever the VMs do.
+	lateTimers int
+	latest     time.Duration
+}
+
+// maxTimerDelay is half of the time limit of opening a connection to a backend server, which takes microseconds on loopback.
+const maxTimerDelay = 100 * time.Millisecond
+
+// String returns the counts for messages of checks that fail.
+func (o *outcome) String() string {
+	return fmt.Sprintf("%d of %d due calls sent; served %d, refused %d (over %s: %d, without Retry-After: %d), failed %d; pauses over %s late: %d, at most %s",
+		o.sent, o.due, o.served.Load(), o.refused.Load(), maxRefusalTime, o.slowRefusals.Load(), o.untrue.Load(), o.failed.Load(),
+		maxTimerDelay, o.lateTimers, o.latest)
+}
+
+// sleep pauses between two calls and records by how much longer that lasts than asked.
+func (o *outcome) sleep(pause time.Duration) {
+	began := time.Now()
+	time.Sleep(pause)
+	late := time.Since(began) - pause
+	o.latest = max(o.latest, late)
+	if late > maxTimerDelay {
+		o.lateTimers++
+	}
 }
 
 // maxRefusalTime is half of the callers' time limit: nothing waits until its deadline. That refusals come at once is checked in
@@ -179,14 +206,15 @@
 
 // call sends requests at a rate to the VMs that pick returns, for some time, and returns the answers' counts.
 func (f *limitFleet) call(perSecond float64, lasts time.Duration, pick func() int) *outcome {
-	out := &outcome{}
+	out := &outcome{due: int(perSecond * lasts.Seconds())}
 	transport := &http.Transport{MaxIdleConnsPerHost: 16}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: 6 * time.Second}
 	var calls sync.WaitGroup
 	pause := time.Duration(float64(time.Second) / perSecond)
-	for end := time.Now().Add(lasts); time.Now().Before(end); time.Sleep(pause) {
+	for end := time.Now().Add(lasts); time.Now().Before(end); out.sleep(pause) {
 		host := pick()
+		out.sent++
 		calls.Go(func() { f.callOnce(client, host, out) })
 	}
 	calls.Wait()
--- a/internal/proxy/gladefront/limits_test.go
+++ b/internal/proxy/gladefront/limits_test.go
@@ -38,17 +38,16 @@
 				f.servers[i].setLimit(limit)
 			}
 			out := f.call(70, limitContact+limitWindow+2*time.Second, f.anyVM)
-			f.Check(out.failed.Load(), qt.Equals, int64(0))
-			f.Check(out.refused.Load() == 0 || !slices.Contains(x.limits, 0), qt.IsTrue)
-			f.Check(out.slowRefusals.Load()+out.untrue.Load(), qt.Equals, int64(0))
+			f.Check(out.failed.Load(), qt.Equals, int64(0), qt.Commentf("%s", out))
+			f.Check(out.refused.Load() == 0 || !slices.Contains(x.limits, 0), qt.IsTrue, qt.Commentf("%s", out))
+			f.Check(out.slowRefusals.Load()+out.untrue.Load(), qt.Equals, int64(0), qt.Commentf("%s", out))
 			f.checkSpread(x.limits)
 			for i, limit := range x.limits {
 				if limit == 0 {
 					continue
 				}
 				got := f.servers[i].mostInWindow()
-				t.Logf("limit %g: %d requests in %s, %d allowed; served %d, refused %d, failed %d", limit, got, limitWindow,
-					allowedByLimit(limit), out.served.Load(), out.refused.Load(), out.failed.Load())
+				t.Logf("limit %g: %d requests in %s, %d allowed; %s", limit, got, limitWindow, allowedByLimit(limit), out)
 				f.Check(got <= allowedByLimit(limit), qt.IsTrue, qt.Commentf("limit %g: %d requests in %s", limit, got, limitWindow))
 				f.Check(float64(got) >= minUse*limit*limitWindow.Seconds(), qt.IsTrue, qt.Commentf("limit %g: %d requests in %s", limit, got, limitWindow))
 			}
@@ -68,9 +67,9 @@
 	out := f.call(70, limitWindow+time.Second, f.anyVM)
 	got := s.mostInWindow()
 	f.Check(got <= allowedByLimit(4), qt.IsTrue, qt.Commentf("%d requests in %s", got, limitWindow))
-	f.Check(float64(s.arrivedSince(gone)) >= minUse*4*5, qt.IsTrue, qt.Commentf("%d requests in 5 s", s.arrivedSince(gone)))
-	f.Check(out.refused.Load() > 200, qt.IsTrue)
-	f.Check(out.failed.Load()+out.slowRefusals.Load()+out.untrue.Load(), qt.Equals, int64(0))
+	f.Check(float64(s.arrivedSince(gone)) >= minUse*4*5, qt.IsTrue, qt.Commentf("%d requests in 5 s; %s", s.arrivedSince(gone), out))
+	f.Check(out.refused.Load() > 200, qt.IsTrue, qt.Commentf("%s", out))
+	f.Check(out.failed.Load()+out.slowRefusals.Load()+out.untrue.Load(), qt.Equals, int64(0), qt.Commentf("%s", out))
 }
 
 // Guards against a limit that outlasts its naming, and against a rush of all VMs onto the server once it has ended.
@@ -88,15 +87,15 @@
 		}
 		noticed <- time.Now()
 	}()
-	f.call(70, 9*time.Second, f.anyVM)
+	out := f.call(70, 9*time.Second, f.anyVM)
 	at := <-noticed
-	f.Check(at.Sub(ended) < 4*time.Second, qt.IsTrue, qt.Commentf("noticed after %s", at.Sub(ended)))
+	f.Check(at.Sub(ended) < 4*time.Second, qt.IsTrue, qt.Commentf("noticed after %s; %s", at.Sub(ended), out))
 	arrived := func(from, to time.Duration) int {
 		return f.servers[0].arrivedSince(at.Add(from)) - f.servers[0].arrivedSince(at.Add(to))
 	}
 	// The usual share is a third of 70 a second.
-	f.Check(arrived(0, time.Second) <= 24, qt.IsTrue, qt.Commentf("%d requests in the first second", arrived(0, time.Second)))
-	f.Check(arrived(3*time.Second, 5*time.Second) >= 30, qt.IsTrue, qt.Commentf("%d requests in two seconds", arrived(3*time.Second, 5*time.Second)))
+	f.Check(arrived(0, time.Second) <= 24, qt.IsTrue, qt.Commentf("%d requests in the first second; %s", arrived(0, time.Second), out))
+	f.Check(arrived(3*time.Second, 5*time.Second) >= 30, qt.IsTrue, qt.Commentf("%d requests in two seconds; %s", arrived(3*time.Second, 5*time.Second), out))
 }
 
 // VMs that are stopped and started one after the other, the coordinators included, keep a limit.
