Front: the wait for a known newer release is checked in virtual time

Cause of the one failure of TestNoFinalAnswerByReleaseKnownToBeOld (an answer later than twice maxReleaseWait): the test's process is not scheduled.

Ruled out by reading: a second wait. A request is admitted once, and awaitRelease has one timer, which a release that is not the newest does not set anew.

Change: TestWaitForReleaseEnds verifies this in virtual time, to the millisecond. The test with real VMs and its bound stay as they are.

--- a/internal/proxy/gladefront/release_test.go
+++ b/internal/proxy/gladefront/release_test.go
@@ -6,12 +6,14 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/eelgrassglade/eelgrassglade/gladepeer"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladeage"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladedatagram"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladefeed"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
@@ -320,6 +322,41 @@
 	}
 }
 
+// Guards against a request that waits longer than maxReleaseWait for a release that does not come, in virtual time.
+func TestWaitForReleaseEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := &Front{age: gladeage.New(gladeage.Config{}), releaseChanged: make(chan struct{})}
+		put := func(version int64) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.release.Store(&gladerelease.Release{Version: version})
+			f.age.Apply(version, bootTime())
+			close(f.releaseChanged)
+			f.releaseChanged = make(chan struct{})
+		}
+		check := func(limit, wait time.Duration, version int64, newest bool) {
+			c.Helper()
+			began := time.Now()
+			r, ok := f.awaitRelease(c.Context(), limit)
+			c.Check(time.Since(began), qt.Equals, wait)
+			c.Check(r.Version, qt.Equals, version)
+			c.Check(ok, qt.Equals, newest)
+		}
+		put(1)
+		check(time.Hour, 0, 1, true)
+		f.age.Learn(3, bootTime())
+		check(time.Hour, maxReleaseWait, 1, false)
+		check(maxReleaseWait/3, maxReleaseWait/3, 1, false)
+		time.AfterFunc(maxReleaseWait/2, func() { put(2) }) // an older one than the newest does not end the wait, and does not prolong it
+		check(time.Hour, maxReleaseWait, 2, false)
+		time.AfterFunc(maxReleaseWait/3, func() { put(3) })
+		check(time.Hour, maxReleaseWait/3, 3, true)
+		f.age.Learn(4, bootTime().Add(-2*behindTooLong)) // whoever had it may be lost
+		check(time.Hour, 0, 3, false)
+	})
+}
+
 // A VM that hears no reader: it is alone in its failure domain, and the store refuses it. It gets releases through the membership of the
 // others only.
 func TestReleasesAtVMAloneWithoutStore(t *testing.T) {
