Relay: a VM alone in its failure domain without the store, in virtual time

Cause of the one failure of TestReleasesAtVMAloneWithoutStore (2.7 and 5.9 s behind): the test's process is not scheduled.

Ruled out: releases that the membership delays.

Change: that is a test, TestReleasesReachVMAloneInItsFailureDomain. It fails with 3.4 s if the VM waits for its own watch although it lost the store, and for ten times as long.

--- a/internal/state/gladerelay/relay_test.go
+++ b/internal/state/gladerelay/relay_test.go
@@ -39,6 +39,8 @@
 	reads int
 	// lists is the number of requests for its list of servers.
 	lists atomic.Int64
+	// lost is set if the VM cannot reach the store.
+	lost  atomic.Bool
 	close func()
 }
 
@@ -91,7 +93,7 @@
 	v.node = node
 	relay, closeRelay := New(Config{
 		Node:  node,
-		State: func() State { return State{Release: v.version(), Servers: 1} }, Release: v.release.Load, History: &v.history,
+		State: func() State { return State{Release: v.version(), Servers: 1, Lost: v.lost.Load()} }, Release: v.release.Load, History: &v.history,
 		Reading: func() bool { return false }, ReadRelease: v.readStore,
 		Servers: func() Servers { v.lists.Add(1); return Servers{} }, OnRelease: v.apply, OnServers: func(Servers, string) {},
 		OnNewest: func(int64) {}, Log: hclog.NewNullLogger(),
@@ -107,13 +109,18 @@
 // worstDelay puts a release in force at the first VM at each interval and returns the longest time until the second one had
 // it.
 func worstDelay(from, to *relayVM, interval, lasts time.Duration) time.Duration {
+	return worstDelayOf(func(version int64) { from.apply(newRelease(version), "store") }, from, to, interval, lasts)
+}
+
+// worstDelayOf is worstDelay with a function that puts a version in force at the first VM.
+func worstDelayOf(publish func(version int64), from, to *relayVM, interval, lasts time.Duration) time.Duration {
 	const step = 10 * time.Millisecond
 	worst := time.Duration(0)
 	next, began := time.Now(), time.Now()
 	var pending []time.Time // when the versions after that of the second VM were put in force
 	for ; time.Since(began) < lasts; time.Sleep(step) {
 		if !time.Now().Before(next) {
-			from.apply(newRelease(from.version()+1), "store")
+			publish(from.version() + 1)
 			pending = append(pending, time.Now())
 			next = next.Add(interval)
 		}
@@ -152,6 +159,38 @@
 	}
 }
 
+// Guards against a VM that falls behind because it is alone in its failure domain and lost the store, in virtual time: the way of a
+// release through the membership must not depend on luck in the choice of the VMs that exchange digests.
+func TestReleasesReachVMAloneInItsFailureDomain(t *testing.T) {
+	for _, interval := range []time.Duration{time.Second, 350 * time.Millisecond, 150 * time.Millisecond, 40 * time.Millisecond} {
+		t.Run(interval.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				w := &gladewire.Network{}
+				vms := []*relayVM{
+					startRelayVM(c, w, "vm-0", "a"), startRelayVM(c, w, "vm-1", "a"), startRelayVM(c, w, "vm-2", "a"), startRelayVM(c, w, "vm-3", "b"),
+				}
+				alone := vms[3]
+				alone.lost.Store(true)
+				vms[0].apply(newRelease(1), "store")
+				time.Sleep(5 * time.Second)
+				c.Assert(alone.version(), qt.Equals, int64(1))
+				publish := func(version int64) { // the others have a reader
+					for _, v := range vms[:3] {
+						v.apply(newRelease(version), "store")
+					}
+				}
+				worst := worstDelayOf(publish, vms[0], alone, interval, 20*time.Second)
+				c.Check(worst < releaseBound, qt.IsTrue, qt.Commentf("%v behind", worst))
+				t.Logf("worst delay: %v", worst)
+				for _, v := range vms {
+					v.close()
+				}
+			})
+		})
+	}
+}
+
 // largeRelease returns a release of about a megabyte, in which one key differs from that of another version.
 func largeRelease(version int64, prefix string) *gladerelease.Release {
 	r := &gladerelease.Release{Version: version, Organisations: map[string]gladerelease.Organisation{}}
