gladepeer: move exchanges off lost connections after 0.5 s

Cause: an exchange on a connection that the network had lost without an end waited for its time limit of three intervals. Only then was the connection retired, and until then the peer was not chosen again. silenceLimit (0.5 s) applied only when a call's own limit had passed. Each pair of VMs has its own connection, and those between failure domains are used only when a relay draws them, so each was found lost at its first use. In the traced draw (every connection lost at 9 s, fact of VM 4 at 13.5 s), VM 1 used VMs 3 and 5 and had new connections to them at 13 s. At 14 s the two VMs of domain 0 that draw peers of domain 1 missed: VM 4 drew VM 3, an exchange with which had waited since 12 s, and VM 2 drew VM 1 on a connection not used since the loss. VMs 3 and 5 reached VMs 0 and 2 before those had the fact. At 15 s VM 2 drew VM 1 again, and that exchange still waited; VMs 3 and 5 received the fact, each after its exchanges with VM 1.

Change: an exchange that has received nothing for silenceLimit retires the connection and sends its message once more on another one. Merging a message twice has no effect. Only connections older than Config.Suspicion are replaced early, so that a paused or slow peer gets at most one more connection and message from each VM in that time.

--- a/gladepeer/call.go
+++ b/gladepeer/call.go
@@ -70,14 +70,28 @@
 		ctx, cancel = context.WithTimeout(ctx, n.config.CallTimeout)
 		defer cancel()
 	}
+	conn, err := n.openCall(ctx, address)
+	if err != nil {
+		return answer, err
+	}
+	return callConn[Q, A](ctx, n, conn, address, method, q)
+}
+
+// openCall counts a call and returns the connection for it.
+func (n *Node) openCall(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
 	n.counters.calls.Inc(1)
 	conn, err := n.connection(ctx, address)
 	if err != nil {
 		n.counters.failures.Inc(1)
-		return answer, err
 	}
+	return conn, err
+}
+
+// callConn calls a method on an open connection to an address. openCall has counted the call.
+func callConn[Q, A any](ctx context.Context, n *Node, conn *jsonrpc2.Conn, address, method string, q Q) (A, error) {
+	var answer A
 	began := time.Now()
-	err = conn.Call(ctx, method, envelope[Q]{From: n.self.Name, Incarnation: n.self.Incarnation, Body: q}, &answer)
+	err := conn.Call(ctx, method, envelope[Q]{From: n.self.Name, Incarnation: n.self.Incarnation, Body: q}, &answer)
 	if err == nil {
 		return answer, nil
 	}
--- a/gladepeer/exchange.go
+++ b/gladepeer/exchange.go
@@ -195,7 +195,7 @@
 	out := message{Opening: true, Digests: n.digests()}
 	n.mu.Unlock()
 	for range maxRounds {
-		in, err := callAddress[message, message](ctx, n, address, methodExchange, out)
+		in, err := n.sendExchange(ctx, address, out)
 		if err != nil {
 			n.log.Debug("Exchange failed.", "address", address, "error", err)
 			return
@@ -207,6 +207,29 @@
 	}
 }
 
+// sendExchange sends a message of an exchange and returns the reply. If nothing is received on the connection for silenceLimit, it
+// sends the message once more on another connection, which is safe because merging a message twice has no effect.
+func (n *Node) sendExchange(ctx context.Context, address string, out message) (message, error) {
+	conn, err := n.openCall(ctx, address)
+	if err != nil {
+		return message{}, err
+	}
+	attempt, cancel := context.WithCancel(ctx)
+	defer cancel()
+	began := time.Now()
+	watch := time.AfterFunc(silenceLimit, func() {
+		if n.retireIfLost(conn, began) {
+			cancel()
+		}
+	})
+	defer watch.Stop()
+	in, err := callConn[message, message](attempt, n, conn, address, methodExchange, out)
+	if err == nil || attempt.Err() == nil || ctx.Err() != nil {
+		return in, err
+	}
+	return callAddress[message, message](ctx, n, address, methodExchange, out)
+}
+
 // digests returns short digests of this failure domain and of remoteDigests others.
 //
 // Successive calls go through the other failure domains in order. The caller holds n.mu.
--- a/gladepeer/link.go
+++ b/gladepeer/link.go
@@ -108,6 +108,19 @@
 	time.AfterFunc(n.config.CallTimeout, func() { _ = c.Close() })
 }
 
+// retireIfLost calls retireIfSilent if a connection is older than Config.Suspicion, and reports whether the connection is retired and
+// silent since a call on it began. The age bounds the connections that are opened to a peer that is paused or slow to one in that time.
+func (n *Node) retireIfLost(c *jsonrpc2.Conn, began time.Time) bool {
+	n.mu.Lock()
+	q := n.conns[c]
+	n.mu.Unlock()
+	if q == nil || time.Since(q.openedAt) < n.config.Suspicion {
+		return false
+	}
+	n.retireIfSilent(c, began)
+	return q.retired.Load() && !q.lastHeard().After(began)
+}
+
 // replaceLink ends the connections to the former process at the address of a new incarnation, and the dial backoff. The caller
 // holds n.mu.
 func (n *Node) replaceLink(m *Member) {
