gladesend: a body that ends with its first byte over the limit is rejected

Cause: the end of the body was looked at before its size, so that a body of 8 MiB and one byte whose end arrives with that byte was accepted where the call has a hold; without one the budget of the pool rejected it.

Change: the size is checked first. TestReadBodyOverLimit failed before (the error named the budget, not the limit of the body).

--- a/internal/proxy/gladesend/limits.go
+++ b/internal/proxy/gladesend/limits.go
@@ -188,12 +188,12 @@
 		n, err := b.exchange.Read(free[:min(len(free), MaxBodyBytes+1-b.size)])
 		*current, b.size = (*current)[:len(*current)+n], b.size+n
 		switch {
+		case b.size > MaxBodyBytes: // before the end, which may arrive with the last bytes
+			return nil, eris.Wrap(NewLimitError("body", MaxBodyBytes, "bytes"), b.exchange.conn.address)
 		case errors.Is(err, io.EOF):
 			return b.join()
 		case err != nil:
 			return nil, err
-		case b.size > MaxBodyBytes:
-			return nil, eris.Wrap(NewLimitError("body", MaxBodyBytes, "bytes"), b.exchange.conn.address)
 		}
 	}
 }
--- a/internal/proxy/gladesend/limits_test.go
+++ b/internal/proxy/gladesend/limits_test.go
@@ -13,6 +13,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -278,6 +279,24 @@
 	}
 }
 
+// Guards against a body that is one byte too long and ends with that byte.
+func TestReadBodyOverLimit(t *testing.T) {
+	c := qt.New(t)
+	for _, excess := range []int{0, 1} {
+		pool, closePool := NewPool(PoolConfig{})
+		c.Cleanup(closePool)
+		body := io.NopCloser(iotest.DataErrReader(bytes.NewReader(make([]byte, MaxBodyBytes+excess))))
+		x := &Exchange{pool: pool, conn: &conn{address: "server"}, body: body, contentLength: -1}
+		got, err := x.ReadBody()
+		if excess > 0 {
+			c.Assert(err, qt.ErrorMatches, ".*: body over 8388608 bytes")
+			continue
+		}
+		c.Assert(err, qt.IsNil)
+		c.Assert(got, qt.HasLen, MaxBodyBytes)
+	}
+}
+
 // FuzzAnswerHead checks that waitHead accepts a head only within the limits, and that net/http then parses or refuses it
 // without reading more.
 func FuzzAnswerHead(f *testing.F) {
