--- a/review/_standin-2/harness.go
+++ b/review/_standin-2/harness.go
@@ -312,7 +312,7 @@
 
 func main() {
 	cases := map[string]func(*harness) error{
-		"pages": pages, "extra": extra, "attempts": attempts, "evict": evict,
+		"pages": pages, "extra": extra, "attempts": attempts, "evict": evict, "large": large,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: review-2 CASE FOLDER")
--- a/review/_standin-2/store.go
+++ b/review/_standin-2/store.go
@@ -38,6 +38,8 @@
 	// lists counts the pages that were given, by VM and kind, and watches the watches of kind servers that wait, by VM.
 	watches map[string]int
 	onPage  func(vm, kind string, first, last string, at int64, took time.Duration)
+	// onCut is called for an answer that a VM has given up before its link had passed it, with its size and the time until then.
+	onCut func(vm, kind string, bytes int, after time.Duration)
 }
 
 func newStore(pageSize int) *store {
@@ -120,7 +122,7 @@
 	if from := q.Get("watch"); from != "" {
 		after, _ := strconv.ParseInt(from, 10, 64)
 		wait, _ := strconv.Atoi(q.Get("wait_ms"))
-		s.watch(vm, kind, after, time.Duration(wait)*time.Millisecond, w, r)
+		s.watch(vm, kind, linkMbps, after, time.Duration(wait)*time.Millisecond, w, r)
 		return
 	}
 	began := time.Now()
@@ -141,7 +143,9 @@
 	at := s.revision
 	s.mu.Unlock()
 	raw, _ := json.Marshal(map[string]any{"items": items, "has_more": more, "at": at})
-	time.Sleep(storeAnswerTime + time.Duration(float64(len(raw)*8)/(linkMbps*1e6)*float64(time.Second)))
+	if !s.pass(vm, kind, linkMbps, len(raw), r) {
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(raw)
 	if s.onPage != nil && len(names) > 0 {
@@ -149,7 +153,23 @@
 	}
 }
 
-func (s *store) watch(vm, kind string, after int64, wait time.Duration, w http.ResponseWriter, r *http.Request) {
+// pass waits as long as an answer takes over a VM's link; it returns false if the VM gives up meanwhile.
+func (s *store) pass(vm, kind string, linkMbps float64, bytes int, r *http.Request) bool {
+	began := time.Now()
+	timer := time.NewTimer(storeAnswerTime + time.Duration(float64(bytes*8)/(linkMbps*1e6)*float64(time.Second)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		if s.onCut != nil {
+			s.onCut(vm, kind, bytes, time.Since(began))
+		}
+		return false
+	}
+}
+
+func (s *store) watch(vm, kind string, linkMbps float64, after int64, wait time.Duration, w http.ResponseWriter, r *http.Request) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	s.mu.Lock()
@@ -192,8 +212,10 @@
 			}
 			s.mu.Unlock()
 		}
-		time.Sleep(storeAnswerTime)
 		raw, _ := json.Marshal(map[string]any{"events": events, "at": at})
+		if !s.pass(vm, kind, linkMbps, len(raw), r) {
+			return
+		}
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write(raw)
 		return
