--- a/review/_standin-2/pages.go
+++ b/review/_standin-2/pages.go
@@ -23,8 +23,9 @@
 		workers    = 560
 		pageSize   = 500                // "about 500"
 		leaving    = workers * 13 / 100 // the sheet's share of a scale_in
-		leavingGap = 55 * time.Millisecond
-		linger     = 12 * time.Second // "a little longer (at times many seconds)"
+		leavingGap = 30 * time.Millisecond
+		leaveAfter = 1700 * time.Millisecond // after the first zone's turn has begun
+		linger     = 12 * time.Second        // "a little longer (at times many seconds)"
 		linkMbps   = 10
 		perVM      = 200 // requests a second
 		killGap    = 550 * time.Millisecond
@@ -102,9 +103,10 @@
 	}
 	time.Sleep(6 * time.Second)
 
-	// The workers leave; the readers are killed while they do.
+	// The readers are killed and start again; the workers leave while they do.
 	var left sync.WaitGroup
 	left.Go(func() {
+		time.Sleep(leaveAfter)
 		for _, n := range rand.Perm(workers)[:leaving] {
 			w := all[n]
 			w.register("draining")
