--- a/review/_standin-2/large.go
+++ b/review/_standin-2/large.go
@@ -36,10 +36,12 @@
 	h.store.put(kindConfig, mainName, config(routes, plainService(), engineService()))
 	plain := func(c *channel, r *http.Request) bool {
 		id := r.Header.Get(headerID)
+		h.log("%s runs %s", c.worker.id, id)
 		return c.answer(200, map[string]string{headerID: id, headerSeal: c.worker.id + "." + id}, "status of drum "+id)
 	}
 	stream := func(c *channel, r *http.Request) bool {
 		_, _ = io.Copy(io.Discard, r.Body)
+		h.log("%s runs %s", c.worker.id, r.Header.Get(headerID))
 		return generate(c, r, r.Header.Get(headerID), 5, 5*time.Millisecond)
 	}
 	if err := h.addWorkers(0, 6, app, zones, 6, plain); err != nil {
--- a/review/_standin-2/pages.go
+++ b/review/_standin-2/pages.go
@@ -95,6 +95,7 @@
 	p.mu.Lock()
 	p.seen = append(p.seen, arrival{id, c.worker, time.Now()})
 	p.mu.Unlock()
+	p.harness.log("%s runs %s", c.worker.id, id)
 	time.Sleep(pageWork)
 	if c.answer(200, map[string]string{headerID: id, headerSeal: c.worker.id + "." + id}, "credit "+id) {
 		return true
