Review case 6: bursts of the site's size instead of a constant overload

Seen: the claim gave no limit for the load that keeps the workers full: 1.4 times what they can do for 75 s, where the site's burst has 1.7 times the usual for 3 s.

--- a/review/_standin-2/extra.go
+++ b/review/_standin-2/extra.go
@@ -56,11 +56,11 @@
 	p.freed.Signal()
 }
 
-// others plays the requests of other machines: they come at random, perSecond on average, and each takes work.
-func (p *places) others(stop <-chan struct{}, perSecond float64, work time.Duration) {
+// others plays the requests of other machines: they come at random, perSecond(now) on average, and each takes work.
+func (p *places) others(stop <-chan struct{}, perSecond func(time.Time) float64, work time.Duration) {
 	next := time.Now()
 	for {
-		next = next.Add(randomTime(float64(time.Second) / perSecond))
+		next = next.Add(randomTime(float64(time.Second) / perSecond(next)))
 		select {
 		case <-stop:
 			return
@@ -110,6 +110,11 @@
 	// The disturbance lasts for 5 s at a time.
 	garbleTime  = 5 * time.Second
 	garbleEvery = 6 * time.Second
+	// In each of these times the other machines send more for a while.
+	usualLoad  = 0.75 // of what the slots can do
+	burstLoad  = 1.7  // of the usual load
+	burstAfter = time.Second
+	burstTime  = 3 * time.Second
 )
 
 // fullWorkers are the workers of the case extra; the first one is faulty in the disturbance.
@@ -120,14 +125,13 @@
 	began   time.Time
 }
 
-// extra: two workers are as busy as they can be, and reject what finds no place.  One of them is faulty: some answers come a second time,
+// extra: two workers are busy, full in bursts, and reject what finds no place.  One of them is faulty: some answers come a second time,
 // late.  When both have rejected a stream that must not run twice, it is sent to the faulty one again on the same channel, where the late
 // rejection bears the identifier of the very request that now runs.
 func extra(h *harness) error {
 	const (
 		work = 20 * time.Millisecond // of a request of another machine
-		load = 1.4                   // what other machines send, of what the slots can do
-		vms  = 8
+		vms  = 15
 	)
 	h.store = newStore()
 	h.store.put(kindConfig, mainName, config([]map[string]any{route("r-notes", streamPath, "streaming", llm, 25000, 4500, 5, false)},
@@ -151,14 +155,23 @@
 	stop := make(chan struct{})
 	defer close(stop)
 	for _, room := range f.rooms {
-		go room.others(stop, load*extraSlots/work.Seconds(), work)
+		go room.others(stop, func(at time.Time) float64 { return f.load(at) * extraSlots / work.Seconds() }, work)
 	}
 	time.Sleep(time.Second)
-	a := h.streamsAtAll(4, 100*time.Millisecond, 75*time.Second, extraEvents)
+	a := h.streamsAtAll(2, 100*time.Millisecond, 62*time.Second, extraEvents)
 	time.Sleep(100 * time.Millisecond)
 	return f.judge(a)
 }
 
+// load returns what other machines send, of what the slots can do.
+func (f *fullWorkers) load(at time.Time) float64 {
+	in := at.Sub(f.began)%garbleEvery - burstAfter
+	if f.harness.trouble && in >= 0 && in < burstTime {
+		return usualLoad * burstLoad
+	}
+	return usualLoad
+}
+
 // run runs a stream at a worker, or rejects it if the worker is full.
 func (f *fullWorkers) run(c *channel, r *http.Request) bool {
 	_, _ = io.Copy(io.Discard, r.Body)
