--- /dev/null
+++ b/review/_standin-2/client.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	host = "ficu95.example"
+	key  = "xd9dnn2ctnfzs989anu6"
+)
+
+// client is a client's kept channel to a VM.
+type client struct {
+	vm     *vm
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func (c *client) open() error {
+	if c.conn != nil {
+		return nil
+	}
+	conn, err := net.DialTimeout("tcp", c.vm.front(), time.Second)
+	if err != nil {
+		return err
+	}
+	c.conn, c.reader = conn, bufio.NewReader(conn)
+	return nil
+}
+
+func (c *client) close() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// head returns the header of a request.
+func head(method, path, id string, deadlineMS, length int, more ...string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nX-Api-Key: %s\r\n", method, path, host, id, deadlineMS, key)
+	for _, line := range more {
+		b.WriteString(line + "\r\n")
+	}
+	if method != http.MethodGet {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", length)
+	}
+	return b.String() + "\r\n"
+}
+
+// result is what a client saw: a status with the body, or the error with which the channel ended.
+type result struct {
+	status int
+	body   string
+	err    error
+	header http.Header
+}
+
+// do sends a request and reads the answer.  The channel is kept if both sides keep it.
+func (c *client) do(request string, body []byte, limit time.Duration) result {
+	if err := c.open(); err != nil {
+		return result{err: fmt.Errorf("no channel: %w", err)}
+	}
+	_ = c.conn.SetDeadline(time.Now().Add(limit))
+	if _, err := c.conn.Write(append([]byte(request), body...)); err != nil {
+		c.close()
+		return result{err: fmt.Errorf("writing: %w", err)}
+	}
+	return c.read(strings.HasPrefix(request, "HEAD"))
+}
+
+func (c *client) read(isHead bool) result {
+	method := http.MethodPost
+	if isHead {
+		method = http.MethodHead
+	}
+	r, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		c.close()
+		return result{err: err}
+	}
+	raw, err := io.ReadAll(r.Body)
+	if err != nil || r.Close {
+		c.close()
+	}
+	return result{status: r.StatusCode, body: string(raw), err: err, header: r.Header}
+}
+
+// route and config build a config of the form that PROTOCOL.md and fleetbench wire show.
+func route(name, prefix, kind, service string, timeoutMS, sloMS, attempts int, resumable bool) map[string]any {
+	r := map[string]any{
+		"name": name, "hostname": host, "path_prefix": prefix, "type": kind, "timeout_ms": timeoutMS, "slo_ms": sloMS, "priority": 1,
+		"service": service, "attempts": attempts, "public": false,
+	}
+	if kind == "streaming" {
+		r["sticky"], r["resumable"], r["itl_target_ms"] = true, resumable, 700
+	}
+	return r
+}
+
+func config(routes []map[string]any, services ...map[string]any) map[string]any {
+	return map[string]any{
+		"version": 7, "routes": routes, "services": services,
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []any{map[string]any{"name": "huka270", "api_keys": []string{key}, "priority": 1}},
+	}
+}
+
+func plainService(name string) map[string]any {
+	return map[string]any{"name": name, "health_path": "/healthz", "max_conns": 214, "protocol": "h1", "tls": false}
+}
+
+func engineService(name string, slots int) map[string]any {
+	s := plainService(name)
+	s["engine"] = map[string]any{
+		"slots": slots, "kv_capacity": 55000, "kv_bytes": 163840, "link_mbps": 1100000.0, "moves": false, "backups": false, "stride": 7, "most": 12,
+		"pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 4.0, "models": []any{map[string]any{"name": "m"}},
+	}
+	return s
+}
--- /dev/null
+++ b/review/_standin-2/store.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// storeAnswerTime is what the sheets say of the platform's store: 4 ms an answer.
+const storeAnswerTime = 4 * time.Millisecond
+
+type object struct {
+	name     string
+	revision int64
+	spec     json.RawMessage
+}
+
+type change struct {
+	revision int64
+	kind     string
+	object   object
+	deleted  bool
+}
+
+// store is the platform's metadata store (PROTOCOL.md): lists in pages, watches, one revision counter.
+type store struct {
+	mu       sync.Mutex
+	revision int64
+	objects  map[string]map[string]object
+	changes  []change
+	changed  chan struct{}
+	pageSize int
+	// lists counts the pages that were given, by VM and kind, and watches the watches of kind servers that wait, by VM.
+	watches map[string]int
+	onPage  func(vm, kind string, first, last string, at int64, took time.Duration)
+}
+
+func newStore(pageSize int) *store {
+	return &store{revision: 100, objects: map[string]map[string]object{}, changed: make(chan struct{}), pageSize: pageSize, watches: map[string]int{}}
+}
+
+func (s *store) put(kind, name string, spec any) int64 {
+	raw, err := json.Marshal(spec)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	o := object{name: name, revision: s.revision, spec: raw}
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]object{}
+	}
+	s.objects[kind][name] = o
+	s.record(change{revision: s.revision, kind: kind, object: o})
+	return s.revision
+}
+
+func (s *store) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[kind][name]
+	if !ok {
+		return
+	}
+	s.revision++
+	delete(s.objects[kind], name)
+	o.revision = s.revision
+	s.record(change{revision: s.revision, kind: kind, object: o, deleted: true})
+}
+
+func (s *store) record(c change) {
+	s.changes = append(s.changes, c)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// reader returns the VM of a zone that watches the servers, empty if there is none.
+func (s *store) reader(vms []string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, vm := range vms {
+		if s.watches[vm] > 0 {
+			return vm
+		}
+	}
+	return ""
+}
+
+// serve serves the store for one VM at an address of its own, so that the VM's link can be played: answers take as long as its link needs.
+func (s *store) serve(vm, address string, linkMbps float64) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.handle(vm, linkMbps, w, r) })}
+	go func() { _ = server.Serve(l) }()
+	return nil
+}
+
+func encode(o object) map[string]any {
+	return map[string]any{
+		"meta": map[string]any{"name": o.name, "revision": o.revision, "created": 1, "finalizers": []string{}, "terminating": false},
+		"spec": o.spec, "status": nil,
+	}
+}
+
+func (s *store) handle(vm string, linkMbps float64, w http.ResponseWriter, r *http.Request) {
+	kind := strings.TrimPrefix(r.URL.Path, "/v1/objects/")
+	if r.Method != http.MethodGet || strings.Contains(kind, "/") || kind == r.URL.Path {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	q := r.URL.Query()
+	if from := q.Get("watch"); from != "" {
+		after, _ := strconv.ParseInt(from, 10, 64)
+		wait, _ := strconv.Atoi(q.Get("wait_ms"))
+		s.watch(vm, kind, after, time.Duration(wait)*time.Millisecond, w, r)
+		return
+	}
+	began := time.Now()
+	s.mu.Lock()
+	var names []string
+	for name := range s.objects[kind] {
+		if name > q.Get("since_rev") {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	more := len(names) > s.pageSize
+	names = names[:min(len(names), s.pageSize)]
+	items := []any{}
+	for _, name := range names {
+		items = append(items, encode(s.objects[kind][name]))
+	}
+	at := s.revision
+	s.mu.Unlock()
+	raw, _ := json.Marshal(map[string]any{"items": items, "has_more": more, "at": at})
+	time.Sleep(storeAnswerTime + time.Duration(float64(len(raw)*8)/(linkMbps*1e6)*float64(time.Second)))
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(raw)
+	if s.onPage != nil && len(names) > 0 {
+		s.onPage(vm, kind, names[0], names[len(names)-1], at, time.Since(began))
+	}
+}
+
+func (s *store) watch(vm, kind string, after int64, wait time.Duration, w http.ResponseWriter, r *http.Request) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	s.mu.Lock()
+	if kind == "servers" {
+		s.watches[vm]++
+		defer func() {
+			s.mu.Lock()
+			s.watches[vm]--
+			s.mu.Unlock()
+		}()
+	}
+	for {
+		events := []any{}
+		for _, c := range s.changes {
+			if c.kind == kind && c.revision > after {
+				events = append(events, map[string]any{"deleted": c.deleted, "object": encode(c.object)})
+			}
+		}
+		at, changed := s.revision, s.changed
+		s.mu.Unlock()
+		expired := false
+		if len(events) == 0 {
+			select {
+			case <-changed:
+				s.mu.Lock()
+				continue
+			case <-timer.C:
+				expired = true
+			case <-r.Context().Done():
+				return
+			}
+		}
+		if expired {
+			s.mu.Lock()
+			at = s.revision
+			for _, c := range s.changes {
+				if c.kind == kind && c.revision > after {
+					at = after // the next watch brings it
+				}
+			}
+			s.mu.Unlock()
+		}
+		time.Sleep(storeAnswerTime)
+		raw, _ := json.Marshal(map[string]any{"events": events, "at": at})
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(raw)
+		return
+	}
+}
