--- a/review/_standin-2/client.go
+++ b/review/_standin-2/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,28 @@
 	"time"
 )
 
+// Names in the config and the store, and headers.
+const (
+	app          = "svc-app"
+	llm          = "svc-llm"
+	kindConfig   = "config"
+	kindServers  = "servers"
+	mainName     = "main"
+	fieldName    = "name"
+	fieldService = "service"
+	headerID     = "Attempt-Id"
+	headerSeal   = "Server-Seal"
+	plainPath    = "/puxa403/"
+	streamPath   = "/lohu930/"
+	zoneShubra   = "shubra"
+)
+
+// zones are the zones of the cases that have several.
+var zones = []string{zoneShubra, "helwan", "giza"}
+
+// engineSlots is the number of requests that an engine runs at once.
+const engineSlots = 12
+
 const (
 	host = "ficu95.example"
 	key  = "xd9dnn2ctnfzs989anu6"
@@ -26,7 +49,8 @@
 	if c.conn != nil {
 		return nil
 	}
-	conn, err := net.DialTimeout("tcp", c.vm.front(), time.Second)
+	d := net.Dialer{Timeout: time.Second}
+	conn, err := d.DialContext(context.Background(), "tcp", c.vm.front())
 	if err != nil {
 		return err
 	}
@@ -117,8 +141,8 @@
 // route and config build a config of the form that PROTOCOL.md and fleetbench wire show.
 func route(name, prefix, kind, service string, timeoutMS, sloMS, attempts int, resumable bool) map[string]any {
 	r := map[string]any{
-		"name": name, "hostname": host, "path_prefix": prefix, "type": kind, "timeout_ms": timeoutMS, "slo_ms": sloMS, "priority": 1,
-		"service": service, "attempts": attempts, "public": false,
+		fieldName: name, "hostname": host, "path_prefix": prefix, "type": kind, "timeout_ms": timeoutMS, "slo_ms": sloMS, "priority": 1,
+		fieldService: service, "attempts": attempts, "public": false,
 	}
 	if kind == "streaming" {
 		r["sticky"], r["resumable"], r["itl_target_ms"] = true, resumable, 700
@@ -130,19 +154,21 @@
 	return map[string]any{
 		"version": 7, "routes": routes, "services": services,
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "huka270", "api_keys": []string{key}, "priority": 1}},
+		"tenants": []any{map[string]any{fieldName: "huka270", "api_keys": []string{key}, "priority": 1}},
 	}
 }
 
-func plainService(name string) map[string]any {
-	return map[string]any{"name": name, "health_path": "/healthz", "max_conns": 214, "protocol": "h1", "tls": false}
+func plainService() map[string]any { return serviceOf(app) }
+
+func serviceOf(name string) map[string]any {
+	return map[string]any{fieldName: name, "health_path": "/healthz", "max_conns": 214, "protocol": "h1", "tls": false}
 }
 
-func engineService(name string, slots int) map[string]any {
-	s := plainService(name)
+func engineService() map[string]any {
+	s := serviceOf(llm)
 	s["engine"] = map[string]any{
-		"slots": slots, "kv_capacity": 55000, "kv_bytes": 163840, "link_mbps": 1100000.0, "moves": false, "backups": false, "stride": 7, "most": 12,
-		"pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 4.0, "models": []any{map[string]any{"name": "m"}},
+		"slots": engineSlots, "kv_capacity": 55000, "kv_bytes": 163840, "link_mbps": 1100000.0, "moves": false, "backups": false, "stride": 7, "most": 12,
+		"pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 4.0, "models": []any{map[string]any{fieldName: "m"}},
 	}
 	return s
 }
