--- a/internal/proxy/gladefront/updates.go
+++ b/internal/proxy/gladefront/updates.go
@@ -1,8 +1,6 @@
 package gladefront
 
 import (
-	"time"
-
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladefeed"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelay"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
@@ -72,37 +70,6 @@
 	f.applyRelease(next, u.ReleaseChange, u.VM)
 }
 
-// applyServerChanges applies the changes of servers in an update, and returns false if changes before them are missing.
-func (f *Front) applyServerChanges(u gladefeed.Update) bool {
-	f.serversMu.Lock()
-	defer f.serversMu.Unlock()
-	f.mu.Lock()
-	known, serversKnown := f.revision, f.serversKnown
-	f.mu.Unlock()
-	switch {
-	case !serversKnown:
-		return false
-	case u.Revision <= known:
-		return true
-	case u.Before > known && (u.Digest == 0 || u.Digest != f.fleet.Digest()):
-		return false
-	}
-	if u.Before <= known {
-		now := time.Now()
-		for _, c := range u.Changes {
-			if c.Server != nil {
-				f.putServer(*c.Server, u.Revision, now)
-			} else {
-				f.removeServer(c.Removed, now, false)
-			}
-		}
-	}
-	f.mu.Lock()
-	f.revision = max(f.revision, u.Revision)
-	f.mu.Unlock()
-	return true
-}
-
 // onPeerRelease puts the release of a peer in force; nil means that this VM had it already.
 func (f *Front) onPeerRelease(r *gladerelease.Release, from string) {
 	if r != nil {
