gladefront: logs say from whom, how and at which revision a VM learns of servers

Change: "Backend server listed." and "gone." name their source, form and revision; "List of backend servers advanced." says by what a VM took a revision and which servers it names as leaving; "Sent." names the revision of the list. Lists of the store say what they took, and how far they came before they failed; the change of readiness has a line. Nothing is decided by any of it.

--- a/internal/fleet/gladefleet/choose.go
+++ b/internal/fleet/gladefleet/choose.go
@@ -47,6 +47,8 @@
 	Reported Reported
 	// Prefix is what the choice weighed of the prompt's prefix.
 	Prefix PrefixChoice
+	// Revision is the revision of the store up to which the servers were known.
+	Revision int64
 	// Exhausted reports that the limits of all servers leave no room, as far as this VM has asked.
 	Exhausted bool
 
@@ -370,6 +372,7 @@
 	return &Reservation{
 		Server: e.Server, Reason: reason, table: t, entry: e, prompt: prompt, tokens: tokens,
 		Load: Load{Runs: e.totalRuns(), PendingPrefill: e.pendingPrefill(), UsedMemory: e.usedMemory()}, reservedAt: now, down: e.down,
+		Revision: t.revision,
 	}
 }
 
--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -66,6 +66,8 @@
 	reports map[string]*serviceReports
 	// prefixes is what this VM remembers of the prefixes of prompts.
 	prefixes prefixMemory
+	// revision is the revision of the store up to which the servers are known.
+	revision int64
 	// rolloutsRevision is the revision of the store up to which the roll-outs are known.
 	rolloutsRevision int64
 	// lastHeard is when this VM last received anything from any server.
@@ -190,6 +192,13 @@
 	return max(1, digest)
 }
 
+// SetRevision records the revision of the store up to which the servers are known, for Reservation.Revision.
+func (t *Table) SetRevision(revision int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.revision = revision
+}
+
 // MarkReplaced records that another server now uses the address of a server.
 func (t *Table) MarkReplaced(id string) {
 	t.mu.Lock()
@@ -459,39 +468,3 @@
 	}
 	return shares
 }
-
-// Status is the state of one server in the table.
-type Status struct {
-	Server
-	// Listed reports whether the store lists the server.
-	Listed    bool      `json:"listed"`
-	Runs      int       `json:"runs"`
-	Load      float64   `json:"load"`
-	Failures  int       `json:"failures"`
-	RetryAt   time.Time `json:"outage"`
-	ErrorRate float64   `json:"faults"`
-	// Limited reports that the server names a limit, and ExhaustedUntil the time until which that leaves no room.
-	Limited        bool      `json:"limited,omitempty"`
-	ExhaustedUntil time.Time `json:"exhaustedUntil,omitzero"`
-	// WorkPercent and ReportedAt are the average and the time of the server's last reports of how long work takes.
-	WorkPercent float64   `json:"workPercent,omitempty"`
-	ReportedAt  time.Time `json:"reportedAt,omitzero"`
-	// AnswerMS is the average time of plain answers.
-	AnswerMS float64 `json:"answerMs,omitempty"`
-}
-
-// Statuses returns the state of all servers, ordered by identifier.
-func (t *Table) Statuses() []Status {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	all := make([]Status, 0, len(t.servers))
-	for _, e := range t.servers {
-		all = append(all, Status{
-			Server: e.Server, Listed: !e.unlisted, Runs: e.runs, Load: e.load(), Failures: e.failures, RetryAt: e.retryAt,
-			ErrorRate: e.errorRate, Limited: e.limited, ExhaustedUntil: e.exhaustedUntil,
-			WorkPercent: 100 * e.reported.mean, ReportedAt: e.reported.at, AnswerMS: 1000 * e.reported.answerTime,
-		})
-	}
-	slices.SortFunc(all, func(a, b Status) int { return cmp.Compare(a.ID, b.ID) })
-	return all
-}
--- a/internal/proxy/gladeforward/plain.go
+++ b/internal/proxy/gladeforward/plain.go
@@ -175,8 +175,8 @@
 	if j.firstSentAt.IsZero() {
 		j.firstSentAt, j.firstServer = time.Now(), place.Server
 	}
-	j.log("Sent.", append([]any{"server", place.ID, "reason", place.Reason, "send", j.sends, "leftMs", s.TimeLeft.Milliseconds()},
-		reportedFields(place)...)...)
+	j.log("Sent.", append([]any{"server", place.ID, "reason", place.Reason, "send", j.sends, "leftMs", s.TimeLeft.Milliseconds(),
+		"listed", place.Revision}, reportedFields(place)...)...)
 	ctx, release := j.sendContext(ctx, place)
 	ctx, cancel := context.WithCancelCause(ctx)
 	tracked := j.trackRun(place, false, func() { cancel(gladesuspect.ErrPoison) })
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -223,7 +223,7 @@
 	}
 	s.config.OnLoadChange()
 	s.log("Sent.", append([]any{"server", place.ID, "reason", place.Reason, "send", s.sends, "copy", copyID, "from", from,
-		"last", s.lastEvent, "leftMs", send.TimeLeft.Milliseconds(), "runs", place.Load.Runs,
+		"last", s.lastEvent, "leftMs", send.TimeLeft.Milliseconds(), "listed", place.Revision, "runs", place.Load.Runs,
 		"unread", place.Load.PendingPrefill, "filled", place.Load.UsedMemory}, append(reportedFields(place), s.prefixFields(place)...)...)...)
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -203,6 +203,12 @@
 	f.countStoreCall(ctx, "list", kind)
 	began := time.Now()
 	page, err := f.store.List(ctx, kind, after)
+	fields := []any{"kind", kind, "cause", string(storeCauseOf(ctx)), "tookMs", time.Since(began).Milliseconds()}
+	if err == nil {
+		f.log.Info("Listed a page of the store.", append(fields, "after", after, "items", len(page.Items), "more", page.More, "revision", page.Revision)...)
+	} else {
+		f.log.Info("No list of the store.", append(fields, "reason", err)...)
+	}
 	h := metrics.GetOrRegisterHistogram("store.latency."+kind, f.metrics, metrics.NewUniformSample(latencySampleSize))
 	h.Update(time.Since(began).Microseconds())
 	return page, err
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -92,6 +92,9 @@
 	// rollouts is nil unless the platform's settings ask for roll-outs.
 	rollouts *rollouts
 	stopping atomic.Bool
+	// startedAt is when the process started, and saidReady what it last answered to the question whether it is ready.
+	startedAt time.Time
+	saidReady atomic.Bool
 	// peersHeard is closed once this VM has received what the others refuse, or has waited for it long enough.
 	peersHeard chan struct{}
 	// stopPlan holds the times of the planned stop; nil unless the process is stopping.
@@ -132,7 +135,7 @@
 func New(c Config) (*Front, func(), error) {
 	f := &Front{
 		config: c, log: c.Log, metrics: metrics.NewRegistry(), unreachable: map[string]bool{}, peersHeard: make(chan struct{}),
-		releaseChanged: make(chan struct{}),
+		releaseChanged: make(chan struct{}), startedAt: time.Now(),
 		fleet: gladefleet.New(gladefleet.Config{
 			FailureDomain: c.Settings.FailureDomain, FailureDomains: len(c.Settings.FailureDomains),
 			AddressReuse: c.Settings.AddressReuse, DrainBound: c.Settings.DrainBound, BootTime: bootTime,
@@ -296,7 +299,19 @@
 }
 
 func (f *Front) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !f.Ready() {
+	ready := f.Ready()
+	if f.saidReady.Swap(ready) != ready {
+		f.mu.Lock()
+		revision, known := f.revision, f.serversKnown
+		f.mu.Unlock()
+		version := int64(0)
+		if r := f.release.Load(); r != nil {
+			version = r.Version
+		}
+		f.log.Info("Readiness changed.", "ready", ready, "release", version, "serversKnown", known, "revision", revision, "rolloutsKnown", f.rolloutsKnown(),
+			"stopping", f.stopping.Load(), "afterMs", time.Since(f.startedAt).Milliseconds())
+	}
+	if !ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/internal/proxy/gladefront/front_test.go
+++ b/internal/proxy/gladefront/front_test.go
@@ -299,15 +299,15 @@
 	server := func(id string, leaving bool) gladefleet.Server {
 		return gladefleet.Server{ID: id, Service: "llm", Address: id + ":1", FailureDomain: "giza", Started: 1, Leaving: leaving}
 	}
-	front.replaceServers([]gladefleet.Server{server("a", false), server("b", false), server("c", false)}, 0, now)
-	changes, complete := front.replaceServers([]gladefleet.Server{server("a", true), server("b", false), server("d", false)}, 0, now)
+	front.replaceServers([]gladefleet.Server{server("a", false), server("b", false), server("c", false)}, serversSource{}, now)
+	changes, complete := front.replaceServers([]gladefleet.Server{server("a", true), server("b", false), server("d", false)}, serversSource{}, now)
 	f.Assert(complete, qt.IsTrue)
 	leaving, added := server("a", true), server("d", false)
 	f.Assert(changes, qt.DeepEquals, []gladefeed.Change{{Server: &leaving}, {Server: &added}, {Removed: "c"}})
 	// Entries that may only have expired in an outage of the store get a grace that the changes do not tell.
 	front.outage.RecordLost(bootTime().Add(-2 * time.Second))
 	front.outage.RecordLost(bootTime())
-	_, complete = front.replaceServers([]gladefleet.Server{server("d", false)}, 0, now)
+	_, complete = front.replaceServers([]gladefleet.Server{server("d", false)}, serversSource{}, now)
 	f.Assert(complete, qt.IsFalse)
 }
 
--- a/internal/proxy/gladefront/servers.go
+++ b/internal/proxy/gladefront/servers.go
@@ -9,6 +9,65 @@
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladeview"
 )
 
+// serversSource is from whom and how this VM has learned of backend servers.
+type serversSource struct {
+	// from is fromStore or the name of a VM.
+	from string
+	// how says whether it was a whole list, the changes since a revision, or a digest that equals that of this VM's list.
+	how serversForm
+	// revision is the revision of the store up to which it holds.
+	revision int64
+}
+
+// serversForm is the form in which knowledge of backend servers arrives.
+type serversForm string
+
+const (
+	formList    serversForm = "list"
+	formChanges serversForm = "changes"
+	formDigest  serversForm = "digest"
+)
+
+// maxNamedServers is the largest number of identifiers of leaving servers in one line of the log.
+const maxNamedServers = 16
+
+// takeRevision records that the list of servers holds up to the revision of a source.  leaving are servers that the source lists as
+// leaving, and changes is the number of its changes.  The caller holds serversMu.
+func (f *Front) takeRevision(source serversSource, leaving []string, changes int) {
+	f.mu.Lock()
+	before, known := f.revision, f.serversKnown
+	f.serversKnown, f.revision = true, source.revision
+	f.mu.Unlock()
+	f.fleet.SetRevision(source.revision)
+	if known && before == source.revision {
+		return
+	}
+	f.log.Info("List of backend servers advanced.", "from", source.from, "how", string(source.how), "before", before, "revision", source.revision,
+		"changes", changes, "leaving", leaving[:min(len(leaving), maxNamedServers)])
+}
+
+// leavingServers returns the identifiers of those of the servers that the store lists as leaving.
+func leavingServers(servers []gladefleet.Server) []string {
+	var ids []string
+	for _, s := range servers {
+		if s.Leaving {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
+// leavingInChanges is leavingServers for the servers in changes.
+func leavingInChanges(changes []gladefeed.Change) []string {
+	var ids []string
+	for _, c := range changes {
+		if c.Server != nil && c.Server.Leaving {
+			ids = append(ids, c.Server.ID)
+		}
+	}
+	return ids
+}
+
 func (f *Front) onServers(items []gladeview.Item[entry[gladefleet.Server]], revision int64) {
 	var servers []gladefleet.Server
 	for _, i := range items {
@@ -27,15 +86,14 @@
 		return // a peer has sent a newer revision; the watch brings what follows
 	}
 	update := gladefeed.Update{Before: revision, Revision: revision, Reading: true}
-	changes, complete := f.replaceServers(servers, revision, time.Now())
+	source := serversSource{fromStore, formList, revision}
+	changes, complete := f.replaceServers(servers, source, time.Now())
 	if known && complete {
 		// The other VMs have followed up to about the same revision.  With the changes since, they need not all request the
 		// whole list from this VM, whose link would be busy for seconds.
 		update.Before, update.Changes = min(before, revision), changes
 	}
-	f.mu.Lock()
-	f.serversKnown, f.revision = true, revision
-	f.mu.Unlock()
+	f.takeRevision(source, leavingServers(servers), len(changes))
 	update.Digest = f.fleet.Digest()
 	f.serversMu.Unlock()
 	f.publishServers(update)
@@ -44,6 +102,7 @@
 func (f *Front) onServerChanges(changes []gladeview.Change[entry[gladefleet.Server]], revision int64) {
 	f.readRolloutsFor(f.listedServers(changes), revision)
 	now := time.Now()
+	source := serversSource{fromStore, formChanges, revision}
 	update := gladefeed.Update{Revision: revision, Reading: true}
 	f.serversMu.Lock()
 	f.mu.Lock()
@@ -55,16 +114,14 @@
 	}
 	for _, c := range changes {
 		if c.Deleted || !f.decoded(c.Item) {
-			f.removeServer(c.Name, now, false)
+			f.removeServer(c.Name, source, now, false)
 			update.Changes = append(update.Changes, gladefeed.Change{Removed: c.Name})
 			continue
 		}
-		f.putServer(c.Value.value, revision, now)
+		f.putServer(c.Value.value, source, now)
 		update.Changes = append(update.Changes, gladefeed.Change{Server: &c.Value.value})
 	}
-	f.mu.Lock()
-	f.revision = revision
-	f.mu.Unlock()
+	f.takeRevision(source, leavingInChanges(update.Changes), len(update.Changes))
 	update.Digest = f.fleet.Digest()
 	f.serversMu.Unlock()
 	f.publishServers(update)
@@ -96,19 +153,19 @@
 	case u.Before > known && (u.Digest == 0 || u.Digest != f.fleet.Digest()):
 		return false
 	}
+	source := serversSource{u.VM, formDigest, u.Revision}
 	if u.Before <= known {
+		source.how = formChanges
 		now := time.Now()
 		for _, c := range u.Changes {
 			if c.Server != nil {
-				f.putServer(*c.Server, u.Revision, now)
+				f.putServer(*c.Server, source, now)
 			} else {
-				f.removeServer(c.Removed, now, false)
+				f.removeServer(c.Removed, source, now, false)
 			}
 		}
 	}
-	f.mu.Lock()
-	f.revision = max(f.revision, u.Revision)
-	f.mu.Unlock()
+	f.takeRevision(source, leavingInChanges(u.Changes), len(u.Changes))
 	return true
 }
 
@@ -140,16 +197,15 @@
 	}
 	f.log.Info("Received backend servers from a peer.", "peer", from, "revision", s.Revision, "servers", len(s.Servers))
 	f.targetsLast(s.Servers)
-	f.replaceServers(s.Servers, s.Revision, time.Now())
-	f.mu.Lock()
-	f.revision, f.serversKnown = s.Revision, true
-	f.mu.Unlock()
+	source := serversSource{from, formList, s.Revision}
+	changes, _ := f.replaceServers(s.Servers, source, time.Now())
+	f.takeRevision(source, leavingServers(s.Servers), len(changes))
 }
 
 // replaceServers updates the table to hold exactly the listed servers.  It returns the changes, and whether they tell
 // another VM all that has changed; they do not where entries may only have expired.  Without an outage of the store, servers that
 // the list lacks have left, however many they are: longer use would exceed the bound on leaving servers.
-func (f *Front) replaceServers(servers []gladefleet.Server, revision int64, now time.Time) (changes []gladefeed.Change, complete bool) {
+func (f *Front) replaceServers(servers []gladefleet.Server, source serversSource, now time.Time) (changes []gladefeed.Change, complete bool) {
 	listed := map[string]bool{}
 	for _, s := range servers {
 		listed[s.ID] = true
@@ -160,14 +216,14 @@
 		lapsed = gladefleet.PossiblyExpired(before, servers)
 	}
 	for i, s := range servers {
-		if f.putServer(s, revision, now) {
+		if f.putServer(s, source, now) {
 			changes = append(changes, gladefeed.Change{Server: &servers[i]})
 		}
 	}
 	complete = true
 	for _, s := range before {
 		if s.Listed && !listed[s.ID] {
-			f.removeServer(s.ID, now, lapsed[s.Service])
+			f.removeServer(s.ID, source, now, lapsed[s.Service])
 			changes = append(changes, gladefeed.Change{Removed: s.ID})
 			complete = complete && !lapsed[s.Service]
 		}
@@ -183,22 +239,22 @@
 	return i.Value.err == nil
 }
 
-// putServer adds a server that is listed at a revision to the table or updates it, and reports whether that changed anything.
-func (f *Front) putServer(s gladefleet.Server, revision int64, now time.Time) bool {
-	if f.rollouts == nil && !f.fleet.Put(s, now) || f.rollouts != nil && !f.fleet.PutAt(s, f.holdRevision(s, revision), now) {
+// putServer adds a server that a source lists to the table or updates it, and reports whether that changed anything.
+func (f *Front) putServer(s gladefleet.Server, source serversSource, now time.Time) bool {
+	if f.rollouts == nil && !f.fleet.Put(s, now) || f.rollouts != nil && !f.fleet.PutAt(s, f.holdRevision(s, source.revision), now) {
 		return false
 	}
 	f.log.Info("Backend server listed.", "server", s.ID, "service", s.Service, "address", s.Address, "domain", s.FailureDomain,
-		"leaving", s.Leaving, "started", s.Started, "version", s.Version)
+		"leaving", s.Leaving, "started", s.Started, "version", s.Version, "from", source.from, "how", string(source.how), "revision", source.revision)
 	return true
 }
 
 // removeServer marks a server as no longer listed; lapsed means that its entry may only have expired.
-func (f *Front) removeServer(id string, now time.Time, lapsed bool) {
+func (f *Front) removeServer(id string, source serversSource, now time.Time, lapsed bool) {
 	grace := time.Duration(0)
 	if lapsed {
 		grace = lapsedServerGrace
 	}
-	f.log.Info("Backend server gone.", "server", id, "grace", grace)
+	f.log.Info("Backend server gone.", "server", id, "grace", grace, "from", source.from, "how", string(source.how), "revision", source.revision)
 	f.fleet.Remove(id, now, grace)
 }
