--- a/internal/proxy/gladesoak/fakes_test.go
+++ b/internal/proxy/gladesoak/fakes_test.go
@@ -212,7 +212,10 @@
 
 // leave marks the server as draining, and ends it 1 s after drainBound; it does nothing if the server is not running.  A
 // crash may end the incarnation before.
-func (f *fakeServer) leave() {
+func (f *fakeServer) leave() { f.leaveAfter(drainBound + time.Second) }
+
+// leaveAfter is leave with the time until the end.
+func (f *fakeServer) leaveAfter(remains time.Duration) {
 	f.mu.Lock()
 	incarnation, running := f.incarnation, f.running
 	if running {
@@ -224,7 +227,7 @@
 	if !running {
 		return
 	}
-	time.Sleep(drainBound + time.Second)
+	time.Sleep(remains)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.end(incarnation)
--- a/internal/proxy/gladesoak/fakestore_test.go
+++ b/internal/proxy/gladesoak/fakestore_test.go
@@ -24,6 +24,9 @@
 	// calls counts the calls by method and kind. losesAnswers makes the store carry out writes and not answer them.
 	calls        map[string]int
 	losesAnswers bool
+	// deaf makes watches report nothing, and forgotten is the revision up to which the history of changes is lost.
+	deaf      bool
+	forgotten int
 	// statuses are the statuses written, with the objects' names.
 	statuses []writtenStatus
 }
@@ -100,6 +103,22 @@
 	s.rejectedAt[host] = time.Now()
 }
 
+// deafen makes watches report nothing until the history is lost.
+func (s *fakeStore) deafen() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf = true
+}
+
+// forget loses the history of changes. Watches that wait are cut off.
+func (s *fakeStore) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf, s.forgotten = false, int(s.revision)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // rejectsSince reports whether calls of a VM were to be rejected after a time.
 func (s *fakeStore) rejectsSince(host int, since time.Time) bool {
 	s.mu.Lock()
@@ -136,6 +155,10 @@
 		_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "at": s.revision})
 		return
 	}
+	if after < s.forgotten {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	until := time.After(time.Duration(wait) * time.Millisecond)
 	events := s.eventsAfter(kind, after)
@@ -150,9 +173,16 @@
 			waiting = false
 		}
 		s.mu.Lock()
+		if after < s.forgotten {
+			panic(http.ErrAbortHandler)
+		}
 		events = s.eventsAfter(kind, after)
 	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "at": s.revision})
+	at := s.revision
+	if s.deaf {
+		at = int64(after)
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "at": at})
 }
 
 // writeStatus writes the status of an object if the request has its revision. The caller holds mu.
@@ -184,6 +214,9 @@
 
 func (s *fakeStore) eventsAfter(kind string, revision int) []map[string]any {
 	events := []map[string]any{}
+	if s.deaf {
+		return events
+	}
 	for _, change := range s.changes[min(revision, len(s.changes)):] {
 		changed, name, _ := strings.Cut(change, "/")
 		if changed != kind {
