gladefleet: the list of the store is kept apart from what a VM knows otherwise

Cause: a table had one state for each server, made of the list of the store and of what the VM knew otherwise. A reader that had heard of a leaving from the server's own answers found nothing new in the list that it made next (lost history, change of the reader, its own restart), so that the changes that it sent to its failure domain lacked the leaving. The other VMs applied them and took the revision, and nothing later told them: the change was behind them. Each went on until an answer of the server told it. The class: what is passed on as a difference of the source is computed from the receiver's own view of it. The digest had the same fault: a VM with the server's word and without the list's change had the digest of the list, took its revision, and counted the end of the server's use from the word, whenever it came.

Change: an entry keeps what the list says of its server. What Put reports, the digest and the list that other VMs ask for depend on that alone. What a VM knows beyond the list (a server's word, a recognised successor) goes along in a field of its own (Servers.Unlisted) that earlier builds ignore.

--- a/internal/fleet/gladefleet/server.go
+++ b/internal/fleet/gladefleet/server.go
@@ -52,6 +52,9 @@
 type entry struct {
 	Server
 	hash uint64
+	// listing is the server as the list of the store has it, nil if the list lacks it.  The Server differs from it where this VM knows more:
+	// the server itself said that it leaves, or it was recognised before the store listed it.
+	listing *Server
 	// unlisted reports that the store no longer lists the server.
 	unlisted bool
 	// lastUse limits the use of a server that leaves or is unlisted, if there is no other.
--- a/internal/fleet/gladefleet/status.go
+++ b/internal/fleet/gladefleet/status.go
@@ -41,3 +41,48 @@
 	slices.SortFunc(all, func(a, b Status) int { return cmp.Compare(a.ID, b.ID) })
 	return all
 }
+
+// List returns the servers as the list of the store has them, ordered by identifier.
+func (t *Table) List() []Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var servers []Server
+	for _, e := range t.servers {
+		if e.listing != nil {
+			servers = append(servers, *e.listing)
+		}
+	}
+	return sortByID(servers)
+}
+
+// Unlisted returns what this VM knows beyond the list, ordered by identifier: servers that said themselves that they leave, and
+// successors that the list lacks.
+func (t *Table) Unlisted() []Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var servers []Server
+	for _, e := range t.servers {
+		if e.listing != nil && e.Leaving && !e.listing.Leaving || e.listing == nil && !e.unlisted {
+			servers = append(servers, e.Server)
+		}
+	}
+	return sortByID(servers)
+}
+
+// AddUnlisted adds what another VM knows beyond the list.
+func (t *Table) AddUnlisted(s Server, now time.Time) {
+	if s.Leaving {
+		t.MarkLeaving(s.ID, s.Started, now)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.servers[s.ID] == nil {
+		t.put(s)
+	}
+}
+
+func sortByID(servers []Server) []Server {
+	slices.SortFunc(servers, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+	return servers
+}
--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -116,7 +116,7 @@
 	}
 }
 
-// Put adds or updates a listed server and reports whether that changed anything.
+// Put adds or updates a listed server and reports whether that changed the list, whatever this VM knew of the server before.
 //
 // A server restarted under the same identifier begins without its earlier failures.
 func (t *Table) Put(s Server, now time.Time) bool {
@@ -130,7 +130,11 @@
 	if e := t.servers[s.ID]; e != nil && s.Leaving && s.Started == e.Started {
 		e.lastUse.lower(now.Add(min(t.listedGrace(), t.config.DrainBound)))
 	}
-	return t.put(s)
+	t.put(s)
+	e := t.servers[s.ID]
+	changed := e.listing == nil || *e.listing != s
+	e.listing = &s
+	return changed
 }
 
 // listedGrace returns how long a server may still be chosen once the store no longer lists it as active, if there is no other.
@@ -141,7 +145,8 @@
 	return min(unlistedGrace, max(0, t.config.DrainBound-listDelay))
 }
 
-// put adds or updates a server.  A process that is first known as leaving gets no requests: it may have left for any time.
+// put adds or updates a server, and reports whether that changed what this VM knows of it.  A process that is first known as leaving gets
+// no requests: it may have left for any time.
 func (t *Table) put(s Server) bool {
 	e := t.servers[s.ID]
 	switch {
@@ -179,14 +184,14 @@
 	e.lastUse = useLimit{set: s.Leaving}
 }
 
-// Digest returns a hash of the listed servers, which is equal at VMs that have the same list.
+// Digest returns a hash of the list of servers, which is equal at VMs that have the same list, whatever else they know.
 func (t *Table) Digest() uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	digest := uint64(0)
 	for _, e := range t.servers {
-		if !e.unlisted {
-			digest ^= e.digest()
+		if e.listing != nil {
+			digest ^= e.listing.digest()
 		}
 	}
 	return max(1, digest)
@@ -238,7 +243,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.servers[id]; e != nil {
-		e.unlisted = true
+		e.listing, e.unlisted = nil, true
 		e.lastUse.lower(now.Add(t.listedGrace() + grace))
 		t.index()
 	}
--- a/internal/proxy/gladefront/front_test.go
+++ b/internal/proxy/gladefront/front_test.go
@@ -299,18 +299,33 @@
 	server := func(id string, leaving bool) gladefleet.Server {
 		return gladefleet.Server{ID: id, Service: "llm", Address: id + ":1", FailureDomain: "giza", Started: 1, Leaving: leaving}
 	}
-	front.replaceServers([]gladefleet.Server{server("a", false), server("b", false), server("c", false)}, serversSource{}, now)
-	changes, complete := front.replaceServers([]gladefleet.Server{server("a", true), server("b", false), server("d", false)}, serversSource{}, now)
+	front.replaceServers([]gladefleet.Server{server("a", false), server("b", false), server("c", false)}, nil, serversSource{}, now)
+	changes, complete := front.replaceServers([]gladefleet.Server{server("a", true), server("b", false), server("d", false)}, nil, serversSource{}, now)
 	f.Assert(complete, qt.IsTrue)
 	leaving, added := server("a", true), server("d", false)
 	f.Assert(changes, qt.DeepEquals, []gladefeed.Change{{Server: &leaving}, {Server: &added}, {Removed: "c"}})
 	// Entries that may only have expired in an outage of the store get a grace that the changes do not tell.
 	front.outage.RecordLost(bootTime().Add(-2 * time.Second))
 	front.outage.RecordLost(bootTime())
-	_, complete = front.replaceServers([]gladefleet.Server{server("d", false)}, serversSource{}, now)
+	_, complete = front.replaceServers([]gladefleet.Server{server("d", false)}, nil, serversSource{}, now)
 	f.Assert(complete, qt.IsFalse)
 }
 
+// Guards against a reader whose list tells the other VMs nothing of a server that leaves, because the reader knew so from the server itself.
+func TestListTellsLeavingThatReaderKnew(t *testing.T) {
+	f := newTestFleet(t)
+	f.publish(3, "/a/")
+	front, _ := f.startVM(1)
+	f.eventually("servers known", front.Ready)
+	now, server := time.Now(), gladefleet.Server{ID: "a", Service: "llm", Address: "a:1", FailureDomain: "giza", Started: 1}
+	front.replaceServers([]gladefleet.Server{server}, nil, serversSource{}, now)
+	f.Assert(front.fleet.MarkLeaving("a", 1, now), qt.IsTrue)
+	server.Leaving = true
+	changes, complete := front.replaceServers([]gladefleet.Server{server}, nil, serversSource{}, now)
+	f.Assert(complete, qt.IsTrue)
+	f.Assert(changes, qt.DeepEquals, []gladefeed.Change{{Server: &server}})
+}
+
 // logLines is the log of VMs.
 type logLines struct {
 	mu    sync.Mutex
--- a/internal/proxy/gladefront/outage_test.go
+++ b/internal/proxy/gladefront/outage_test.go
@@ -20,12 +20,12 @@
 	only := gladefleet.Server{ID: "a", Service: "llm", Address: "a:1", FailureDomain: "giza", Started: 1}
 	for _, outage := range []bool{false, true} {
 		now := time.Now()
-		front.replaceServers([]gladefleet.Server{only}, serversSource{}, now)
+		front.replaceServers([]gladefleet.Server{only}, nil, serversSource{}, now)
 		if outage {
 			front.outage.RecordLost(bootTime().Add(-2 * time.Second))
 			front.outage.RecordLost(bootTime())
 		}
-		_, complete := front.replaceServers(nil, serversSource{}, now)
+		_, complete := front.replaceServers(nil, nil, serversSource{}, now)
 		f.Assert(complete, qt.Equals, !outage)
 		f.Assert(front.fleet.Unavailable("a", now.Add(600*time.Millisecond)), qt.Equals, !outage)
 	}
--- a/internal/proxy/gladefront/servers.go
+++ b/internal/proxy/gladefront/servers.go
@@ -1,6 +1,7 @@
 package gladefront
 
 import (
+	"slices"
 	"time"
 
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
@@ -87,7 +88,7 @@
 	}
 	update := gladefeed.Update{Before: revision, Revision: revision, Reading: true}
 	source := serversSource{fromStore, formList, revision}
-	changes, complete := f.replaceServers(servers, source, time.Now())
+	changes, complete := f.replaceServers(servers, nil, source, time.Now())
 	if known && complete {
 		// The other VMs have followed up to about the same revision.  With the changes since, they need not all request the
 		// whole list from this VM, whose link would be busy for seconds.
@@ -175,13 +176,7 @@
 	f.mu.Lock()
 	revision := f.revision
 	f.mu.Unlock()
-	s := gladerelay.Servers{Revision: revision, Rollouts: f.rolloutStates()}
-	for _, x := range f.fleet.Statuses() {
-		if x.Listed {
-			s.Servers = append(s.Servers, x.Server)
-		}
-	}
-	return s
+	return gladerelay.Servers{Revision: revision, Servers: f.fleet.List(), Unlisted: f.fleet.Unlisted(), Rollouts: f.rolloutStates()}
 }
 
 // onPeerServers replaces the servers by a peer's list unless this VM's own is as new.
@@ -198,16 +193,18 @@
 	f.log.Info("Received backend servers from a peer.", "peer", from, "revision", s.Revision, "servers", len(s.Servers))
 	f.targetsLast(s.Servers)
 	source := serversSource{from, formList, s.Revision}
-	changes, _ := f.replaceServers(s.Servers, source, time.Now())
+	changes, _ := f.replaceServers(s.Servers, s.Unlisted, source, time.Now())
 	f.takeRevision(source, leavingServers(s.Servers), len(changes))
 }
 
-// replaceServers updates the table to hold exactly the listed servers.  It returns the changes, and whether they tell
-// another VM all that has changed; they do not where entries may only have expired.  Without an outage of the store, servers that
+// replaceServers updates the table to hold exactly the listed servers, and what the source knows beyond the list.  It returns the changes
+// of the list, and whether they tell another VM all that has changed; they do not where entries may only have expired.  Without an outage of the store, servers that
 // the list lacks have left, however many they are: longer use would exceed the bound on leaving servers.
-func (f *Front) replaceServers(servers []gladefleet.Server, source serversSource, now time.Time) (changes []gladefeed.Change, complete bool) {
+func (f *Front) replaceServers(
+	servers, unlisted []gladefleet.Server, source serversSource, now time.Time,
+) (changes []gladefeed.Change, complete bool) {
 	listed := map[string]bool{}
-	for _, s := range servers {
+	for _, s := range slices.Concat(servers, unlisted) {
 		listed[s.ID] = true
 	}
 	before := f.fleet.Statuses()
@@ -220,6 +217,9 @@
 			changes = append(changes, gladefeed.Change{Server: &servers[i]})
 		}
 	}
+	for _, s := range unlisted {
+		f.fleet.AddUnlisted(s, now)
+	}
 	complete = true
 	for _, s := range before {
 		if s.Listed && !listed[s.ID] {
--- a/internal/state/gladerelay/relay.go
+++ b/internal/state/gladerelay/relay.go
@@ -79,6 +79,8 @@
 type Servers struct {
 	Revision int64               `json:"revision"`
 	Servers  []gladefleet.Server `json:"servers"`
+	// Unlisted is what the VM knows beyond the list, as of gladefleet.Table.Unlisted.
+	Unlisted []gladefleet.Server `json:"unlisted,omitempty"`
 	// Rollouts are those that the VM knows, nil for none.
 	Rollouts *gladedecider.States `json:"rollouts,omitempty"`
 }
