gladefront: a VM compares its list of servers with its reader's at each revision

Cause: a VM took a revision with the changes that an update holds, and nothing ever compared the list that came of it; a change that was left out, or applied to another base, stayed unknown until the entry changed again. The digest was looked at only where changes were missing.

Change: updates with a digest are compared after their changes, and heartbeats at the same revision. Where the lists differ the VM does not claim the revision and requests the list, for 0.5 s of each 5 s at most; a VM that reads the store keeps its own. Since the digest is that of the list alone, VMs that know more than the list do not differ by that. Metric servers.listDiffers, a line in the log.

--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -117,6 +117,8 @@
 	// serversKnown is set once the backend servers are known, up to revision.
 	serversKnown bool
 	revision     int64
+	// differedAt is when a reader's list was first found to differ at the same revision, in the present series of requests.
+	differedAt time.Time
 	// releaseSince is when the current release was put in force.
 	releaseSince time.Time
 	// storeRelease is the version that the store gave last, and confirmedAt when it last said that it is the newest.
--- a/internal/proxy/gladefront/release_test.go
+++ b/internal/proxy/gladefront/release_test.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/eelgrassglade/eelgrassglade/gladepeer"
+	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladeage"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladedatagram"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladefeed"
@@ -383,3 +384,14 @@
 	time.Sleep(200 * time.Millisecond)
 	f.Check(front.state().Servers, qt.Equals, int64(1<<20))
 }
+
+// Guards against a VM that goes on with another list than its reader has at the same revision: no later change would set that right.
+func TestListThatDiffersAtOneRevisionIsRequested(t *testing.T) {
+	f := newReleaseFleet(t, 2)
+	reader, other := f.fronts[f.reader], f.fronts[3-f.reader]
+	f.eventually("both have the list", func() bool { return other.state().Servers == reader.state().Servers })
+	missed := gladefleet.Server{ID: "i-2", Service: "app", Address: "127.0.0.1:1", FailureDomain: "giza", Started: 1}
+	reader.fleet.Put(missed, time.Now())
+	f.eventually("the list is the reader's", func() bool { _, known := other.fleet.Server("i-2"); return known })
+	f.Check(other.state().Servers, qt.Equals, reader.state().Servers)
+}
--- a/internal/proxy/gladefront/servers.go
+++ b/internal/proxy/gladefront/servers.go
@@ -139,7 +139,8 @@
 	f.feed.Publish(u)
 }
 
-// applyServerChanges applies the changes of servers in an update, and returns false if changes before them are missing.
+// applyServerChanges applies the changes of servers in an update, and returns false if the sender's list has to be requested: changes before
+// them are missing, or the two lists differ at one revision.
 func (f *Front) applyServerChanges(u gladefeed.Update) bool {
 	f.serversMu.Lock()
 	defer f.serversMu.Unlock()
@@ -149,8 +150,10 @@
 	switch {
 	case !serversKnown:
 		return false
-	case u.Revision <= known:
+	case u.Revision < known:
 		return true
+	case u.Revision == known:
+		return !f.listDiffers(u)
 	case u.Before > known && (u.Digest == 0 || u.Digest != f.fleet.Digest()):
 		return false
 	}
@@ -166,10 +169,44 @@
 			}
 		}
 	}
+	if f.listDiffers(u) {
+		return false
+	}
 	f.takeRevision(source, leavingInChanges(u.Changes), len(u.Changes))
 	return true
 }
 
+const (
+	// listDiffersInterval is the shortest time between two series of requests for a list that differs: the list of a large fleet is tens of
+	// kilobytes, and all VMs of a failure domain request it from its reader.
+	listDiffersInterval = 5 * time.Second
+	// listDiffersTime is how long such a series lasts; an answer takes milliseconds.
+	listDiffersTime = 500 * time.Millisecond
+)
+
+// listDiffers reports whether a reader has another list than this VM at the same revision, so that it has to be requested; this VM then
+// does not claim the revision.  A VM that reads the store itself does not take another one's list for it.  The caller holds serversMu.
+func (f *Front) listDiffers(u gladefeed.Update) bool {
+	if !u.Reading || u.Digest == 0 || u.Digest == f.fleet.Digest() {
+		return false
+	}
+	f.mu.Lock()
+	first := time.Since(f.differedAt) >= listDiffersInterval
+	if first {
+		f.differedAt = time.Now()
+	}
+	request := !f.reading && time.Since(f.differedAt) < listDiffersTime
+	if request {
+		f.revision = min(f.revision, u.Revision-1)
+	}
+	f.mu.Unlock()
+	if first {
+		f.countCall("servers.listDiffers")
+		f.log.Warn("List of backend servers differs from a reader's at the same revision.", "from", u.VM, "revision", u.Revision, "requested", request)
+	}
+	return request
+}
+
 func (f *Front) knownServers() gladerelay.Servers {
 	f.serversMu.Lock()
 	defer f.serversMu.Unlock()
