gladefront: a list in pages holds as of its first page

Cause: List took the revision of its last page, and the watch went on from there. A change between the pages to an object of the first one is in neither.

Change: a list has the revision of its first page. What changes until the last page comes once more by the watch; a server's leaving stays known meanwhile, as an older state of the same process does not take it back.

--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -155,17 +155,21 @@
 	return gladeview.FollowConfig[entry[T]]{
 		List: func(ctx context.Context) ([]gladeview.Item[entry[T]], int64, error) {
 			var items []gladeview.Item[entry[T]]
+			revision := int64(0)
 			for after := ""; ; {
 				p, err := f.listPage(ctx, kind, after)
 				if err != nil {
 					return nil, 0, err
 				}
+				if after == "" {
+					revision = p.Revision // the watch repeats what changes until the last page; later it would miss changes of the first
+				}
 				for _, o := range p.Items {
 					items = append(items, item(o))
 					after = o.Meta.Name
 				}
 				if !p.More || len(p.Items) == 0 {
-					return items, p.Revision, nil
+					return items, revision, nil
 				}
 			}
 		},
--- a/internal/proxy/gladefront/store_test.go
+++ b/internal/proxy/gladefront/store_test.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -40,6 +42,9 @@
 	// unknownKinds are answered with unknownStatus, 404 if that is zero.
 	unknownKinds  []string
 	unknownStatus int
+	// pageSize is the largest number of objects in an answer, zero for all, and afterPage is called after each page but the last.
+	pageSize  int
+	afterPage func(kind string)
 	// calls counts the calls of all VMs by method and kind.
 	calls map[string]int
 }
@@ -162,11 +167,7 @@
 		return
 	}
 	if watch == "" {
-		items := []any{}
-		for name := range s.objects[kind] {
-			items = append(items, s.object(kind, name))
-		}
-		_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "at": s.revision})
+		s.list(kind, r.URL.Query().Get("since_rev"), w)
 		return
 	}
 	after, _ := strconv.ParseInt(watch, 10, 64)
@@ -186,6 +187,25 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "at": s.revision})
 }
 
+// list answers a page of a list. The caller holds mu.
+func (s *fakeStore) list(kind, after string, w http.ResponseWriter) {
+	names := slices.DeleteFunc(slices.Sorted(maps.Keys(s.objects[kind])), func(n string) bool { return n <= after })
+	more := s.pageSize > 0 && len(names) > s.pageSize
+	if more {
+		names = names[:s.pageSize]
+	}
+	items := []any{}
+	for _, n := range names {
+		items = append(items, s.object(kind, n))
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "has_more": more, "at": s.revision})
+	if more && s.afterPage != nil {
+		s.mu.Unlock()
+		s.afterPage(kind)
+		s.mu.Lock()
+	}
+}
+
 func (s *fakeStore) eventsAfter(kind string, revision int64) []any {
 	events := []any{}
 	for _, c := range s.changes {
@@ -222,3 +242,24 @@
 	}
 	c.Assert(writes.Load(), qt.Equals, int64(20))
 }
+
+// Guards against a change of an object on the first page of a list that comes before the last page: the list has the object as it was, and
+// a watch from the last page's revision does not report the change.
+func TestListInPagesMissesNoChange(t *testing.T) {
+	f := newTestFleet(t)
+	entry := func(state string) string {
+		return fmt.Sprintf(`{"service":"app","addr":"127.0.0.1:1","zone":"giza","slots":6,"state":%q,"cold_left_ms":0,"seq":1,"born":1}`, state)
+	}
+	f.publish(3, "/a/")
+	f.store.put(gladeplatform.KindServers, "i-0", entry("ready"))
+	var lists atomic.Int64
+	f.store.pageSize, f.store.afterPage = 1, func(kind string) {
+		// The first list is that of the start, and the second one that of the reader, which makes no other.
+		if kind == gladeplatform.KindServers && lists.Add(1) == 2 {
+			f.store.put(kind, "i-0", entry("draining"))
+		}
+	}
+	front, _ := f.startVM(1)
+	f.eventually("the change is known", func() bool { s, _ := front.fleet.Server("i-0"); return s.Leaving })
+	f.Check(lists.Load(), qt.Equals, int64(2))
+}
