gladefront: lists of the store are bounded by their progress

Cause: a list had 0.7 s for all of its answer, whatever its size, the link and the store, and the next one began from nothing with the same 0.7 s. The class: a retry that repeats the whole work under the limit that has just proved too short. A watch had it too: the changes after a revision only become more, and once they exceeded the limit of an answer (4 MiB) the watch failed for as long as the store kept its history.

Change: gladeprogress ends a call when nothing of its answer arrives; a process that stood still gets the pause once more. A list of the release has the time of the largest object over the VM's own link before its answer begins, and after a list that took too long the limit doubles, twice at most; 5 s bound every answer. Changes that do not fit into an answer lead to a list, as lost history does.

--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -1,6 +1,7 @@
 package gladefront
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -12,6 +13,7 @@
 
 	"github.com/eelgrassglade/eelgrassglade/gladepeer"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladefeed"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladeprogress"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladeview"
 	gladeplatform "github.com/eelgrassglade/eelgrassglade/platform"
@@ -29,8 +31,11 @@
 	readerCheckInterval = 100 * time.Millisecond
 	// takeoverPause is the time between the two looks after which a VM begins to read the store.
 	takeoverPause = 20 * time.Millisecond
-	// callTimeout bounds a call to the store or a peer, beyond any wait that the call asks for; answers take milliseconds.
+	// callTimeout bounds a call to the store or a peer, beyond any wait that the call asks for; answers take milliseconds.  Of a list of the
+	// store it bounds the pauses in which nothing arrives.
 	callTimeout = 700 * time.Millisecond
+	// maxAnswerTime is the longest time for which an answer of the store may arrive: the largest one takes 3.4 s over 10 Mbit/s.
+	maxAnswerTime = 5 * time.Second
 	// lapsedServerGrace is the extra time for which servers are kept whose entries may have expired during a store outage:
 	// their entries may be written again after the outage.
 	lapsedServerGrace = 1500 * time.Millisecond
@@ -46,7 +51,7 @@
 func (f *Front) openStore() {
 	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleStoreConns, MaxResponseHeaderBytes: maxResponseHeaderBytes}
 	f.cleanup(transport.CloseIdleConnections)
-	f.store = &gladeplatform.Store{Address: f.config.Settings.StoreAddress, Client: &http.Client{Transport: transport}}
+	f.store = &gladeplatform.Store{Address: f.config.Settings.StoreAddress, Client: &http.Client{Transport: &gladeprogress.Transport{Base: transport}}}
 	f.releases = followConfig(f, gladeplatform.KindConfig, f.watchWait(), decodeRelease, f.onReleases, f.onReleaseChanges, f.confirmRelease)
 }
 
@@ -174,12 +179,15 @@
 			}
 		},
 		Watch: func(ctx context.Context, revision int64) ([]gladeview.Change[entry[T]], int64, error) {
-			ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+			ctx, cancel := gladeprogress.WithLimits(ctx, gladeprogress.Limits{First: wait + watchSlack, Pause: watchSlack, Total: wait + maxAnswerTime})
 			defer cancel()
 			f.countStoreCall(ctx, "watch", kind)
 			c, err := f.store.Watch(ctx, kind, revision, wait)
-			if errors.Is(err, gladeview.ErrHistoryGone) {
+			switch {
+			case errors.Is(err, gladeview.ErrHistoryGone):
 				f.log.Warn("The store has lost its history; listing anew.", "kind", kind, "revision", revision)
+			case errors.Is(err, gladeview.ErrTooManyChanges):
+				f.log.Warn("The changes do not fit into an answer; listing anew.", "kind", kind, "revision", revision, "reason", err)
 			}
 			changes := make([]gladeview.Change[entry[T]], 0, len(c.Events))
 			for _, e := range c.Events {
@@ -201,13 +209,16 @@
 	}
 }
 
+// listPage lists a page of the objects of a kind.
 func (f *Front) listPage(ctx context.Context, kind, after string) (gladeplatform.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	first := f.listLimit(kind)
+	ctx, cancel := gladeprogress.WithLimits(ctx, gladeprogress.Limits{First: first, Pause: callTimeout, Total: maxAnswerTime})
 	defer cancel()
 	f.countStoreCall(ctx, "list", kind)
 	began := time.Now()
 	page, err := f.store.List(ctx, kind, after)
-	fields := []any{"kind", kind, "cause", string(storeCauseOf(ctx)), "tookMs", time.Since(began).Milliseconds()}
+	f.recordList(kind, err)
+	fields := []any{"kind", kind, "cause", string(storeCauseOf(ctx)), "tookMs", time.Since(began).Milliseconds(), "firstMs", first.Milliseconds()}
 	if err == nil {
 		f.log.Info("Listed a page of the store.", append(fields, "after", after, "items", len(page.Items), "more", page.More, "revision", page.Revision)...)
 	} else {
@@ -218,6 +229,41 @@
 	return page, err
 }
 
+const (
+	// maxPageBytes is the size of the largest page of a list: one object of the largest size.
+	maxPageBytes = 1 << 20
+	// slowestLink is the rate in bytes a second of a link whose rate is not known.
+	slowestLink = 10_000_000 / 8
+	// maxListDoublings bounds how often the limit of a list doubles.  A list that waits on a connection which is silent for good delays the
+	// next one.
+	maxListDoublings = 2
+)
+
+// listLimit returns how long a list may take until its answer begins: longer after lists that took too long, as each begins from nothing.
+// The release may come as one large object, of which a store may send nothing before it has all of it.
+func (f *Front) listLimit(kind string) time.Duration {
+	limit := callTimeout
+	if kind == gladeplatform.KindConfig {
+		rate := cmp.Or(f.config.Settings.LinkRate, slowestLink)
+		limit += time.Duration(maxPageBytes * int64(time.Second) / rate)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return min(limit<<f.listDoublings[kind], maxAnswerTime)
+}
+
+// recordList records whether a list took too long.
+func (f *Front) recordList(kind string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case err == nil:
+		delete(f.listDoublings, kind)
+	case errors.Is(err, gladeprogress.ErrStalled) || errors.Is(err, context.DeadlineExceeded):
+		f.listDoublings[kind] = min(f.listDoublings[kind]+1, maxListDoublings)
+	}
+}
+
 // latencySampleSize is the number of values kept in the histogram of the store's latency.
 const latencySampleSize = 256
 
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -126,6 +126,8 @@
 	confirmedAt  time.Time
 	// unreachable holds, by kind, whether the store cannot be reached.
 	unreachable map[string]bool
+	// listDoublings holds, by kind, how often the limit of a list has doubled since one succeeded.
+	listDoublings map[string]int
 	// reading is set while this VM reads the store for its failure domain.
 	reading bool
 	// storeRefused reports that the store did not accept the last connection that this VM opened as a reader.
@@ -136,7 +138,7 @@
 // New opens the listeners and starts the components; it returns the clean-up function.
 func New(c Config) (*Front, func(), error) {
 	f := &Front{
-		config: c, log: c.Log, metrics: metrics.NewRegistry(), unreachable: map[string]bool{}, peersHeard: make(chan struct{}),
+		config: c, log: c.Log, metrics: metrics.NewRegistry(), unreachable: map[string]bool{}, listDoublings: map[string]int{}, peersHeard: make(chan struct{}),
 		releaseChanged: make(chan struct{}), startedAt: time.Now(),
 		fleet: gladefleet.New(gladefleet.Config{
 			FailureDomain: c.Settings.FailureDomain, FailureDomains: len(c.Settings.FailureDomains),
--- a/internal/proxy/gladesoak/fakestore_test.go
+++ b/internal/proxy/gladesoak/fakestore_test.go
@@ -27,6 +27,8 @@
 	// deaf makes watches report nothing, and forgotten is the revision up to which the history of changes is lost.
 	deaf      bool
 	forgotten int
+	// listTimes are how long lists take, by kind.
+	listTimes map[string]time.Duration
 	// statuses are the statuses written, with the objects' names.
 	statuses []writtenStatus
 }
@@ -64,7 +66,7 @@
 	return &fakeStore{
 		objects: map[string]map[string]object{"config": {}, "servers": {}, "rollouts": {}}, changed: make(chan struct{}),
 		rejected: map[int]bool{}, rejections: map[int]int{}, rejectedAt: map[int]time.Time{},
-		calls: map[string]int{},
+		calls: map[string]int{}, listTimes: map[string]time.Duration{},
 	}
 }
 
@@ -148,6 +150,9 @@
 	}
 	after, err := strconv.Atoi(r.URL.Query().Get("watch"))
 	if err != nil {
+		if !s.passListTime(kind, r) {
+			return
+		}
 		items := []object{}
 		for _, o := range s.objects[kind] {
 			items = append(items, o)
@@ -185,6 +190,22 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "at": at})
 }
 
+// passListTime waits for as long as a list takes, and reports whether its caller has waited too.  The caller holds mu.
+func (s *fakeStore) passListTime(kind string, r *http.Request) bool {
+	d := s.listTimes[kind]
+	if d == 0 {
+		return true
+	}
+	s.mu.Unlock()
+	defer s.mu.Lock()
+	select {
+	case <-time.After(d):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
 // writeStatus writes the status of an object if the request has its revision. The caller holds mu.
 func (s *fakeStore) writeStatus(host int, path string, w http.ResponseWriter, r *http.Request) {
 	kind, name, _ := strings.Cut(strings.TrimSuffix(path, "/status"), "/")
--- a/internal/state/gladeview/follow.go
+++ b/internal/state/gladeview/follow.go
@@ -9,8 +9,13 @@
 	"github.com/rotisserie/eris"
 )
 
-// ErrHistoryGone means that the store no longer knows the changes after a revision.
-var ErrHistoryGone = eris.New("the store no longer has the history of changes")
+// Errors of a watch after which the objects are listed anew.
+var (
+	// ErrHistoryGone means that the store no longer knows the changes after a revision.
+	ErrHistoryGone = eris.New("the store no longer has the history of changes")
+	// ErrTooManyChanges means that the changes after a revision do not fit into an answer.  They only become more.
+	ErrTooManyChanges = eris.New("the changes do not fit into an answer")
+)
 
 const (
 	// initialBackoff is the mean pause after the first failed call.
@@ -38,7 +43,7 @@
 	// List returns all objects and the revision of the list.
 	List func(context.Context) ([]Item[T], int64, error)
 	// Watch waits for changes after a revision and returns them with the revision to continue from. It returns no
-	// changes after a while without any, and ErrHistoryGone if the store no longer knows them.
+	// changes after a while without any, ErrHistoryGone if the store no longer knows them, and ErrTooManyChanges if they cannot be read.
 	Watch func(ctx context.Context, revision int64) ([]Change[T], int64, error)
 	// OnList receives each list and its revision.
 	OnList func(items []Item[T], revision int64)
@@ -74,12 +79,12 @@
 	}
 }
 
-// watch reports changes until the history is lost or the context ends.
+// watch reports changes until they can no longer be had or the context ends.
 func (f *follower[T]) watch(ctx context.Context, revision int64) {
 	for ctx.Err() == nil {
 		began := time.Now()
 		changes, next, err := f.Watch(ctx, revision)
-		if errors.Is(err, ErrHistoryGone) {
+		if errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrTooManyChanges) {
 			return
 		}
 		if !f.succeeded(ctx, began, err) {
--- a/internal/state/gladeview/follow_test.go
+++ b/internal/state/gladeview/follow_test.go
@@ -103,16 +103,19 @@
 	})
 }
 
-func TestLostHistoryCausesNewList(t *testing.T) {
-	s := &fakeStore{revision: 3}
-	runFollow(t, s, func(c *qt.C, h *recorder) {
-		advance(1500 * time.Millisecond)
-		s.set(func() { s.err = ErrHistoryGone })
-		advance(600 * time.Millisecond)
-		s.set(func() { s.err = nil })
-		advance(2 * time.Second)
-		c.Assert(h.lists, qt.Equals, 2)
-	})
+// Guards against watches that are repeated from a revision whose changes the store cannot give.
+func TestChangesThatCannotBeHadCauseNewList(t *testing.T) {
+	for _, err := range []error{ErrHistoryGone, ErrTooManyChanges} {
+		s := &fakeStore{revision: 3}
+		runFollow(t, s, func(c *qt.C, h *recorder) {
+			advance(1500 * time.Millisecond)
+			s.set(func() { s.err = err })
+			advance(600 * time.Millisecond)
+			s.set(func() { s.err = nil })
+			advance(2 * time.Second)
+			c.Assert(h.lists, qt.Equals, 2)
+		})
+	}
 }
 
 // The store is unavailable for minutes. Calls must stay few, and its return must be noticed within about a second.
