gladesoak: series of leavings with real processes

Cause: the soak calls all VMs at the same rate, so that each hears of a leaving from the server itself within milliseconds, and no VM depends on what its reader tells; the store of the soak never lost its history.

Change: TestLeavings lets one or two servers leave while only some VMs get calls; watches fall silent and the history is lost, the reader is killed, stopped or frozen, the store rejects a VM, releases come in series, and all this overlaps. Each VM is called only after drain_ms; requests that reach a leaving server through VMs without a fault for 3 s are reported. Then all VMs are killed, with slow lists and in half of the seeds a release of 1,400 to 4,200 routes more, and must serve within 12 s. -soak.vms sets the number of VMs. gladefleet.Status.Listed also holds for a server that the list has in an older state.

--- a/internal/fleet/gladefleet/status.go
+++ b/internal/fleet/gladefleet/status.go
@@ -9,7 +9,7 @@
 // Status is the state of one server in the table.
 type Status struct {
 	Server
-	// Listed reports whether the store lists the server.
+	// Listed reports whether the store lists the server, or this VM expects it to.
 	Listed    bool      `json:"listed"`
 	Runs      int       `json:"runs"`
 	Load      float64   `json:"load"`
@@ -33,7 +33,7 @@
 	all := make([]Status, 0, len(t.servers))
 	for _, e := range t.servers {
 		all = append(all, Status{
-			Server: e.Server, Listed: !e.unlisted, Runs: e.runs, Load: e.load(), Failures: e.failures, RetryAt: e.retryAt,
+			Server: e.Server, Listed: !e.unlisted || e.listing != nil, Runs: e.runs, Load: e.load(), Failures: e.failures, RetryAt: e.retryAt,
 			ErrorRate: e.errorRate, Limited: e.limited, ExhaustedUntil: e.exhaustedUntil,
 			WorkPercent: 100 * e.reported.mean, ReportedAt: e.reported.at, AnswerMS: 1000 * e.reported.answerTime,
 		})
--- a/internal/proxy/gladesoak/soak_test.go
+++ b/internal/proxy/gladesoak/soak_test.go
@@ -26,6 +26,7 @@
 var (
 	seeds    = flag.String("soak.seeds", "1", "comma-separated seeds to run; those in regressions are run as well")
 	duration = flag.Duration("soak.duration", 8*time.Second, "time for which faults are injected, for each seed")
+	vmCount  = flag.Int("soak.vms", 4, "number of VMs, half of them in each failure domain")
 )
 
 // endlessEvery is the mean number of other faults for each endless answer.
@@ -153,7 +154,9 @@
 
 	releaseMu sync.Mutex
 	version   int
-	releases  []ackedRelease
+	// extraRoutes is the number of routes that no caller uses in the releases to come.
+	extraRoutes int
+	releases    []ackedRelease
 }
 
 func (s *soak) address(host, port int) string {
@@ -204,7 +207,7 @@
 		s.Cleanup(f.crash)
 	}
 	directory := s.TempDir()
-	for host := 1; host <= 4; host++ {
+	for host := 1; host <= *vmCount; host++ {
 		v := &vm{host: host, program: program, settings: filepath.Join(directory, fmt.Sprintf("vm-%d.toml", host))}
 		text := more + fmt.Sprintf(settingsFormat, host, s.addressPrefix, []string{"a", "b"}[host%2], s.openStore(host))
 		s.Assert(os.WriteFile(v.settings, []byte(text), 0o600), qt.IsNil)
@@ -244,6 +247,12 @@
 	if more {
 		routes = append(routes, map[string]any{"name": "m", "hostname": "h", "path_prefix": "/more/", "type": "safe", "service": "app", "attempts": 1})
 	}
+	for n := range s.extraRoutes {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("extra-%d", n), "hostname": "h", "path_prefix": fmt.Sprintf("/extra-%d/", n), "type": "streaming", "service": "llm",
+			"attempts": 5, "timeout_ms": 25000, "slo_ms": 4500, "itl_target_ms": 700, "resumable": true,
+		})
+	}
 	s.store.put("config", "main", map[string]any{
 		"version": s.version, "routes": routes,
 		"services": []map[string]any{{"name": "app"}, {"name": "llm", "engine": map[string]any{"slots": 12, "backups": true, "handle_s": 4}}},
