gladeforward: a server that leaves before the send gets nothing

A VM asks for permission for up to 0.2 s, and a stream holds its claim of a place for 40 ms; the server that was chosen before got the request although the VM learned meanwhile that it leaves. With the longest delay of a list (1.5 s) and the longest use of a leaving server (0.5 s) that is over drain_ms.

Change: Reservation.InService is asked after the permission; if the server has left, another one is chosen, for copies and cached prompts as for the rest. A line in the log, a counter.

Evidence: TestServerThatLeavesBeforeTheSendGetsNothing fails before on /unsafe/x and passes for all three kinds. gladeforward's and gladefleet's tests pass.

--- a/internal/proxy/gladeforward/copies.go
+++ b/internal/proxy/gladeforward/copies.go
@@ -195,7 +195,7 @@
 	if err != nil {
 		return nil // the server went down in the meantime; the caller chooses another
 	}
-	if err := s.acquire(s.ctx, place.Server, gladequota.Request{Resumed: s.mayHaveRun}); err != nil {
+	if err := s.acquireAt(place, gladequota.Request{Resumed: s.mayHaveRun}); err != nil {
 		place.Release()
 		return nil
 	}
--- a/internal/proxy/gladeforward/limits.go
+++ b/internal/proxy/gladeforward/limits.go
@@ -61,7 +61,7 @@
 	return err
 }
 
-// reserve chooses a server and asks for permission to send the request to it. usable, if set, is called in between, and an error
+// reserve chooses a server and asks for permission to send the request to it; it chooses again if the server has left meanwhile. usable, if set, is called in between, and an error
 // of it releases the place. If all servers are at their limits, the error is a *gladequota.DeniedError.
 func (j *job) reserve(need gladefleet.Requirements, r gladequota.Request, usable func(*gladefleet.Reservation) error) (*gladefleet.Reservation, error) {
 	ctx, cancel := context.WithCancel(j.ctx)
@@ -84,16 +84,40 @@
 			timer := time.AfterFunc(maxAskTime, cancel)
 			defer timer.Stop()
 		}
-		if err = j.acquire(ctx, place.Server, r); err == nil {
+		err = j.acquire(ctx, place.Server, r)
+		if err == nil && place.InService(time.Now()) {
 			return place, nil
 		}
 		place.Release()
-		if last {
+		switch {
+		case err != nil && last:
 			return nil, err
+		case err == nil && denials == maxTries-1:
+			return nil, gladefleet.ErrNoServer
+		case err == nil:
+			j.countLeftMeanwhile(place)
 		}
 	}
 }
 
+// countLeftMeanwhile records that a server has left between its choice and the send.
+func (j *job) countLeftMeanwhile(place *gladefleet.Reservation) {
+	j.count("servers.leftMeanwhile")
+	j.log("Server left before the send.", "server", place.ID)
+}
+
+// acquireAt is acquire for a place that was chosen without reserve; it fails if the server has left meanwhile.
+func (j *job) acquireAt(place *gladefleet.Reservation, r gladequota.Request) error {
+	if err := j.acquire(j.ctx, place.Server, r); err != nil {
+		return err
+	}
+	if !place.InService(time.Now()) {
+		j.countLeftMeanwhile(place)
+		return gladefleet.ErrNoServer
+	}
+	return nil
+}
+
 // roomAfter returns after which time there is a server for a request for which there is none now, if the error tells.
 func roomAfter(err error) (time.Duration, bool) {
 	if denied, ok := errors.AsType[*gladequota.DeniedError](err); ok {
--- a/internal/proxy/gladeforward/limits_test.go
+++ b/internal/proxy/gladeforward/limits_test.go
@@ -98,6 +98,29 @@
 	})
 }
 
+// Guards against a request to a server that leaves between its choice and the send, while the VM asks for permission.
+func TestServerThatLeavesBeforeTheSendGetsNothing(t *testing.T) {
+	for _, path := range []string{"/unsafe/x", "/safe/x", "/stream/x"} {
+		runTest(t, func(w *harness) {
+			for _, id := range []string{"a", "b"} {
+				w.serve("app", "shubra", "app-"+id, answerWith(http.StatusOK, id))
+				w.serve("llm", "shubra", "llm-"+id, streamEvents(3, eventPause, nil))
+			}
+			left := ""
+			w.forwarder.config.Limits.Acquire = func(_ context.Context, s gladequota.Server, _ gladequota.Request) error {
+				if left == "" {
+					left = s.ID
+					w.fleet.MarkLeaving(s.ID, s.Started, time.Now())
+				}
+				return nil
+			}
+			w.Check(w.call(http.MethodPost, path, nil).status, qt.Equals, http.StatusOK)
+			w.Check(left, qt.Not(qt.Equals), "")
+			w.Check(slices.Contains(w.serversRun(), left), qt.IsFalse, qt.Commentf("%s", path))
+		})
+	}
+}
+
 // If all servers are at their limits, a request is refused at once and has not run, whatever its kind. Its caller is told when
 // there is room.
 func TestRequestsRefusedAtOnceIfAllServersAreAtLimits(t *testing.T) {
--- a/internal/proxy/gladeforward/stream.go
+++ b/internal/proxy/gladeforward/stream.go
@@ -166,7 +166,7 @@
 		from := s.copyName
 		s.dropCopy()
 		if err == nil {
-			if err = s.acquire(s.ctx, place.Server, gladequota.Request{Resumed: true}); err == nil {
+			if err = s.acquireAt(place, gladequota.Request{Resumed: true}); err == nil {
 				s.reserveCopy(place, room)
 				return place, from
 			}
