gladefront: servers are followed while a VM reads its release at the start

Cause: a VM that starts read the servers, then the release, and began to follow the servers only after that.

Change: the release is read beside the servers, and the reader of a failure domain begins at its usual time; only its own list of the release waits until that of the start has ended.

--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -76,9 +76,9 @@
 // readForDomain follows the release and the servers in the store while this VM is the reader of its failure domain.
 func (f *Front) readForDomain(ctx context.Context) {
 	servers := followConfig(f, gladeplatform.KindServers, f.watchWait(), f.decodeServer, f.onServers, f.onServerChanges, f.recordStoreReached)
-	if !f.config.Settings.FirstStart {
-		f.readAtStart(ctx, servers.List)
-	}
+	var start sync.WaitGroup
+	defer start.Wait()
+	released := f.readAtStart(ctx, &start, servers.List)
 	for ctx.Err() == nil {
 		if !shouldTakeOver(ctx, func() bool { return f.feed.ShouldRead(false, time.Now()) }) {
 			select {
@@ -92,7 +92,13 @@
 		reading, cancel := context.WithCancel(ctx)
 		var tasks sync.WaitGroup
 		tasks.Go(func() { gladeview.Follow(reading, servers) })
-		tasks.Go(func() { gladeview.Follow(reading, f.releases) })
+		tasks.Go(func() {
+			select {
+			case <-released: // two lists of a large release at once would each take twice as long
+				gladeview.Follow(reading, f.releases)
+			case <-reading.Done():
+			}
+		})
 		if f.rollouts != nil {
 			tasks.Go(func() { gladeview.Follow(reading, f.rollouts.follow) })
 		}
--- a/internal/proxy/gladefront/start.go
+++ b/internal/proxy/gladefront/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/eelgrassglade/eelgrassglade/internal/fleet/gladefleet"
@@ -15,25 +16,39 @@
 	startReadPause = 150 * time.Millisecond
 )
 
-// readAtStart reads the roll-outs, the servers and the release once, so that a restarted VM serves at once, without following them:
-// when many VMs restart together, each would repeat the calls of the reader of its failure domain until it has received that one for
-// a while.
-func (f *Front) readAtStart(ctx context.Context, list func(context.Context) ([]gladeview.Item[entry[gladefleet.Server]], int64, error)) {
-	ctx = withStoreCause(ctx, causeStart)
-	err := readSteps(ctx, startReads, startReadPause, []func(context.Context) error{
-		f.readRolloutsAtStart,
-		func(ctx context.Context) error {
-			items, revision, err := list(ctx)
-			if err == nil {
-				f.onServers(items, revision)
-			}
-			return err
-		},
-		f.readRelease,
-	}, func(err error) { f.log.Warn("Cannot read the store at the start.", "reason", err) })
-	if err == nil {
-		f.confirmRelease()
+// readAtStart reads the roll-outs and the servers, and beside them the release, once, so that a restarted VM serves at once, without following
+// them: when many VMs restart together, each would repeat the calls of the reader of its failure domain until it has received that one for
+// a while.  It reads nothing where the whole system starts for the first time.  The channel is closed once the release is read or was tried
+// often enough, which may take seconds if it is large.
+func (f *Front) readAtStart(
+	ctx context.Context, tasks *sync.WaitGroup, list func(context.Context) ([]gladeview.Item[entry[gladefleet.Server]], int64, error),
+) <-chan struct{} {
+	released := make(chan struct{})
+	if f.config.Settings.FirstStart {
+		close(released)
+		return released
 	}
+	ctx = withStoreCause(ctx, causeStart)
+	onError := func(err error) { f.log.Warn("Cannot read the store at the start.", "reason", err) }
+	tasks.Go(func() {
+		_ = readSteps(ctx, startReads, startReadPause, []func(context.Context) error{
+			f.readRolloutsAtStart,
+			func(ctx context.Context) error {
+				items, revision, err := list(ctx)
+				if err == nil {
+					f.onServers(items, revision)
+				}
+				return err
+			},
+		}, onError) // each error is logged, and the reader of the failure domain lists too
+	})
+	tasks.Go(func() {
+		defer close(released)
+		if err := readSteps(ctx, startReads, startReadPause, []func(context.Context) error{f.readRelease}, onError); err == nil {
+			f.confirmRelease()
+		}
+	})
+	return released
 }
 
 // readSteps takes steps in order, up to a number of attempts in all, and returns the error of the last one. A step that has succeeded is
--- a/internal/proxy/gladesoak/leavings_test.go
+++ b/internal/proxy/gladesoak/leavings_test.go
@@ -180,6 +180,20 @@
 	return late
 }
 
+// restart kills all VMs and starts them again, in half of the runs all servers too.
+func (l *leavings) restart() {
+	var tasks sync.WaitGroup
+	if l.random.IntN(2) == 0 {
+		for _, f := range l.servers {
+			down := l.between(200*time.Millisecond, 3*time.Second)
+			f.crash()
+			tasks.Go(func() { time.Sleep(down); f.start() })
+		}
+	}
+	l.restartAll(l.between(500*time.Millisecond, 1500*time.Millisecond))
+	tasks.Wait()
+}
+
 // Guards against requests to leaving servers, in whatever trouble their VMs' neighbours and the store are, and against VMs that do not
 // serve again after all of them have ended.
 func TestLeavings(t *testing.T) {
@@ -205,7 +219,7 @@
 				"config": l.between(0, 2*time.Second), "servers": l.between(0, 900*time.Millisecond),
 			}
 			l.store.mu.Unlock()
-			l.restartAll(l.between(500*time.Millisecond, 1500*time.Millisecond))
+			l.restart()
 			l.checkServesWithin(recoverBound)
 		})
 	}
