gladefleet: the digest of the list is kept up to date

Cause: since VMs compare their list with the reader's in each update and heartbeat, up to twelve times a second, each takes the digest of all its servers as often.

Change: the table combines the digests as the list changes; Digest returns the result. TestListIsTheSameWhateverElseIsKnown compares it with the sum of the list.

--- a/internal/fleet/gladefleet/list_test.go
+++ b/internal/fleet/gladefleet/list_test.go
@@ -70,6 +70,11 @@
 				changed := h.list(id)
 				h.Assert(changed[0], qt.Equals, changed[1], qt.Commentf("seed %d, server %s", seed, id))
 				h.Assert(h.vms[0].Digest(), qt.Equals, h.vms[1].Digest(), qt.Commentf("seed %d, server %s", seed, id))
+				whole := uint64(0)
+				for _, s := range h.vms[0].List() {
+					whole ^= s.digest()
+				}
+				h.Assert(h.vms[0].Digest(), qt.Equals, max(1, whole), qt.Commentf("seed %d, server %s", seed, id))
 				h.Assert(h.vms[0].List(), qt.DeepEquals, h.vms[1].List(), qt.Commentf("seed %d, server %s", seed, id))
 			}
 			h.now = h.now.Add(time.Duration(h.random.IntN(500)) * time.Millisecond)
--- a/internal/fleet/gladefleet/table.go
+++ b/internal/fleet/gladefleet/table.go
@@ -66,8 +66,9 @@
 	reports map[string]*serviceReports
 	// prefixes is what this VM remembers of the prefixes of prompts.
 	prefixes prefixMemory
-	// revision is the revision of the store up to which the servers are known.
+	// revision is the revision of the store up to which the servers are known, and digest the combined digest of their list.
 	revision int64
+	digest   uint64
 	// rolloutsRevision is the revision of the store up to which the roll-outs are known.
 	rolloutsRevision int64
 	// lastHeard is when this VM last received anything from any server.
@@ -131,10 +132,7 @@
 		e.lastUse.lower(now.Add(min(t.listedGrace(), t.config.DrainBound)))
 	}
 	t.put(s)
-	e := t.servers[s.ID]
-	changed := e.listing == nil || *e.listing != s
-	e.listing = &s
-	return changed
+	return t.setListing(t.servers[s.ID], &s)
 }
 
 // listedGrace returns how long a server may still be chosen once the store no longer lists it as active, if there is no other.
@@ -188,13 +186,22 @@
 func (t *Table) Digest() uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	digest := uint64(0)
-	for _, e := range t.servers {
-		if e.listing != nil {
-			digest ^= e.listing.digest()
+	return max(1, t.digest)
+}
+
+// setListing sets what the list says of a server, nil if it lacks the server, and reports whether that is new.  The caller holds t.mu.
+func (t *Table) setListing(e *entry, s *Server) bool {
+	old := e.listing
+	if old == s || old != nil && s != nil && *old == *s {
+		return false
+	}
+	for _, x := range []*Server{old, s} {
+		if x != nil {
+			t.digest ^= x.digest()
 		}
 	}
-	return max(1, digest)
+	e.listing = s
+	return true
 }
 
 // SetRevision records the revision of the store up to which the servers are known, for Reservation.Revision.
@@ -243,7 +250,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.servers[id]; e != nil {
-		e.listing, e.unlisted = nil, true
+		t.setListing(e, nil)
+		e.unlisted = true
 		e.lastUse.lower(now.Add(t.listedGrace() + grace))
 		t.index()
 	}
