gladefront: the test of a server's backoff waits until the other servers are known to leave

It waited for a number of healthy servers of one at most, which holds with one of the two others still in service, as the server in backoff does not count; VMs that had heard of one leaving only sent that other one requests, rightly.

Change: it waits until each VM has both as leaving, and checks as before that nothing is served.

--- a/internal/proxy/gladefront/limits_test.go
+++ b/internal/proxy/gladefront/limits_test.go
@@ -266,7 +266,9 @@
 	f.call(70, time.Second, f.anyVM) // each VM hears of it
 	f.publishServers("draining")
 	for _, front := range f.fronts {
-		f.eventually("the others leave", func() bool { return front.fleet.HealthyServers("app", nil, time.Now()) <= 1 })
+		for _, domain := range limitDomains[1:] { // a server in backoff does not count as healthy, so that their number says nothing
+			f.eventually("the others leave", func() bool { x, _ := front.fleet.Server("i-" + domain); return x.Leaving })
+		}
 	}
 	told := time.Now()
 	out := f.call(70, 2*time.Second, f.anyVM)
