Operations: from a request at a leaving server to its cause

Cause: the incident could not be traced from the users' record; the lines are there now, and no page said how to read them together.

No logic changes.

--- a/internal/proxy/gladefront/servers.go
+++ b/internal/proxy/gladefront/servers.go
@@ -69,6 +69,7 @@
 	return ids
 }
 
+// onServers takes over a list that this VM has read from the store, and tells its failure domain what has changed.
 func (f *Front) onServers(items []gladeview.Item[entry[gladefleet.Server]], revision int64) {
 	var servers []gladefleet.Server
 	for _, i := range items {
@@ -100,6 +101,7 @@
 	f.publishServers(update)
 }
 
+// onServerChanges does the same with changes that its watch has brought.
 func (f *Front) onServerChanges(changes []gladeview.Change[entry[gladefleet.Server]], revision int64) {
 	f.readRolloutsFor(f.listedServers(changes), revision)
 	now := time.Now()
