gladesoak: a signal is recorded when it has been sent, too

Traced by the VM's log: no stop; it sent the request at 11.815, and its next process began at 11.896, after a SIGKILL. The soak noted the time of the kill before it sent the signal, got no processor in between, and took the request, sent after that time, for one after the kill. The other check of the same request counts it as killed.

Change: the time is noted before and after the signal. Requests sent once the signal has been sent are checked as before.

--- a/internal/proxy/gladesoak/soak_test.go
+++ b/internal/proxy/gladesoak/soak_test.go
@@ -99,15 +99,21 @@
 func (v *vm) signal(s syscall.Signal) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.recordSignal(s)
+	if s == syscall.SIGTERM || s == syscall.SIGKILL {
+		v.ends = append(v.ends, endSpan{signal: s, from: v.lastFault})
+	}
+	_ = v.cmd.Process.Signal(s) // it may have ended already
+	v.recordSignal(s)           // requests that were sent since the first record may be hit too
+}
+
+// recordSignal records a signal at the present time.  The caller holds mu.
+func (v *vm) recordSignal(s syscall.Signal) {
 	v.lastFault = time.Now()
 	v.faults = append(v.faults, v.lastFault)
 	if s != syscall.SIGTERM {
 		v.lastKill = v.lastFault
 	}
-	if s == syscall.SIGTERM || s == syscall.SIGKILL {
-		v.ends = append(v.ends, endSpan{signal: s, from: v.lastFault})
-	}
-	_ = v.cmd.Process.Signal(s) // it may have ended already
 }
 
 // faultsSince reports whether the process had no fault since t, and whether it had none except a stop.
