gladesend: a request is sent once per connection

Cause: servers may send a second copy of an answer where the next answer on the connection is expected. A VM tells such copies by the identifier of the request. If all servers have rejected a stream, it is sent to one of them again, mostly on the connection on which that server has just rejected it. The copy of the rejection then has the identifier of the very request that is being answered, and the server runs the request while the VM takes it for rejected: it is sent to another server, counted as an attempt that did not run, or answered 503.

Change: a connection remembers the requests that were sent on it, and takes no request twice. Another idle connection is used instead, or a new one. After 256 requests a connection is not reused, which bounds that memory to 2 KB. This holds for every repeat: after a rejection, a wait or a 421, on a move, for a second copy of the caller's own request.

Tests, which failed before: TestLateRejectionIsNoAnswerToNextSend (two and three runs of a stream instead of one; no answer until the time limit), TestRequestIsSentOncePerConnection (the copy was returned as the answer), TestConnectionIsReplacedAfterManyRequests.

Ruled out: to tell copies by their time (the rejection of a full server comes as fast as a copy), and to avoid the server for good (it may be the only one).

--- a/internal/proxy/gladeforward/forward_test.go
+++ b/internal/proxy/gladeforward/forward_test.go
@@ -294,7 +294,7 @@
 	address := id + ":1"
 	l, err := w.network.Host(id).Listen("tcp", address)
 	w.Assert(err, qt.IsNil)
-	s := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+	s := &http.Server{ConnContext: withLateConn, Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		w.mu.Lock()
 		at := len(w.runs)
@@ -309,7 +309,7 @@
 			w.mu.Unlock()
 		}
 	})}
-	go func() { _ = s.Serve(l) }()
+	go func() { _ = s.Serve(lateListener{l}) }()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.closers = append(w.closers, func() { _ = s.Close() })
--- /dev/null
+++ b/internal/proxy/gladeforward/lateanswer_test.go
@@ -0,0 +1,94 @@
+package gladeforward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// lateListener accepts connections as lateConns.
+type lateListener struct{ net.Listener }
+
+func (l lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &lateConn{Conn: c}, err
+}
+
+// lateConn is a server's connection that sends some bytes before the next answer.
+type lateConn struct {
+	net.Conn
+
+	late string
+}
+
+func (c *lateConn) Write(b []byte) (int, error) {
+	late := c.late
+	c.late = ""
+	if _, err := io.WriteString(c.Conn, late); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+type lateConnKey struct{}
+
+// withLateConn adds a server's connection to the context of its requests.
+func withLateConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, lateConnKey{}, c)
+}
+
+// rejectTwice rejects a request, and sends a second copy of the rejection before the next answer on the connection.
+func rejectTwice(rw http.ResponseWriter, r *http.Request) {
+	rw.Header().Set("Content-Length", "0")
+	notRunAnswer(rw, r)
+	_ = http.NewResponseController(rw).Flush()
+	r.Context().Value(lateConnKey{}).(*lateConn).late = fmt.Sprintf(
+		"HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", testID, r.Header.Get(testID), testNotRun)
+}
+
+// inTurn handles the first requests by one handler each, and all others by the last.
+func inTurn(handlers ...http.HandlerFunc) http.HandlerFunc {
+	var received atomic.Int64
+	return func(rw http.ResponseWriter, r *http.Request) {
+		handlers[min(int(received.Add(1)), len(handlers))-1](rw, r)
+	}
+}
+
+// Guards against a second run, and against a 503 for a stream that has run, where a server's late second rejection of a stream is taken for
+// its answer to the next send of that stream.
+func TestLateRejectionIsNoAnswerToNextSend(t *testing.T) {
+	stream := streamEvents(5, eventPause, nil)
+	for name, other := range map[string][]http.HandlerFunc{
+		"other server is full":       {notRunAnswer},
+		"other server rejects twice": {rejectTwice, stream},
+	} {
+		for _, path := range []string{"/once/x", "/stream/x"} {
+			t.Run(name+path, func(t *testing.T) {
+				runTest(t, func(w *harness) {
+					var runs atomic.Int64
+					counted := func(h http.HandlerFunc) http.HandlerFunc {
+						return func(rw http.ResponseWriter, r *http.Request) {
+							h(rw, r)
+							if rw.Header().Get(testNotRun) == "" {
+								runs.Add(1)
+							}
+						}
+					}
+					w.serve("llm", "shubra", "a", counted(inTurn(rejectTwice, stream)))
+					w.serve("llm", "giza", "b", counted(inTurn(other...)))
+					r := w.call(http.MethodPost, path, nil)
+					w.waitForCleanup()
+					w.Check(r.status, qt.Equals, http.StatusOK)
+					w.Check(r.body, qt.Equals, eventText(1, 5))
+					w.Check(runs.Load(), qt.Equals, int64(1), qt.Commentf("sent to %v", w.serversRun()))
+				})
+			})
+		}
+	}
+}
--- a/internal/proxy/gladesend/exchange.go
+++ b/internal/proxy/gladesend/exchange.go
@@ -69,11 +69,11 @@
 //
 // It fails with ErrNotSent if no server received the request; after any other error a server may have received it.
 func (c *Client) Do(ctx context.Context, call *Call, s *SendParams) (*Exchange, error) {
-	conn, err := c.Pool.get(ctx, s.Address, s.NewConnection, s.cause())
+	conn, err := c.Pool.get(ctx, call.ID, s)
 	if err != nil {
 		return nil, err
 	}
-	conn.used = true
+	conn.recordSent(call.ID)
 	x := &Exchange{pool: c.Pool, conn: conn, writeResult: make(chan error, 1), hold: call.Hold, done: ctx.Done()}
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	head, sentAt := c.encodeHead(call, s), time.Now()
--- a/internal/proxy/gladesend/pool.go
+++ b/internal/proxy/gladesend/pool.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 )
 
@@ -50,6 +51,8 @@
 	// socketBufferBytes is the size of the kernel's buffers of a connection, which doubles it.  Without it they grow to megabytes,
 	// and bytes in them count as memory of the VM.
 	socketBufferBytes = 64 << 10
+	// maxConnectionRequests is the number of requests after which a connection is not reused, as it remembers all of them.
+	maxConnectionRequests = 256
 	// ackTimeout is how long sent data may stay unacknowledged; it is above the longest harmless loss of packets.
 	ackTimeout = 3 * time.Second
 )
@@ -79,8 +82,8 @@
 	idleSince time.Time
 	// idleTimeout is how long the connection may stay idle before it is discarded.
 	idleTimeout time.Duration
-	// used reports that a request was sent on the connection.
-	used bool
+	// sent are the hashes of the identifiers of the requests that were sent on the connection.
+	sent []uint64
 }
 
 // PoolConfig configures a Pool.
@@ -117,16 +120,16 @@
 // tcpUserTimeout is the socket option TCP_USER_TIMEOUT, which package syscall does not define.
 const tcpUserTimeout = 18
 
-// get returns an idle connection, or a new one if there is none or fresh is set.
-func (p *Pool) get(ctx context.Context, address string, fresh bool, cause Cause) (*conn, error) {
-	if !fresh {
-		if c := p.takeIdle(address); c != nil {
+// get returns a connection for the request with an identifier: an idle one, or a new one if there is none or s requests it.
+func (p *Pool) get(ctx context.Context, id string, s *SendParams) (*conn, error) {
+	if !s.NewConnection {
+		if c := p.takeIdle(s.Address, id); c != nil {
 			return c, nil
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	return p.open(ctx, address, cause)
+	return p.open(ctx, s.Address, s.cause())
 }
 
 func (p *Pool) open(ctx context.Context, address string, cause Cause) (*conn, error) {
@@ -157,40 +160,39 @@
 	})
 }
 
-// takeIdle returns the most recently used idle connection that can be reused, or nil.
-func (p *Pool) takeIdle(address string) *conn {
+// takeIdle returns the most recently used idle connection that can be reused for the request with an identifier, or nil.
+func (p *Pool) takeIdle(address, id string) *conn {
 	for {
-		p.mu.Lock()
-		list := p.idle[address]
-		if len(list) == 0 {
-			p.mu.Unlock()
-			return nil
-		}
-		c := list[len(list)-1]
-		p.idle[address] = list[:len(list)-1]
-		p.idleCount--
-		p.mu.Unlock()
-		if time.Since(c.idleSince) < c.idleTimeout && c.reusable() {
+		c := p.removeLast(address, func(c *conn) bool { return c.identifies(id) })
+		if c == nil || time.Since(c.idleSince) < c.idleTimeout && c.reusable() {
 			return c
 		}
 		_ = c.Close()
 	}
 }
 
+// removeLast removes the most recently used idle connection that fits and returns it, or nil.
+func (p *Pool) removeLast(address string, fits func(*conn) bool) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; fits(c) {
+			p.idle[address] = slices.Concat(list[:i], list[i+1:])
+			p.idleCount--
+			return c
+		}
+	}
+	return nil
+}
+
 // TakeUnused returns an idle connection on which no request has been sent yet, as a probe leaves it, or nil.  An answer on it belongs
 // to the first request that is sent there.
 func (p *Pool) TakeUnused(address string) net.Conn {
-	p.mu.Lock()
-	list := p.idle[address]
-	i := slices.IndexFunc(list, func(c *conn) bool { return !c.used })
-	if i < 0 {
-		p.mu.Unlock()
+	c := p.removeLast(address, func(c *conn) bool { return len(c.sent) == 0 })
+	if c == nil {
 		return nil
 	}
-	c := list[i]
-	p.idle[address] = slices.Concat(list[:i], list[i+1:])
-	p.idleCount--
-	p.mu.Unlock()
 	if time.Since(c.idleSince) < c.idleTimeout && c.reusable() {
 		return c.Conn
 	}
@@ -201,7 +203,7 @@
 // put returns a connection to the pool after a complete answer and closes those that are expired or too many.
 func (p *Pool) put(c *conn) {
 	c.idleSince = time.Now()
-	if c.idleTimeout <= 0 || c.reader.Buffered() > 0 {
+	if c.idleTimeout <= 0 || c.reader.Buffered() > 0 || len(c.sent) >= maxConnectionRequests {
 		_ = c.Close()
 		return
 	}
@@ -246,6 +248,15 @@
 	return removed
 }
 
+// identifies reports whether the answer to the request with an identifier can be told from late second answers to the requests that were
+// sent on the connection before.  These bear the identifiers of their requests, so no identifier may be sent twice on one connection.
+func (c *conn) identifies(id string) bool {
+	return len(c.sent) == 0 || id != "" && !slices.Contains(c.sent, xxhash.Sum64String(id))
+}
+
+// recordSent records that the request with an identifier is sent on the connection.
+func (c *conn) recordSent(id string) { c.sent = append(c.sent, xxhash.Sum64String(id)) }
+
 // reusable reports whether the peer has neither closed the connection nor sent unexpected data.
 func (c *conn) reusable() bool {
 	sc, ok := c.Conn.(syscall.Conn)
--- a/internal/proxy/gladesend/send_test.go
+++ b/internal/proxy/gladesend/send_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -19,10 +20,14 @@
 
 const okAnswer = "HTTP/1.1 200 OK\r\nId: %\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok"
 
+const notRunAnswer = "HTTP/1.1 503 Service Unavailable\r\nId: %\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
 // scriptedServer answers each request with the next of its answers, in which "%" stands for the identifier of the
 // request.
 type scriptedServer struct {
 	answers []string
+	// late is sent before the answer to each request but the first on a connection; "%" stands for the identifier of the request before it.
+	late string
 	// closeAtEnd makes the server close the connection after the last answer.
 	closeAtEnd bool
 	// conns counts the accepted connections.
@@ -70,6 +75,7 @@
 func (s *scriptedServer) answer(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	r := bufio.NewReader(conn)
+	late := ""
 	for {
 		request, err := http.ReadRequest(r)
 		if err != nil {
@@ -82,9 +88,10 @@
 		}
 		text := s.answers[0]
 		s.answers = s.answers[1:]
-		if _, err := io.WriteString(conn, strings.ReplaceAll(text, "%", request.Header.Get("Id"))); err != nil {
+		if _, err := io.WriteString(conn, late+strings.ReplaceAll(text, "%", request.Header.Get("Id"))); err != nil {
 			return
 		}
+		late = strings.ReplaceAll(s.late, "%", request.Header.Get("Id"))
 		if s.closeAtEnd && len(s.answers) == 0 {
 			return
 		}
@@ -139,6 +146,43 @@
 	})
 }
 
+// Guards against a late second answer to a request that is taken for the answer to the next send of that request.
+func TestRequestIsSentOncePerConnection(t *testing.T) {
+	s := &scriptedServer{late: notRunAnswer, answers: []string{notRunAnswer, okAnswer, okAnswer, okAnswer, okAnswer}}
+	runWithServer(t, s, func(c *qt.C, client *Client) {
+		for i, x := range []struct {
+			id, body string
+			conns    int
+		}{
+			{"1", "", 1},
+			{"1", "ok", 2}, // the late rejection would be its answer on the first connection
+			{"2", "ok", 2},
+			{"1", "ok", 3},
+			{"2", "ok", 3},
+		} {
+			body, err := sendAndRead(client, x.id)
+			c.Check(err, qt.IsNil)
+			c.Check(body, qt.Equals, x.body, qt.Commentf("send %d", i))
+			c.Check(s.conns, qt.Equals, x.conns, qt.Commentf("send %d", i))
+		}
+	})
+}
+
+// Guards against connections whose memory of the requests sent on them grows without a limit.
+func TestConnectionIsReplacedAfterManyRequests(t *testing.T) {
+	s := &scriptedServer{}
+	for range maxConnectionRequests + 1 {
+		s.answers = append(s.answers, okAnswer)
+	}
+	runWithServer(t, s, func(c *qt.C, client *Client) {
+		for i := range maxConnectionRequests + 1 {
+			_, err := sendAndRead(client, strconv.Itoa(i))
+			c.Assert(err, qt.IsNil)
+			c.Assert(s.conns, qt.Equals, 1+i/maxConnectionRequests)
+		}
+	})
+}
+
 // Bytes beyond an answer would be read as the start of the next one, so the connection must not be reused.
 func TestConnectionWithExtraBytesNotReused(t *testing.T) {
 	s := &scriptedServer{answers: []string{okAnswer + "HTTP/1.1 200 OK\r\n", okAnswer}}
