gladesend: an answer without an identifier ends its connection

What callers would see: a request that may not be repeated runs at two servers, or is answered 503 though it has run.

Servers answer 400 without an identifier to a request that has none, and say that it did not run. A VM kept the connection, and took an answer without an identifier, of status 300 or more, for the answer to whatever it sent next there. The copy then made the next request count as not run.

Change: a connection is closed after an answer without an identifier, so that its copy has no next request to follow. On a connection that has carried other requests, an answer without one belongs to no request for certain: the request may have run. On a new connection it is accepted as before, as a 421 of a server that has taken over an address may come without one.

Tests, which failed before: TestLateRejectionWithoutIdentifierIsNoAnswerToNextRequest (sent to a, a and b instead of a and a), TestAnswerWithoutIdentifierIsNoAnswerToLaterRequest.

Looked at and left as they are: calls to engines (gladeclient) have an identifier of their own each, and accept an answer without one only on a new connection or from a call of the same group; health checks are such calls; a probe sends nothing, and its connection is discarded if bytes come before its first use; gladeservice opens a connection for each call that may not be repeated, and checks the identifier of the attempt.

--- a/internal/proxy/gladeforward/lateanswer_test.go
+++ b/internal/proxy/gladeforward/lateanswer_test.go
@@ -92,3 +92,14 @@
 		}
 	}
 }
+
+// Guards against a second run, where the late second rejection of a request without an identifier is taken for the answer to another request.
+func TestLateRejectionWithoutIdentifierIsNoAnswerToNextRequest(t *testing.T) {
+	runTest(t, func(w *harness) {
+		w.serve("app", "shubra", "a", inTurn(rejectTwice, answerWith(http.StatusOK, "posted")))
+		w.Check(w.call(http.MethodPost, "/unsafe/x", map[string]string{testID: ""}).status, qt.Equals, http.StatusServiceUnavailable)
+		w.serve("app", "giza", "b", answerWith(http.StatusOK, "posted"))
+		w.Check(w.call(http.MethodPost, "/unsafe/x", nil).status, qt.Equals, http.StatusOK)
+		w.Check(w.serversRun(), qt.DeepEquals, []string{"a", "a"})
+	})
+}
--- a/internal/proxy/gladesend/exchange.go
+++ b/internal/proxy/gladesend/exchange.go
@@ -131,9 +131,10 @@
 		}
 		x.Status, x.Header, x.body, x.contentLength = r.StatusCode, r.Header, r.Body, r.ContentLength
 		x.unframed = r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
-		x.connectionEnds = r.Close || r.ContentLength < 0 && len(r.TransferEncoding) == 0
 		x.conn.applyKeepAlive(r.Header.Get("Keep-Alive"))
 		x.Info = c.Decode(r.Header)
+		// A second copy of an answer without an identifier could be taken for the answer to the next request.
+		x.connectionEnds = r.Close || r.ContentLength < 0 && len(r.TransferEncoding) == 0 || x.Info.ID == ""
 		c.reportHead(answer, x, call)
 		if x.Info.ID != "" && x.Info.ID != call.ID {
 			// It is a late second answer to an earlier request; the answer to this one may follow.
@@ -145,7 +146,7 @@
 			}
 			continue
 		}
-		if x.Info.ID == "" && r.StatusCode < http.StatusMultipleChoices {
+		if x.Info.ID == "" && (r.StatusCode < http.StatusMultipleChoices || len(x.conn.sent) > 1) {
 			return eris.Wrapf(ErrWrongAnswer, "%s answered without an identifier", x.conn.address)
 		}
 		StripHopHeaders(x.Header)
--- a/internal/proxy/gladesend/send_test.go
+++ b/internal/proxy/gladesend/send_test.go
@@ -168,6 +168,28 @@
 	})
 }
 
+// Guards against a request that a server runs and that counts as rejected, because a late answer without an identifier, to an earlier request,
+// is taken for the answer to it.
+func TestAnswerWithoutIdentifierIsNoAnswerToLaterRequest(t *testing.T) {
+	unnamed := strings.ReplaceAll(notRunAnswer, "Id: %\r\n", "")
+	s := &scriptedServer{late: unnamed, answers: []string{okAnswer, okAnswer}}
+	runWithServer(t, s, func(c *qt.C, client *Client) {
+		_, err := sendAndRead(client, "1")
+		c.Assert(err, qt.IsNil)
+		_, err = sendAndRead(client, "2")
+		c.Assert(err, qt.ErrorIs, ErrWrongAnswer)
+	})
+	s = &scriptedServer{late: unnamed, answers: []string{unnamed, okAnswer}}
+	runWithServer(t, s, func(c *qt.C, client *Client) {
+		_, err := sendAndRead(client, "1")
+		c.Assert(err, qt.IsNil)
+		body, err := sendAndRead(client, "2")
+		c.Assert(err, qt.IsNil)
+		c.Assert(body, qt.Equals, "ok")
+		c.Assert(s.conns, qt.Equals, 2)
+	})
+}
+
 // Guards against connections whose memory of the requests sent on them grows without a limit.
 func TestConnectionIsReplacedAfterManyRequests(t *testing.T) {
 	s := &scriptedServer{}
