gladesend: the rule for answers without an identifier is a method

Cause: with it, readHeader was more complex than the linter allows (21, limit 20). Change: acceptsUnnamed holds it; no behaviour changes. The linter finds nothing now, and the tests of gladesend and gladeforward pass.

--- a/internal/proxy/gladesend/exchange.go
+++ b/internal/proxy/gladesend/exchange.go
@@ -146,7 +146,7 @@
 			}
 			continue
 		}
-		if x.Info.ID == "" && (r.StatusCode < http.StatusMultipleChoices || len(x.conn.sent) > 1) {
+		if x.Info.ID == "" && !x.acceptsUnnamed() {
 			return eris.Wrapf(ErrWrongAnswer, "%s answered without an identifier", x.conn.address)
 		}
 		StripHopHeaders(x.Header)
@@ -154,6 +154,12 @@
 	}
 }
 
+// acceptsUnnamed reports whether the answer belongs to the request although it has no identifier.  Late answers to earlier requests come
+// only on connections that have carried any.
+func (x *Exchange) acceptsUnnamed() bool {
+	return x.Status >= http.StatusMultipleChoices && len(x.conn.sent) == 1
+}
+
 // reportHead passes the head of an answer on to OnAnswer.
 func (c *Client) reportHead(answer AnswerHead, x *Exchange, call *Call) {
 	if c.OnAnswer == nil {
