gladefront: limits of calls to the store widen while they are too short

Cause: a list of the store had 5 s for all of its answer, and a watch 5 s beyond its wait. What took longer was given up while it arrived, and the next call began from nothing under the same limit.

Change: calls that took too long get wider limits in the next call of their kind, until one succeeds (gladeprogress.Widening). The limit on all of an answer is 20 s and doubles up to six times; that on silence doubles twice at most, as before, now also within the answers to watches. The limit until an answer begins stays as it was: a call on a connection that is silent for good must not wait longer.

Test, which failed before: TestLargeReleaseOnSlowLinkIsReceived, a release of 800 KB at 100 KB/s, by list and by watch.

Looked at, by reading, and left as they are: a list that breaks off at the same place each time cannot be had, as the store gives no part of a page; a store whose answers begin later than 2.8 s (servers) or 5 s (release) after the call; the limits of 1 and 3 s on a release from another VM, which is compressed and the second source beside the store; status writes, which are small, in 0.7 s.

--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -34,8 +34,10 @@
 	// callTimeout bounds a call to the store or a peer, beyond any wait that the call asks for; answers take milliseconds.  Of a list of the
 	// store it bounds the pauses in which nothing arrives.
 	callTimeout = 700 * time.Millisecond
-	// maxAnswerTime is the longest time for which an answer of the store may arrive: the largest one takes 3.4 s over 10 Mbit/s.
-	maxAnswerTime = 5 * time.Second
+	// maxFirstWait is the longest time until the answer to a list begins.
+	maxFirstWait = 5 * time.Second
+	// answerTime is how long an answer of the store may arrive; it doubles while that is too short.
+	answerTime = 20 * time.Second
 	// lapsedServerGrace is the extra time for which servers are kept whose entries may have expired during a store outage:
 	// their entries may be written again after the outage.
 	lapsedServerGrace = 1500 * time.Millisecond
@@ -185,10 +187,14 @@
 			}
 		},
 		Watch: func(ctx context.Context, revision int64) ([]gladeview.Change[entry[T]], int64, error) {
-			ctx, cancel := gladeprogress.WithLimits(ctx, gladeprogress.Limits{First: wait + watchSlack, Pause: watchSlack, Total: wait + maxAnswerTime})
+			call := "watch " + kind
+			limits := f.widening.Limits(call, gladeprogress.Limits{Pause: watchSlack, Total: answerTime})
+			limits.First, limits.Total = wait+watchSlack, wait+limits.Total
+			ctx, cancel := gladeprogress.WithLimits(ctx, limits)
 			defer cancel()
 			f.countStoreCall(ctx, "watch", kind)
 			c, err := f.store.Watch(ctx, kind, revision, wait)
+			f.widening.Record(call, err)
 			switch {
 			case errors.Is(err, gladeview.ErrHistoryGone):
 				f.log.Warn("The store has lost its history; listing anew.", "kind", kind, "revision", revision)
@@ -217,14 +223,16 @@
 
 // listPage lists a page of the objects of a kind.
 func (f *Front) listPage(ctx context.Context, kind, after string) (gladeplatform.Page, error) {
-	first := f.listLimit(kind)
-	ctx, cancel := gladeprogress.WithLimits(ctx, gladeprogress.Limits{First: first, Pause: callTimeout, Total: maxAnswerTime})
+	call := "list " + kind
+	limits := f.listLimits(call, kind)
+	ctx, cancel := gladeprogress.WithLimits(ctx, limits)
 	defer cancel()
 	f.countStoreCall(ctx, "list", kind)
 	began := time.Now()
 	page, err := f.store.List(ctx, kind, after)
-	f.recordList(kind, err)
-	fields := []any{"kind", kind, "cause", string(storeCauseOf(ctx)), "tookMs", time.Since(began).Milliseconds(), "firstMs", first.Milliseconds()}
+	f.widening.Record(call, err)
+	fields := []any{"kind", kind, "cause", string(storeCauseOf(ctx)), "tookMs", time.Since(began).Milliseconds(), "firstMs", limits.First.Milliseconds(),
+		"totalMs", limits.Total.Milliseconds()}
 	if err == nil {
 		f.log.Info("Listed a page of the store.", append(fields, "after", after, "items", len(page.Items), "more", page.More, "revision", page.Revision)...)
 	} else {
@@ -240,34 +248,19 @@
 	maxPageBytes = 1 << 20
 	// slowestLink is the rate in bytes a second of a link whose rate is not known.
 	slowestLink = 10_000_000 / 8
-	// maxListDoublings bounds how often the limit of a list doubles.  A list that waits on a connection which is silent for good delays the
-	// next one.
-	maxListDoublings = 2
 )
 
-// listLimit returns how long a list may take until its answer begins: longer after lists that took too long, as each begins from nothing.
-// The release may come as one large object, of which a store may send nothing before it has all of it.
-func (f *Front) listLimit(kind string) time.Duration {
-	limit := callTimeout
+// listLimits returns the limits of a list.  The release may come as one large object, of which a store may send nothing before it has all
+// of it.
+func (f *Front) listLimits(call, kind string) gladeprogress.Limits {
+	first := callTimeout
 	if kind == gladeplatform.KindConfig {
 		rate := cmp.Or(f.config.Settings.LinkRate, slowestLink)
-		limit += time.Duration(maxPageBytes * int64(time.Second) / rate)
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return min(limit<<f.listDoublings[kind], maxAnswerTime)
-}
-
-// recordList records whether a list took too long.
-func (f *Front) recordList(kind string, err error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	switch {
-	case err == nil:
-		delete(f.listDoublings, kind)
-	case errors.Is(err, gladeprogress.ErrStalled) || errors.Is(err, context.DeadlineExceeded):
-		f.listDoublings[kind] = min(f.listDoublings[kind]+1, maxListDoublings)
+		first += time.Duration(maxPageBytes * int64(time.Second) / rate)
 	}
+	l := f.widening.Limits(call, gladeprogress.Limits{First: first, Pause: callTimeout, Total: answerTime})
+	l.First = min(l.First, maxFirstWait)
+	return l
 }
 
 // latencySampleSize is the number of values kept in the histogram of the store's latency.
--- a/internal/proxy/gladefront/front.go
+++ b/internal/proxy/gladefront/front.go
@@ -28,6 +28,7 @@
 	"github.com/eelgrassglade/eelgrassglade/internal/proxy/gladestop"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladeage"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladefeed"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladeprogress"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelay"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladerelease"
 	"github.com/eelgrassglade/eelgrassglade/internal/state/gladeview"
@@ -110,6 +111,8 @@
 	releaseMu sync.Mutex
 	// history holds the latest changes of the release.
 	history gladerelease.History
+	// widening widens the limits of calls to the store that took too long.
+	widening gladeprogress.Widening
 
 	mu sync.Mutex
 	// releaseChanged is closed and replaced when a release is put in force.
@@ -126,8 +129,6 @@
 	confirmedAt  time.Time
 	// unreachable holds, by kind, whether the store cannot be reached.
 	unreachable map[string]bool
-	// listDoublings holds, by kind, how often the limit of a list has doubled since one succeeded.
-	listDoublings map[string]int
 	// reading is set while this VM reads the store for its failure domain.
 	reading bool
 	// storeRefused reports that the store did not accept the last connection that this VM opened as a reader.
@@ -138,7 +139,7 @@
 // New opens the listeners and starts the components; it returns the clean-up function.
 func New(c Config) (*Front, func(), error) {
 	f := &Front{
-		config: c, log: c.Log, metrics: metrics.NewRegistry(), unreachable: map[string]bool{}, listDoublings: map[string]int{}, peersHeard: make(chan struct{}),
+		config: c, log: c.Log, metrics: metrics.NewRegistry(), unreachable: map[string]bool{}, peersHeard: make(chan struct{}),
 		releaseChanged: make(chan struct{}), startedAt: time.Now(),
 		fleet: gladefleet.New(gladefleet.Config{
 			FailureDomain: c.Settings.FailureDomain, FailureDomains: len(c.Settings.FailureDomains),
--- a/internal/proxy/gladefront/front_test.go
+++ b/internal/proxy/gladefront/front_test.go
@@ -122,7 +122,7 @@
 	// Each VM has its own address of the store, because every caller on loopback has the same source address.
 	store := f.address(200, 8000+host)
 	if f.closeStoreListener[host] == nil {
-		f.closeStoreListener[host] = f.listenAt(store, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.store.serve(host, w, r) }))
+		f.closeStoreListener[host] = f.listenAt(store, f.store.handler(host))
 	}
 	front, closeFront, err := New(Config{
 		Settings: gladeplatform.Settings{
@@ -153,11 +153,18 @@
 // eventually waits until a condition holds.
 func (f *testFleet) eventually(what string, holds func() bool) {
 	f.Helper()
-	for range 1000 {
+	f.eventuallyWithin(10*time.Second, what, holds)
+}
+
+// eventuallyWithin waits until a condition holds, for a time at most.
+func (f *testFleet) eventuallyWithin(limit time.Duration, what string, holds func() bool) {
+	f.Helper()
+	const step = 10 * time.Millisecond
+	for range limit / step {
 		if holds() {
 			return
 		}
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(step)
 	}
 	f.Fatalf("condition never held: %s", what)
 }
--- a/internal/proxy/gladefront/store_test.go
+++ b/internal/proxy/gladefront/store_test.go
@@ -45,6 +45,8 @@
 	// pageSize is the largest number of objects in an answer, zero for all, and afterPage is called after each page but the last.
 	pageSize  int
 	afterPage func(kind string)
+	// linkRate is the rate in bytes a second at which VMs receive answers, zero for no limit.
+	linkRate int
 	// calls counts the calls of all VMs by method and kind.
 	calls map[string]int
 }
@@ -129,6 +131,32 @@
 	change()
 }
 
+// handler returns the handler of the calls of the VM on a host.
+func (s *fakeStore) handler(host int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer := httptest.NewRecorder()
+		s.serve(host, answer, r)
+		w.WriteHeader(answer.Code)
+		s.mu.Lock()
+		rate := s.linkRate
+		s.mu.Unlock()
+		if rate == 0 {
+			_, _ = w.Write(answer.Body.Bytes())
+			return
+		}
+		for part := range slices.Chunk(answer.Body.Bytes(), rate/linkSteps) {
+			if _, err := w.Write(part); err != nil {
+				return
+			}
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(time.Second / linkSteps)
+		}
+	})
+}
+
+// linkSteps is how often in a second a part of an answer passes a slow link.
+const linkSteps = 20
+
 // serve answers lists and watches of the VM on a host.
 func (s *fakeStore) serve(host int, w http.ResponseWriter, r *http.Request) {
 	kind := strings.TrimPrefix(r.URL.Path, "/v1/objects/")
@@ -263,3 +291,33 @@
 	f.eventually("the change is known", func() bool { s, _ := front.fleet.Server("i-0"); return s.Leaving })
 	f.Check(lists.Load(), qt.Equals, int64(2))
 }
+
+// Guards against a release that is never received, as it takes longer over a VM's link than a call may take, and each further call begins
+// from nothing.
+func TestLargeReleaseOnSlowLinkIsReceived(t *testing.T) {
+	const rate, takes = 100_000, 8 // bytes a second, and seconds for the release
+	publishLarge := func(f *testFleet, version int) {
+		f.store.set(func() { f.store.linkRate = rate })
+		padding := fmt.Sprintf(`{"padding":%q,`, strings.Repeat("-", rate*takes))
+		f.store.put(gladeplatform.KindConfig, gladeplatform.ConfigName, strings.Replace(releaseText(version, "/a/"), "{", padding, 1))
+	}
+	t.Run("list", func(t *testing.T) {
+		t.Parallel()
+		f := newTestFleet(t)
+		f.publish(1, "/a/")
+		publishLarge(f, 2)
+		front, _ := f.startVM(1)
+		f.eventuallyWithin(30*time.Second, "ready", front.Ready)
+		f.Check(front.release.Load().Version, qt.Equals, int64(2))
+	})
+	t.Run("watch", func(t *testing.T) {
+		t.Parallel()
+		f := newTestFleet(t)
+		f.publish(1, "/a/")
+		front, _ := f.startVM(1)
+		f.eventually("ready", front.Ready)
+		f.eventually("it reads the store", front.isReading)
+		publishLarge(f, 2)
+		f.eventuallyWithin(30*time.Second, "the release is received", func() bool { return front.release.Load().Version == 2 })
+	})
+}
