gladefront: a watch whose answers come late waits longer after a while

What callers would see: a release that never comes in force at any VM.

Cause: a watch has 0.4 s beyond its wait until its answer begins, whatever the answer's size and however often it was given up.

Change: after three watches in a row that took too long, the time beyond the wait doubles with each further one, up to 5 s. The first three keep 0.4 s, so that a connection that is silent for good is noticed as soon as before in disruptions of up to about 7 s.

Test, which failed before: TestLargeReleaseOnSlowLinkIsReceived/watch_whole, a release of 300 KB at 100 KB/s.

Ruled out: the time of the largest release over the VM's link for each watch, as a list has it. It would delay each notice of a silent connection by 0.8 s at links of 10 Mbit/s.

Left: answers that begin later than 5 s after the wait of a watch, or after the call of a list.

--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -34,7 +34,7 @@
 	// callTimeout bounds a call to the store or a peer, beyond any wait that the call asks for; answers take milliseconds.  Of a list of the
 	// store it bounds the pauses in which nothing arrives.
 	callTimeout = 700 * time.Millisecond
-	// maxFirstWait is the longest time until the answer to a list begins.
+	// maxFirstWait is the longest time until the answer to a list begins, and the longest one beyond the wait of a watch.
 	maxFirstWait = 5 * time.Second
 	// answerTime is how long an answer of the store may arrive; it doubles while that is too short.
 	answerTime = 20 * time.Second
@@ -188,8 +188,7 @@
 		},
 		Watch: func(ctx context.Context, revision int64) ([]gladeview.Change[entry[T]], int64, error) {
 			call := "watch " + kind
-			limits := f.widening.Limits(call, gladeprogress.Limits{Pause: watchSlack, Total: answerTime})
-			limits.First, limits.Total = wait+watchSlack, wait+limits.Total
+			limits := f.watchLimits(call, wait)
 			ctx, cancel := gladeprogress.WithLimits(ctx, limits)
 			defer cancel()
 			f.countStoreCall(ctx, "watch", kind)
@@ -248,6 +247,8 @@
 	maxPageBytes = 1 << 20
 	// slowestLink is the rate in bytes a second of a link whose rate is not known.
 	slowestLink = 10_000_000 / 8
+	// steadyWatches is how many watches in a row may take too long before the next one may take longer.
+	steadyWatches = 3
 )
 
 // listLimits returns the limits of a list.  The release may come as one large object, of which a store may send nothing before it has all
@@ -263,6 +264,16 @@
 	return l
 }
 
+// watchLimits returns the limits of a watch that waits for changes.  The one until its answer begins widens only after several watches
+// that took too long: by it a connection that is silent for good is noticed.
+func (f *Front) watchLimits(call string, wait time.Duration) gladeprogress.Limits {
+	l := f.widening.Limits(call, gladeprogress.Limits{Pause: watchSlack, Total: answerTime})
+	doublings := max(0, f.widening.Timeouts(call)-steadyWatches)
+	l.First = wait + min(watchSlack<<doublings, maxFirstWait)
+	l.Total += wait
+	return l
+}
+
 // latencySampleSize is the number of values kept in the histogram of the store's latency.
 const latencySampleSize = 256
 
--- a/internal/proxy/gladefront/store_test.go
+++ b/internal/proxy/gladefront/store_test.go
@@ -45,8 +45,10 @@
 	// pageSize is the largest number of objects in an answer, zero for all, and afterPage is called after each page but the last.
 	pageSize  int
 	afterPage func(kind string)
-	// linkRate is the rate in bytes a second at which VMs receive answers, zero for no limit.
+	// linkRate is the rate in bytes a second at which VMs receive answers, zero for no limit, and whole lets nothing of an answer arrive
+	// before it has passed the link.
 	linkRate int
+	whole    bool
 	// calls counts the calls of all VMs by method and kind.
 	calls map[string]int
 }
@@ -136,11 +138,14 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		answer := httptest.NewRecorder()
 		s.serve(host, answer, r)
-		w.WriteHeader(answer.Code)
 		s.mu.Lock()
-		rate := s.linkRate
+		rate, whole := s.linkRate, s.whole
 		s.mu.Unlock()
-		if rate == 0 {
+		if whole {
+			time.Sleep(time.Duration(answer.Body.Len()) * time.Second / time.Duration(rate))
+		}
+		w.WriteHeader(answer.Code)
+		if whole || rate == 0 {
 			_, _ = w.Write(answer.Body.Bytes())
 			return
 		}
@@ -295,29 +300,37 @@
 // Guards against a release that is never received, as it takes longer over a VM's link than a call may take, and each further call begins
 // from nothing.
 func TestLargeReleaseOnSlowLinkIsReceived(t *testing.T) {
-	const rate, takes = 100_000, 8 // bytes a second, and seconds for the release
-	publishLarge := func(f *testFleet, version int) {
-		f.store.set(func() { f.store.linkRate = rate })
-		padding := fmt.Sprintf(`{"padding":%q,`, strings.Repeat("-", rate*takes))
+	const rate = 100_000 // bytes a second
+	publishLarge := func(f *testFleet, version, seconds int, whole bool) {
+		f.store.set(func() { f.store.linkRate, f.store.whole = rate, whole })
+		padding := fmt.Sprintf(`{"padding":%q,`, strings.Repeat("-", rate*seconds))
 		f.store.put(gladeplatform.KindConfig, gladeplatform.ConfigName, strings.Replace(releaseText(version, "/a/"), "{", padding, 1))
 	}
-	t.Run("list", func(t *testing.T) {
-		t.Parallel()
-		f := newTestFleet(t)
-		f.publish(1, "/a/")
-		publishLarge(f, 2)
-		front, _ := f.startVM(1)
-		f.eventuallyWithin(30*time.Second, "ready", front.Ready)
-		f.Check(front.release.Load().Version, qt.Equals, int64(2))
-	})
-	t.Run("watch", func(t *testing.T) {
-		t.Parallel()
-		f := newTestFleet(t)
-		f.publish(1, "/a/")
-		front, _ := f.startVM(1)
-		f.eventually("ready", front.Ready)
-		f.eventually("it reads the store", front.isReading)
-		publishLarge(f, 2)
-		f.eventuallyWithin(30*time.Second, "the release is received", func() bool { return front.release.Load().Version == 2 })
-	})
+	for name, test := range map[string]struct {
+		seconds int
+		whole   bool
+	}{
+		"in parts": {8, false},
+		"whole":    {3, true},
+	} {
+		t.Run("list "+name, func(t *testing.T) {
+			t.Parallel()
+			f := newTestFleet(t)
+			f.publish(1, "/a/")
+			publishLarge(f, 2, test.seconds, test.whole)
+			front, _ := f.startVM(1)
+			f.eventuallyWithin(30*time.Second, "ready", front.Ready)
+			f.Check(front.release.Load().Version, qt.Equals, int64(2))
+		})
+		t.Run("watch "+name, func(t *testing.T) {
+			t.Parallel()
+			f := newTestFleet(t)
+			f.publish(1, "/a/")
+			front, _ := f.startVM(1)
+			f.eventually("ready", front.Ready)
+			f.eventually("it reads the store", front.isReading)
+			publishLarge(f, 2, test.seconds, test.whole)
+			f.eventuallyWithin(30*time.Second, "the release is received", func() bool { return front.release.Load().Version == 2 })
+		})
+	}
 }
--- a/internal/state/gladeprogress/widening.go
+++ b/internal/state/gladeprogress/widening.go
@@ -32,6 +32,13 @@
 	return l
 }
 
+// Timeouts returns how many calls of a name in a row took too long, up to a maximum.
+func (w *Widening) Timeouts(call string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.timeouts[call]
+}
+
 // Record records how a call of a name ended.
 func (w *Widening) Record(call string, err error) {
 	w.mu.Lock()
