gladesoak: streams that servers reject twice

Cause: the soak had no late second answers, no streams that may not be repeated, and its servers left the identifier out of rejections, which the platform's do not.

The listener with late answers is gladestandin.LateListener, for the tests of gladeforward too. Rejections of the soak's servers have the identifier of their request.

--- a/internal/proxy/gladeforward/forward_test.go
+++ b/internal/proxy/gladeforward/forward_test.go
@@ -20,6 +20,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/eelgrassglade/eelgrassglade/gladestandin"
 	"github.com/eelgrassglade/eelgrassglade/gladesuspect"
 	"github.com/eelgrassglade/eelgrassglade/gladewire"
 	"github.com/eelgrassglade/eelgrassglade/internal/admit/gladebudget"
@@ -294,7 +295,7 @@
 	address := id + ":1"
 	l, err := w.network.Host(id).Listen("tcp", address)
 	w.Assert(err, qt.IsNil)
-	s := &http.Server{ConnContext: withLateConn, Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+	s := &http.Server{ConnContext: gladestandin.WithLateConn, Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		w.mu.Lock()
 		at := len(w.runs)
@@ -309,7 +310,7 @@
 			w.mu.Unlock()
 		}
 	})}
-	go func() { _ = s.Serve(lateListener{l}) }()
+	go func() { _ = s.Serve(gladestandin.LateListener{Listener: l}) }()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.closers = append(w.closers, func() { _ = s.Close() })
--- a/internal/proxy/gladeforward/lateanswer_test.go
+++ b/internal/proxy/gladeforward/lateanswer_test.go
@@ -1,55 +1,23 @@
 package gladeforward
 
 import (
-	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
-)
-
-// lateListener accepts connections as lateConns.
-type lateListener struct{ net.Listener }
-
-func (l lateListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	return &lateConn{Conn: c}, err
-}
-
-// lateConn is a server's connection that sends some bytes before the next answer.
-type lateConn struct {
-	net.Conn
-
-	late string
-}
 
-func (c *lateConn) Write(b []byte) (int, error) {
-	late := c.late
-	c.late = ""
-	if _, err := io.WriteString(c.Conn, late); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(b)
-}
-
-type lateConnKey struct{}
-
-// withLateConn adds a server's connection to the context of its requests.
-func withLateConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, lateConnKey{}, c)
-}
+	"github.com/eelgrassglade/eelgrassglade/gladestandin"
+)
 
 // rejectTwice rejects a request, and sends a second copy of the rejection before the next answer on the connection.
 func rejectTwice(rw http.ResponseWriter, r *http.Request) {
 	rw.Header().Set("Content-Length", "0")
 	notRunAnswer(rw, r)
 	_ = http.NewResponseController(rw).Flush()
-	r.Context().Value(lateConnKey{}).(*lateConn).late = fmt.Sprintf(
-		"HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", testID, r.Header.Get(testID), testNotRun)
+	gladestandin.SendLater(r, fmt.Sprintf(
+		"HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", testID, r.Header.Get(testID), testNotRun))
 }
 
 // inTurn handles the first requests by one handler each, and all others by the last.
--- a/internal/proxy/gladesoak/fakes_test.go
+++ b/internal/proxy/gladesoak/fakes_test.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/eelgrassglade/eelgrassglade/gladestandin"
 )
 
 // copyTable holds the copies of runs that the engines of a soak keep, by holder and attempt.
@@ -131,6 +133,8 @@
 	retryAfter time.Duration
 	// errorShare is the share of requests that run and are answered 500.
 	errorShare float64
+	// lateShare is the share of requests that are rejected, with a second copy of the rejection before the next answer on the connection.
+	lateShare float64
 	// slowness is by what its times are multiplied, zero for one.
 	slowness int
 }
@@ -173,8 +177,8 @@
 	}
 	f.id = fmt.Sprintf("i-%s-%d", strings.ReplaceAll(f.address, ":", "-"), f.incarnation)
 	f.leaving = time.Time{}
-	f.server, f.listener = &http.Server{Handler: f}, l
-	go func(s *http.Server) { _ = s.Serve(l) }(f.server)
+	f.server, f.listener = &http.Server{Handler: f, ConnContext: gladestandin.WithLateConn}, gladestandin.LateListener{Listener: l}
+	go func(s *http.Server, l net.Listener) { _ = s.Serve(l) }(f.server, f.listener)
 	f.recordUp()
 	f.register("ready")
 }
@@ -270,8 +274,13 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if rand.Float64() < faults.lateShare {
+		rejectTwice(w, r, attempt)
+		return
+	}
 	from := r.Header.Get("Kv-From")
 	if rand.Float64() < failureShare/2 || from != "" && !f.copies.set(from, false) {
+		w.Header().Set("Attempt-Id", attempt)
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -297,7 +306,7 @@
 		return
 	}
 	slowness := max(1, faults.slowness)
-	if strings.HasPrefix(r.URL.Path, "/stream/") {
+	if strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/unsafeStream/") {
 		f.stream(w, r, attempt, slowness)
 		return
 	}
@@ -339,6 +348,16 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// rejectTwice rejects a request, and sends a second copy of the rejection before the next answer on the connection.
+func rejectTwice(w http.ResponseWriter, r *http.Request, attempt string) {
+	for name, value := range map[string]string{"Attempt-Id": attempt, "Not-Executed": "1", "Content-Length": "0"} {
+		w.Header().Set(name, value)
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_ = http.NewResponseController(w).Flush()
+	gladestandin.SendLater(r, "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: "+attempt+"\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
 // writeEndless writes one of endlessAnswers until the caller closes the connection.
 func writeEndless(w http.ResponseWriter, attempt string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
--- a/internal/proxy/gladesoak/recorder_test.go
+++ b/internal/proxy/gladesoak/recorder_test.go
@@ -49,6 +49,9 @@
 	crowded bool
 }
 
+// isStream reports whether the request asks for a stream of events.
+func (a *answer) isStream() bool { return a.kind == "stream" || a.kind == "unsafeStream" }
+
 func newRecorder() *recorder {
 	return &recorder{runs: map[string]int{}, completed: map[string]bool{}, vms: map[string]*vm{}, endedByServer: map[string]bool{}, invalid: map[string]bool{}}
 }
@@ -133,13 +136,13 @@
 	if a.undisturbed && a.duration > a.limit+maxLateness {
 		r.addViolation("%s was answered after %v, limit %v", a.id, a.duration, a.limit)
 	}
-	if a.status == http.StatusOK && a.kind != "stream" && a.complete && a.body != "answer to "+a.id {
+	if a.status == http.StatusOK && !a.isStream() && a.complete && a.body != "answer to "+a.id {
 		r.addViolation("%s got the body %q", a.id, a.body)
 	}
 	if a.notKilled && unsafe && r.completed[a.id] && !a.complete {
 		r.addViolation("%s was interrupted by a planned stop", a.id)
 	}
-	if a.kind == "stream" {
+	if a.isStream() {
 		r.checkStream(a)
 	}
 }
--- a/internal/proxy/gladesoak/soak_test.go
+++ b/internal/proxy/gladesoak/soak_test.go
@@ -249,6 +249,8 @@
 		{"name": "s", "hostname": "h", "path_prefix": "/safe/", "type": "safe", "service": "app", "attempts": 2, "timeout_ms": 1500, "slo_ms": 150},
 		{"name": "g", "hostname": "h", "path_prefix": "/stream/", "type": "streaming", "service": "llm", "attempts": 5, "timeout_ms": 8000,
 			"slo_ms": 2000, "itl_target_ms": 700, "resumable": true},
+		{"name": "o", "hostname": "h", "path_prefix": "/unsafeStream/", "type": "streaming", "service": "llm", "attempts": 5, "timeout_ms": 8000,
+			"slo_ms": 2000, "itl_target_ms": 700},
 	}
 	if more {
 		routes = append(routes, map[string]any{"name": "m", "hostname": "h", "path_prefix": "/more/", "type": "safe", "service": "app", "attempts": 1})
