gladeprogress: the count of calls that took too long goes beyond six

Cause: the count ended at six, which is what the doublings of the limit on a whole answer need; those of a watch begin after three and need ten for their maximum of 5 s.

Change: the count ends at 16. Each limit keeps its own maximum.

Test, which failed before: TestLimitsOfWatchesWidenAfterSeveral (4.2 s instead of 6 s after seven timeouts).

--- a/internal/proxy/gladefront/store_test.go
+++ b/internal/proxy/gladefront/store_test.go
@@ -19,6 +19,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/eelgrassglade/eelgrassglade/gladestore"
+	"github.com/eelgrassglade/eelgrassglade/internal/state/gladeprogress"
 	gladeplatform "github.com/eelgrassglade/eelgrassglade/platform"
 )
 
@@ -334,3 +335,21 @@
 		})
 	}
 }
+
+// Guards against watches whose limits stop widening before answers that begin up to maxFirstWait late are received, and against ones that
+// widen while a few watches on silent connections are replaced.
+func TestLimitsOfWatchesWidenAfterSeveral(t *testing.T) {
+	const wait, ms = time.Second, time.Millisecond
+	f := &Front{}
+	for n, beyond := range []time.Duration{400 * ms, 400 * ms, 400 * ms, 400 * ms, 800 * ms, 1600 * ms, 3200 * ms, maxFirstWait, maxFirstWait} {
+		l := f.watchLimits("watch", wait)
+		qt.Check(t, l.First, qt.Equals, wait+beyond, qt.Commentf("after %d timeouts", n))
+		f.widening.Record("watch", gladeprogress.ErrStalled)
+	}
+	for range 1000 {
+		f.widening.Record("watch", gladeprogress.ErrStalled)
+	}
+	qt.Check(t, f.watchLimits("watch", wait).First, qt.Equals, wait+maxFirstWait)
+	f.widening.Record("watch", nil)
+	qt.Check(t, f.watchLimits("watch", wait).First, qt.Equals, wait+watchSlack)
+}
--- a/internal/state/gladeprogress/widening.go
+++ b/internal/state/gladeprogress/widening.go
@@ -11,6 +11,8 @@
 	maxSilenceDoublings = 2
 	// maxTotalDoublings bounds how often the limit on a whole call doubles.
 	maxTotalDoublings = 6
+	// maxTimeouts bounds the count of calls that took too long.
+	maxTimeouts = 16
 )
 
 // Widening doubles the limits of calls that are made again because they took too long. Its zero value is ready for use, and its methods
@@ -32,7 +34,7 @@
 	return l
 }
 
-// Timeouts returns how many calls of a name in a row took too long, up to a maximum.
+// Timeouts returns how many calls of a name in a row took too long, up to maxTimeouts.
 func (w *Widening) Timeouts(call string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -50,6 +52,6 @@
 		if w.timeouts == nil {
 			w.timeouts = map[string]int{}
 		}
-		w.timeouts[call] = min(w.timeouts[call]+1, maxTotalDoublings)
+		w.timeouts[call] = min(w.timeouts[call]+1, maxTimeouts)
 	}
 }
