gladefront: calls wait longer for a store that answers others only

What callers would see: two faults. A release that never comes in force where its answer begins later than 5 s after a list, or than 5 s after the wait of a watch (a link of 1.2 Mbit/s and 966 KB: 6.4 s). And, from, an old release for up to 4 s more after the store was silent for 10 s or longer, as watches waited longer after four without an answer.

Cause: time alone does not tell a store that is slow from one that is silent.

Change: the limit until an answer begins doubles, up to five times, for calls beside which other calls to the store were answered; a VM follows two kinds of objects or more, each with a call every one or two seconds. A store that answers nothing is noticed as soon as before. Lists keep their two doublings without such an answer, up to 5 s.

Tests: TestLargeReleaseOnSlowLinkIsReceived with a release whose answers begin after 7 s, by watch and by list; by the limits of (5.5 s and 5 s) neither can be received. TestLimitUntilAnswerBeginsWidensBesideAnswersOnly checks the rule, in place of TestLimitsOfWatchesWidenAfterSeveral, which checked the one that this replaces.

--- a/internal/proxy/gladefront/follow.go
+++ b/internal/proxy/gladefront/follow.go
@@ -34,7 +34,7 @@
 	// callTimeout bounds a call to the store or a peer, beyond any wait that the call asks for; answers take milliseconds.  Of a list of the
 	// store it bounds the pauses in which nothing arrives.
 	callTimeout = 700 * time.Millisecond
-	// maxFirstWait is the longest time until the answer to a list begins, and the longest one beyond the wait of a watch.
+	// maxFirstWait is the longest time until the answer to a list begins if the store answers no other call.
 	maxFirstWait = 5 * time.Second
 	// answerTime is how long an answer of the store may arrive; it doubles while that is too short.
 	answerTime = 20 * time.Second
@@ -192,8 +192,9 @@
 			ctx, cancel := gladeprogress.WithLimits(ctx, limits)
 			defer cancel()
 			f.countStoreCall(ctx, "watch", kind)
+			began := time.Now()
 			c, err := f.store.Watch(ctx, kind, revision, wait)
-			f.widening.Record(call, err)
+			f.widening.Record(call, began, err)
 			switch {
 			case errors.Is(err, gladeview.ErrHistoryGone):
 				f.log.Warn("The store has lost its history; listing anew.", "kind", kind, "revision", revision)
@@ -229,7 +230,7 @@
 	f.countStoreCall(ctx, "list", kind)
 	began := time.Now()
 	page, err := f.store.List(ctx, kind, after)
-	f.widening.Record(call, err)
+	f.widening.Record(call, began, err)
 	fields := []any{"kind", kind, "cause", string(storeCauseOf(ctx)), "tookMs", time.Since(began).Milliseconds(), "firstMs", limits.First.Milliseconds(),
 		"totalMs", limits.Total.Milliseconds()}
 	if err == nil {
@@ -247,8 +248,9 @@
 	maxPageBytes = 1 << 20
 	// slowestLink is the rate in bytes a second of a link whose rate is not known.
 	slowestLink = 10_000_000 / 8
-	// steadyWatches is how many watches in a row may take too long before the next one may take longer.
-	steadyWatches = 3
+	// maxListDoublings bounds how often the limit until the answer to a list begins doubles if the store answers no other call.  A list that
+	// waits on a connection which is silent for good delays the next one.
+	maxListDoublings = 2
 )
 
 // listLimits returns the limits of a list.  The release may come as one large object, of which a store may send nothing before it has all
@@ -260,16 +262,14 @@
 		first += time.Duration(maxPageBytes * int64(time.Second) / rate)
 	}
 	l := f.widening.Limits(call, gladeprogress.Limits{First: first, Pause: callTimeout, Total: answerTime})
-	l.First = min(l.First, maxFirstWait)
+	l.First = max(l.First, min(first<<min(f.widening.Timeouts(call), maxListDoublings), maxFirstWait))
 	return l
 }
 
-// watchLimits returns the limits of a watch that waits for changes.  The one until its answer begins widens only after several watches
-// that took too long: by it a connection that is silent for good is noticed.
+// watchLimits returns the limits of a watch that waits for changes.
 func (f *Front) watchLimits(call string, wait time.Duration) gladeprogress.Limits {
-	l := f.widening.Limits(call, gladeprogress.Limits{Pause: watchSlack, Total: answerTime})
-	doublings := max(0, f.widening.Timeouts(call)-steadyWatches)
-	l.First = wait + min(watchSlack<<doublings, maxFirstWait)
+	l := f.widening.Limits(call, gladeprogress.Limits{First: watchSlack, Pause: watchSlack, Total: answerTime})
+	l.First += wait
 	l.Total += wait
 	return l
 }
